--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <ctime>
 
 namespace camphorrail::adapters {
 
@@ -54,13 +55,21 @@
 
 void event_loop::on_stop_signal(std::function<void()> action_now) {
     for (const int number : {SIGTERM, SIGINT}) {
-        auto call = std::make_unique<action>(action_now);
-        event* registered = evsignal_new(this->handle, number, run_signal, call.get());
-        event_add(registered, nullptr);
-        this->signals.emplace_back(registered, std::move(call));
+        this->on_signal(number, action_now);
     }
 }
 
+void event_loop::on_reload_signal(std::function<void()> action_now) {
+    this->on_signal(SIGHUP, action_now);
+}
+
+void event_loop::on_signal(int number, const std::function<void()>& action_now) {
+    auto call = std::make_unique<action>(action_now);
+    event* registered = evsignal_new(this->handle, number, run_signal, call.get());
+    event_add(registered, nullptr);
+    this->signals.emplace_back(registered, std::move(call));
+}
+
 void event_loop::run() {
     event_base_dispatch(this->handle);
 }
@@ -69,6 +78,15 @@
     event_base_loopbreak(this->handle);
 }
 
+base::instant boot_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr std::int64_t micros_a_second = 1000000;
+    constexpr std::int64_t nanos_a_micro = 1000;
+    return base::instant{
+        base::micros(now.tv_sec * micros_a_second + now.tv_nsec / nanos_a_micro)};
+}
+
 ports::clock event_loop::clock() {
     return {
         [] { return std::chrono::time_point_cast<base::micros>(std::chrono::steady_clock::now()); },
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -27,6 +27,8 @@
     void every(base::micros period, std::function<void()> action);
     // Calls back on SIGTERM and SIGINT.
     void on_stop_signal(std::function<void()> action);
+    // Calls back on SIGHUP.
+    void on_reload_signal(std::function<void()> action);
     void run();
     void stop();
 
@@ -34,8 +36,14 @@
     ports::timers timers();
 
 private:
+    void on_signal(int number, const std::function<void()>& action);
+
     event_base* handle;
     std::vector<std::pair<event*, std::unique_ptr<std::function<void()>>>> signals;
 };
 
+// The time on a clock that counts suspension. A process that is frozen and wakes must see that time
+// has passed, or it would go on trusting leases and proofs that have run out.
+base::instant boot_now();
+
 } // namespace camphorrail::adapters
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -1,9 +1,9 @@
 #include "adapters/http_platform.h"
 
 #include "adapters/http_client.h"
+#include "base/base64.h"
 
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 namespace camphorrail::adapters {
 
@@ -14,27 +14,6 @@
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 constexpr int http_ok = 200;
 
-std::string to_base64(const std::string& bytes) {
-    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(),
-                      reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-                      sodium_base64_VARIANT_ORIGINAL);
-    text.pop_back(); // the terminating zero
-    return text;
-}
-
-std::string from_base64(const std::string& text) {
-    std::string bytes(text.size(), '\0');
-    std::size_t length = 0;
-    if (sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
-                          text.size(), nullptr, &length, nullptr,
-                          sodium_base64_VARIANT_ORIGINAL) != 0) {
-        return {};
-    }
-    bytes.resize(length);
-    return bytes;
-}
-
 // The first key after all that start with the prefix.
 std::string end_of(std::string prefix) {
     prefix.back() = static_cast<char>(prefix.back() + 1);
@@ -54,8 +33,8 @@
     ports::snapshot read;
     read.revision = whole(answer.at("header"), "revision");
     for (const auto& item : answer.value("kvs", json::array())) {
-        read.values.push_back({from_base64(item.at("key").get<std::string>()),
-                               from_base64(item.value("value", "")), whole(item, "mod_revision")});
+        read.values.push_back({base::from_base64(item.at("key").get<std::string>()).value_or(""),
+                               base::from_base64(item.value("value", "")).value_or(""), whole(item, "mod_revision")});
     }
     return read;
 }
@@ -63,7 +42,7 @@
 json to_json(const ports::transaction& change) {
     json compare = json::array();
     for (const auto& expected : change.expectations) {
-        compare.push_back({{"key", to_base64(expected.key)},
+        compare.push_back({{"key", base::to_base64(expected.key)},
                            {"target", "MOD"},
                            {"result", "EQUAL"},
                            {"mod_revision", std::to_string(expected.mod_revision)}});
@@ -71,11 +50,11 @@
     json success = json::array();
     for (const auto& item : change.writes) {
         if (item.erase) {
-            success.push_back({{"requestDeleteRange", {{"key", to_base64(item.key)}}}});
+            success.push_back({{"requestDeleteRange", {{"key", base::to_base64(item.key)}}}});
         } else {
             success.push_back({{"requestPut",
-                                {{"key", to_base64(item.key)},
-                                 {"value", to_base64(item.value)},
+                                {{"key", base::to_base64(item.key)},
+                                 {"value", base::to_base64(item.value)},
                                  {"lease", std::to_string(item.lease)}}}});
         }
     }
@@ -122,13 +101,13 @@
     made.read = [at](const std::string& prefix, auto done) {
         ++at.calls->reads;
         at.post<ports::snapshot>(
-            "/v3/kv/range", {{"key", to_base64(prefix)}, {"range_end", to_base64(end_of(prefix))}},
+            "/v3/kv/range", {{"key", base::to_base64(prefix)}, {"range_end", base::to_base64(end_of(prefix))}},
             read_snapshot, std::move(done));
     };
     made.revision = [at](const std::string& key, auto done) {
         ++at.calls->reads;
         at.post<std::int64_t>(
-            "/v3/kv/range", {{"key", to_base64(key)}, {"keys_only", true}},
+            "/v3/kv/range", {{"key", base::to_base64(key)}, {"keys_only", true}},
             [](const json& answer) {
                 const auto found = answer.value("kvs", json::array());
                 return found.empty() ? std::int64_t{0} : whole(found.front(), "mod_revision");
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -12,6 +12,7 @@
 
 Usage:
   camphorrail entry SETTINGS          take callers' requests and route them
+  camphorrail proxy [SETTINGS]        the same, straight to the upstreams, without agents
   camphorrail agent SETTINGS          stand beside one upstream and run its orders
   camphorrail check SETTINGS...       check settings files, and report every fault
   camphorrail ctl ...                 change and show the operators' configuration
@@ -37,7 +38,8 @@
     }
     static const std::map<std::string, int (*)(const app::arguments&)> commands{
         {"agent", app::cmd_agent}, {"check", app::cmd_check},   {"ctl", app::cmd_ctl},
-        {"entry", app::cmd_entry}, {"replay", app::cmd_replay}, {"timeline", app::cmd_timeline}};
+        {"entry", app::cmd_entry}, {"proxy", app::cmd_proxy},   {"replay", app::cmd_replay},
+        {"timeline", app::cmd_timeline}};
     const auto found = commands.find(args[0]);
     if (found == commands.end()) {
         std::cerr << "camphorrail: no command '" << args[0] << "'\n\n" << usage;
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,135 @@
+#include "fleet/fleet.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace camphorrail::fleet {
+
+namespace {
+
+bool same(const ports::listed_upstream& left, const ports::listed_upstream& right) {
+    return left.address == right.address && left.leaving == right.leaving &&
+           left.models == right.models && left.pool == right.pool && left.slots == right.slots;
+}
+
+bool contains(const std::vector<base::upstream_id>& ids, const base::upstream_id& id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+list_change take_list(fleet& state, const std::vector<ports::listed_upstream>& listed,
+                      base::instant now) {
+    list_change change;
+    std::set<base::upstream_id> present;
+    for (const auto& each : listed) {
+        present.insert(each.id);
+        const auto [found, is_new] = state.members.try_emplace(each.id);
+        if (is_new) {
+            change.added.push_back(each.id);
+        } else if (found->second.missing_since || !same(found->second.listed, each)) {
+            change.changed.push_back(each.id);
+        }
+        found->second.listed = each;
+        found->second.missing_since.reset();
+    }
+    for (auto& [id, one] : state.members) {
+        if (present.count(id) == 0 && !one.missing_since) {
+            one.missing_since = now;
+            change.removed.push_back(id);
+        }
+    }
+    return change;
+}
+
+std::vector<base::upstream_id> drop_missing(fleet& state, base::instant now,
+                                            const fleet_rules& rules) {
+    std::vector<base::upstream_id> dropped;
+    for (auto it = state.members.begin(); it != state.members.end();) {
+        const member& one = it->second;
+        const bool over = one.missing_since && one.in_flight == 0 &&
+                          now - *one.missing_since > rules.missing_grace;
+        if (over) {
+            dropped.push_back(it->first);
+        }
+        it = over ? state.members.erase(it) : std::next(it);
+    }
+    return dropped;
+}
+
+std::int64_t weights_of(const member& one, const base::model_id& model) {
+    for (const auto& [name, version] : one.listed.models) {
+        if (name == model) {
+            return version;
+        }
+    }
+    return 0;
+}
+
+bool is_listed(const member& one) {
+    return !one.listed.leaving && !one.missing_since;
+}
+
+bool is_fit(const member& one, base::instant now) {
+    return is_listed(one) && membership::usable(one.health, now) && now >= one.busy_until;
+}
+
+std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
+                                const fleet_rules& rules,
+                                const std::vector<base::upstream_id>& except) {
+    std::vector<member*> fit;
+    std::vector<member*> suspected;
+    std::vector<member*> vanished;
+    for (auto& [id, one] : state.members) {
+        if (one.listed.pool != pool || contains(except, id)) {
+            continue;
+        }
+        if (is_fit(one, now)) {
+            fit.push_back(&one);
+        } else if (is_listed(one) && now >= one.busy_until) {
+            suspected.push_back(&one);
+        } else if (one.missing_since && !one.listed.leaving &&
+                   now - *one.missing_since <= rules.missing_grace) {
+            vanished.push_back(&one);
+        }
+    }
+    if (!fit.empty()) {
+        return fit;
+    }
+    return suspected.empty() ? vanished : suspected;
+}
+
+std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules) {
+    if (!one.load || now - one.load_at > rules.load_lifetime) {
+        return one.in_flight;
+    }
+    // The report counts the request that it came with, which has ended.
+    return std::max(one.in_flight, one.load->running + one.load->waiting - 1);
+}
+
+member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
+                     std::uint64_t number, base::instant now, const fleet_rules& rules) {
+    struct rank {
+        double load;
+        bool elsewhere;
+        std::uint64_t draw;
+        auto operator<=>(const rank&) const = default;
+    };
+    member* best = nullptr;
+    rank best_rank{};
+    for (member* one : among) {
+        const auto slots = static_cast<double>(std::max<std::int64_t>(one->listed.slots, 1));
+        const rank mine{static_cast<double>(estimated_load(*one, now, rules)) / slots,
+                        one->listed.zone != zone,
+                        base::mix(number, base::stable_hash(one->listed.id.value))};
+        if (best == nullptr || mine < best_rank) {
+            best = one;
+            best_rank = mine;
+        }
+    }
+    return best;
+}
+
+} // namespace camphorrail::fleet
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "membership/health.h"
+#include "ports/dialect.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorrail::fleet {
+
+// What an entry knows of one upstream: what the platform lists, and what its own requests show.
+struct member {
+    ports::listed_upstream listed;
+    membership::health health;
+    // Requests of this entry that the upstream holds.
+    std::int64_t in_flight = 0;
+    // Prompt tokens of those requests whose first byte has not come yet.
+    std::int64_t unread_tokens = 0;
+    // What the upstream last said of its load, and when.
+    std::optional<ports::reported_load> load;
+    base::instant load_at{};
+    // It takes no new request before this moment: it loads weights, or has said that it is full.
+    base::instant busy_until{};
+    // Since when the platform's list lacks it.
+    std::optional<base::instant> missing_since;
+};
+
+struct fleet {
+    std::map<base::upstream_id, member> members;
+};
+
+struct fleet_rules {
+    membership::health_rules health;
+    // How long a member that has vanished from the list may still serve when nothing else is there.
+    // Below the platform's bound on new requests to an upstream that left, less the list's lag.
+    base::micros missing_grace = base::milliseconds(1400);
+    // A load report older than this says nothing any more.
+    base::micros load_lifetime = base::milliseconds(500);
+};
+
+// What a new list changed.
+struct list_change {
+    std::vector<base::upstream_id> added;
+    std::vector<base::upstream_id> changed;
+    std::vector<base::upstream_id> removed;
+};
+
+// Takes the platform's list as it now is.
+list_change take_list(fleet& state, const std::vector<ports::listed_upstream>& listed,
+                      base::instant now);
+
+// Forgets members that vanished long enough ago and hold no request; gives their ids.
+std::vector<base::upstream_id> drop_missing(fleet& state, base::instant now,
+                                            const fleet_rules& rules);
+
+// The version of a model's weights that a member holds; 0 where it does not hold the model.
+std::int64_t weights_of(const member& one, const base::model_id& model);
+
+// Whether a new request may be sent there as far as the list says.
+bool is_listed(const member& one);
+
+// Whether nothing speaks against sending a new request there.
+bool is_fit(const member& one, base::instant now);
+
+// The members of a pool that a new request may go to: the fit ones; where there are none, those that
+// are only suspected; where there are none either, those that vanished a moment ago. `except` are
+// left out.
+std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
+                                const fleet_rules& rules,
+                                const std::vector<base::upstream_id>& except);
+
+// How many requests a member probably holds, ours and those of other entries.
+std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
+
+// The candidate with the least load for its size; among equal ones, one in our availability zone,
+// and otherwise the one that `number` picks. Null where there are no candidates.
+member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
+                     std::uint64_t number, base::instant now, const fleet_rules& rules);
+
+} // namespace camphorrail::fleet
--- /dev/null
+++ b/src/fleet/fleet_tests.cpp
@@ -0,0 +1,99 @@
+#include "fleet/fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+base::instant at(int millis) {
+    return base::instant{base::milliseconds(millis)};
+}
+
+ports::listed_upstream upstream(const std::string& id, const std::string& zone = "a") {
+    return {.id = {id}, .pool = {"pool"}, .address = "10.0.0.1:1", .zone = {zone}, .slots = 6};
+}
+
+std::vector<std::string> names(const std::vector<fleet::member*>& members) {
+    std::vector<std::string> ids;
+    for (const auto* each : members) {
+        ids.push_back(each->listed.id.value);
+    }
+    return ids;
+}
+
+using ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("new requests go to upstreams that nothing speaks against", "[fleet]") {
+    fleet::fleet state;
+    const fleet::fleet_rules rules;
+    fleet::take_list(state, {upstream("one"), upstream("two"), upstream("three")}, at(0));
+    const auto now = [&](int millis, std::vector<base::upstream_id> except = {}) {
+        return names(fleet::candidates(state, {"pool"}, at(millis), rules, except));
+    };
+    CHECK(now(1) == ids{"one", "three", "two"});
+    CHECK(now(1, {{"one"}}) == ids{"three", "two"});
+
+    SECTION("not to one that leaves") {
+        auto leaving = upstream("two");
+        leaving.leaving = true;
+        fleet::take_list(state, {upstream("one"), leaving, upstream("three")}, at(5));
+        CHECK(now(6) == ids{"one", "three"});
+    }
+    SECTION("nor to one that is suspected or busy, as long as others are there") {
+        state.members.at({"one"}).health.ejected_until = at(100);
+        state.members.at({"two"}).busy_until = at(100);
+        CHECK(now(6) == ids{"three"});
+        fleet::take_list(state, {upstream("one"), upstream("two")}, at(7));
+        CHECK(now(8) == ids{"one"});
+        CHECK(now(100) == ids{"one", "two"});
+    }
+    // While the store is away, live upstreams lapse from its list all at once. Callers would be
+    // refused although every upstream serves; so the newly vanished ones are the last resort.
+    SECTION("and to one that has just vanished from the list only if none is left") {
+        fleet::take_list(state, {upstream("one")}, at(10));
+        CHECK(now(11) == ids{"one"});
+        fleet::take_list(state, {}, at(20));
+        CHECK(now(21) == ids{"one", "three", "two"});
+        CHECK(now(1412) == ids{"one"});
+        CHECK(now(1500).empty());
+        CHECK(fleet::drop_missing(state, at(1500), rules).size() == 3);
+    }
+}
+
+TEST_CASE("plain calls go where the least waits", "[fleet]") {
+    fleet::fleet state;
+    const fleet::fleet_rules rules;
+    fleet::take_list(state, {upstream("far", "b"), upstream("near", "a")}, at(0));
+    const auto pick = [&] {
+        const auto all = fleet::candidates(state, {"pool"}, at(1), rules, {});
+        return fleet::least_loaded(all, {"a"}, 7, at(1), rules)->listed.id.value;
+    };
+    CHECK(pick() == "near");
+    state.members.at({"near"}).in_flight = 1;
+    CHECK(pick() == "far");
+    state.members.at({"far"}).load = ports::reported_load{5, 2, 6};
+    CHECK(pick() == "near");
+}
+
+// One upstream answers its health check and fails every second call: it never fails several times
+// in a row, and callers go on losing requests to it unless the share of its failures counts.
+TEST_CASE("an upstream that fails part of its calls is ejected, and again on probation", "[fleet]") {
+    const membership::health_rules rules{.failures_to_eject = 3, .share_to_eject = 0.3};
+    membership::health state;
+    int calls = 0;
+    while (membership::usable(state, at(0)) && calls < 100) {
+        ++calls;
+        if (calls % 2 == 0) {
+            membership::note_failure(state, at(0), rules);
+        } else {
+            membership::note_success(state, rules);
+        }
+    }
+    CHECK(calls < 20);
+    const auto first = state.ejected_until - at(0);
+    membership::note_failure(state, state.ejected_until, rules);
+    CHECK(state.ejected_until > at(0) + 2 * first);
+}
--- /dev/null
+++ b/src/kvcache/placement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "fleet/fleet.h"
+#include "kvcache/cache_beliefs.h"
+
+#include <string>
+#include <vector>
+
+namespace camphorrail::kvcache {
+
+// What moving and reading prompts costs in time, in milliseconds a token.
+struct placement_costs {
+    // Reading: about 100 tokens a millisecond on the engines that the users run.
+    double read_ms = 0.01;
+    // Fetching from another engine: 190 KB a token over 350 Gbit/s, and as much again for waiting.
+    double fetch_ms = 0.009;
+    // A request that is generating slows the others on its engine by about this much.
+    double running_ms = 1.0;
+    // Requests of a prompt spread only when the home is behind by more than this.
+    double away_from_home_ms = 6.0;
+};
+
+// Where a prompt goes.
+struct placement {
+    fleet::member* target = nullptr;
+    // Address to fetch shared parts from; empty where the target probably holds them all.
+    std::string fetch_from;
+    // Tokens that the target will probably read.
+    std::int64_t to_read = 0;
+    bool is_home = false;
+};
+
+// Chooses among candidates, which are not empty. `pool_members` are all members of the pool, fit or
+// not: a prompt's home must not move when one is busy for a moment. `kv_store` is the address of the
+// store of kept KV cache, empty for none.
+//
+// Every entry finds the same home without a message, so what one entry's request has read is there
+// for the others' too. A target that is not believed to hold the prompt fetches it: reading a prompt
+// of 6,300 tokens again takes 57 ms of an engine, fetching it about half and no engine time.
+placement place(const std::vector<fleet::member*>& candidates,
+                const std::vector<const fleet::member*>& pool_members, const prompt_chain& chain,
+                const cache_beliefs& beliefs, const std::string& kv_store, base::instant now,
+                const fleet::fleet_rules& rules, const placement_costs& costs);
+
+} // namespace camphorrail::kvcache
--- a/src/membership/health.cpp
+++ b/src/membership/health.cpp
@@ -4,16 +4,22 @@
 
 namespace camphorrail::membership {
 
-void note_success(health& state) {
+void note_success(health& state, const health_rules& rules) {
     state.failures_in_row = 0;
-    state.ejections_in_row = 0;
+    state.failure_share *= 1.0 - rules.newest_weight;
+    if (state.failure_share < rules.share_on_probation) {
+        state.ejections_in_row = 0;
+    }
 }
 
 void note_failure(health& state, base::instant now, const health_rules& rules) {
     ++state.failures_in_row;
-    if (state.failures_in_row < rules.failures_to_eject) {
+    state.failure_share += (1.0 - state.failure_share) * rules.newest_weight;
+    if (state.failures_in_row < rules.failures_to_eject &&
+        state.failure_share < rules.share_to_eject) {
         return;
     }
+    state.failure_share = std::min(state.failure_share, rules.share_on_probation);
     constexpr int most_doublings = 10;
     const auto span =
         rules.first_ejection * (1 << std::min(state.ejections_in_row, most_doublings));
--- a/src/membership/health.h
+++ b/src/membership/health.h
@@ -11,6 +11,8 @@
 struct health {
     int failures_in_row = 0;
     int ejections_in_row = 0;
+    // Share of the newest attempts that failed, the newest weighing most.
+    double failure_share = 0.0;
     base::instant ejected_until{};
     // When the engine last came back with an empty cache.
     base::instant back_since{};
@@ -25,9 +27,16 @@
     base::micros first_ejection = base::seconds(1);
     base::micros longest_ejection = base::seconds(30);
     base::micros slow_start = base::seconds(5);
+    // An upstream that fails every second call never fails many in a row. With a weight of 0.15,
+    // three failures among four calls reach 0.3; a service that fails one call in ten does not.
+    // Above 1: off.
+    double share_to_eject = 2.0;
+    double newest_weight = 0.15;
+    // What is left of the share after an ejection: one more failure then ejects again.
+    double share_on_probation = 0.2;
 };
 
-void note_success(health& state);
+void note_success(health& state, const health_rules& rules = {});
 
 // A failed attempt. After several in a row the upstream gets nothing for a while, twice as long
 // each time.
--- /dev/null
+++ b/src/mirror/store_mirror.cpp
@@ -0,0 +1,86 @@
+#include "mirror/store_mirror.h"
+
+#include <algorithm>
+
+namespace camphorrail::mirror {
+
+namespace {
+
+bool put(store_mirror& state, const ports::stored_value& item) {
+    auto& held = state.items[item.key];
+    if (held.mod_revision >= item.mod_revision) {
+        return false;
+    }
+    held = item;
+    return true;
+}
+
+bool erase(store_mirror& state, const ports::stored_value& item) {
+    const auto found = state.items.find(item.key);
+    if (found == state.items.end() || found->second.mod_revision >= item.mod_revision) {
+        return false;
+    }
+    state.items.erase(found);
+    return true;
+}
+
+} // namespace
+
+std::set<std::string> take_snapshot(store_mirror& state, const ports::snapshot& read,
+                                    base::instant began) {
+    std::set<std::string> changed;
+    if (read.revision < state.revision) {
+        return changed;
+    }
+    std::set<std::string> present;
+    for (const auto& item : read.values) {
+        present.insert(item.key);
+        if (put(state, item)) {
+            changed.insert(item.key);
+        }
+    }
+    for (auto it = state.items.begin(); it != state.items.end();) {
+        const bool gone =
+            present.count(it->first) == 0 && it->second.mod_revision <= read.revision;
+        if (gone) {
+            changed.insert(it->first);
+        }
+        it = gone ? state.items.erase(it) : std::next(it);
+    }
+    state.revision = read.revision;
+    prove(state, began);
+    return changed;
+}
+
+std::set<std::string> take_changes(store_mirror& state, const ports::changes& told) {
+    std::set<std::string> changed;
+    for (const auto& each : told.items) {
+        if (each.deleted ? erase(state, each.item) : put(state, each.item)) {
+            changed.insert(each.item.key);
+        }
+    }
+    state.revision = std::max(state.revision, told.revision);
+    return changed;
+}
+
+void prove(store_mirror& state, base::instant began) {
+    if (!state.proved_at || *state.proved_at < began) {
+        state.proved_at = began;
+    }
+}
+
+std::optional<base::micros> age(const store_mirror& state, base::instant now) {
+    return state.proved_at ? std::optional(now - *state.proved_at) : std::nullopt;
+}
+
+std::vector<ports::stored_value> items_below(const store_mirror& state,
+                                             const std::string& prefix) {
+    std::vector<ports::stored_value> found;
+    for (auto it = state.items.lower_bound(prefix);
+         it != state.items.end() && it->first.starts_with(prefix); ++it) {
+        found.push_back(it->second);
+    }
+    return found;
+}
+
+} // namespace camphorrail::mirror
--- /dev/null
+++ b/src/mirror/store_mirror.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/units.h"
+#include "ports/platform.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorrail::mirror {
+
+// What this process believes the platform's store holds, and how old that belief is. It may come
+// from the store or from another entry that reaches it; both are merged by the store's revisions,
+// so nothing ever goes back.
+struct store_mirror {
+    std::map<std::string, ports::stored_value> items;
+    // All changes up to this revision are in `items`; 0 while nothing is known.
+    std::int64_t revision = 0;
+    // The moment before the read that proved the operators' part of `items` true. On a clock that
+    // counts suspension: a process that wakes from a freeze must not trust what it knew before.
+    std::optional<base::instant> proved_at;
+};
+
+// Takes a whole reading of the store that began at `began`; gives the keys that changed. A reading
+// older than what is known changes nothing.
+std::set<std::string> take_snapshot(store_mirror& state, const ports::snapshot& read,
+                                    base::instant began);
+
+// Takes what a watch told; gives the keys that changed.
+std::set<std::string> take_changes(store_mirror& state, const ports::changes& told);
+
+// A read that began at `began` found the operators' part unchanged.
+void prove(store_mirror& state, base::instant began);
+
+// How long ago the operators' part was last known true; nothing where it never was.
+std::optional<base::micros> age(const store_mirror& state, base::instant now);
+
+// The items whose keys begin so.
+std::vector<ports::stored_value> items_below(const store_mirror& state, const std::string& prefix);
+
+} // namespace camphorrail::mirror
--- /dev/null
+++ b/src/ports/dialect.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/units.h"
+#include "http/fields.h"
+#include "ports/platform.h"
+#include "routes/operators_config.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorrail::ports {
+
+// One part of a prompt that may be shared with other prompts.
+struct prompt_part {
+    std::string id;
+    base::tokens size;
+};
+
+// What a caller's request says of itself.
+struct caller_request {
+    std::string request_id;
+    // The bearer key; empty where there is none.
+    std::string key;
+    // How long the caller waits, from when it sent the request.
+    std::optional<base::milliseconds> deadline;
+    base::model_id model;
+    // The prompt's parts in order; the last belongs to this request or its session.
+    std::vector<prompt_part> parts;
+    // The last event that the caller has seen of a stream that broke off; empty for a new stream.
+    std::string last_event;
+};
+
+// What we tell an upstream about one attempt.
+struct attempt_terms {
+    // The upstream's start that the request is meant for; another refuses it unrun.
+    base::upstream_id instance;
+    base::team_id team;
+    base::milliseconds time_left{0};
+    // 0 is first.
+    int priority = 0;
+    // Name under which parts of the prompt are cached: equal only where they may be shared.
+    std::string cache_salt;
+    // Where parts of the prompt may be fetched from, and where to save them; empty for none.
+    std::string fetch_from;
+    std::string save_to;
+    // Weights that the request must run on; 0 for any.
+    std::int64_t weights = 0;
+    std::string last_event;
+};
+
+// How busy an upstream says it is.
+struct reported_load {
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    std::int64_t slots = 0;
+};
+
+// What an upstream's answer says beside its body.
+struct answer_facts {
+    std::string request_id;
+    // The upstream states that it has not run the request and never will.
+    bool not_run = false;
+    // The address belongs to another upstream now.
+    bool wrong_instance = false;
+    // The upstream's mark under which its answers count.
+    bool stamped = false;
+    std::optional<reported_load> load;
+    std::optional<std::int64_t> weights;
+    // How long the upstream keeps an idle connection, if it says so.
+    std::optional<base::milliseconds> idle_timeout;
+};
+
+// One upstream as the platform lists it.
+struct listed_upstream {
+    base::upstream_id id;
+    base::pool_id pool;
+    std::string address;
+    base::availability_zone zone;
+    std::int64_t slots = 0;
+    bool leaving = false;
+    // Models that it holds, with the version of their weights.
+    std::vector<std::pair<base::model_id, std::int64_t>> models;
+    // Orders that it has accepted since its start.
+    std::int64_t orders = 0;
+};
+
+// Weights that the operators want in use.
+struct named_weights {
+    base::model_id model;
+    std::int64_t version = 0;
+};
+
+// An order to load weights.
+struct load_order {
+    base::model_id model;
+    std::int64_t version = 0;
+    std::string holder;
+    // Rises with every change of the holder.
+    std::int64_t fence = 0;
+    // The order is void where the upstream has accepted another number of orders before.
+    std::int64_t expected_orders = 0;
+};
+
+// What an upstream says of itself when asked.
+struct upstream_state {
+    std::vector<std::pair<base::model_id, std::int64_t>> models;
+    std::int64_t orders = 0;
+    // An order is being carried out.
+    bool busy = false;
+    std::int64_t running = 0;
+    std::int64_t queued = 0;
+};
+
+// How an order was met.
+enum class order_outcome { accepted, already_done, conflict, refused, wrong_instance };
+
+// A call to an upstream that is not a caller's request.
+struct control_call {
+    std::string method;
+    std::string path;
+    http::fields fields;
+    std::string body;
+};
+
+// How one platform spells what the product knows: names of keys, fields and documents. Nothing here
+// decides anything.
+struct dialect {
+    std::string operators_config_key;
+    std::string named_weights_prefix;
+    std::string upstreams_prefix;
+    // Below this prefix the system may write.
+    std::string own_prefix;
+
+    std::function<base::result<routes::operators_config>(const std::string&)> read_config;
+    std::function<base::result<named_weights>(const std::string&)> read_named_weights;
+    // The key ends in the upstream's id.
+    std::function<base::result<listed_upstream>(const std::string& key, const std::string& value)>
+        read_upstream;
+
+    std::function<base::result<caller_request>(const http::request_head&)> read_request;
+    std::function<http::fields(const http::request_head&, const attempt_terms&)> attempt_fields;
+    std::function<answer_facts(const http::response_head&)> read_answer;
+    // The fields of an answer of our own; no hint where `retry_after` is 0.
+    std::function<http::fields(const std::string& request_id, base::milliseconds retry_after)>
+        refusal_fields;
+
+    control_call state_call;
+    std::function<base::result<upstream_state>(const std::string&)> read_state;
+    std::function<control_call(const load_order&, const base::upstream_id&)> order_call;
+    std::function<order_outcome(int status)> read_order_answer;
+};
+
+} // namespace camphorrail::ports
--- a/src/ports/platform.h
+++ b/src/ports/platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "base/units.h"
 
 #include <cstdint>
 #include <functional>
@@ -49,6 +50,20 @@
     std::int64_t revision = 0;
 };
 
+// One change of a key, as a watch tells it.
+struct change {
+    stored_value item;
+    bool deleted = false;
+};
+
+// What a watch gives: all changes after the revision that was asked for, up to this one.
+struct changes {
+    std::int64_t revision = 0;
+    std::vector<change> items;
+    // The store no longer holds this history: everything has to be read anew.
+    bool forgotten = false;
+};
+
 // The platform's key-value service as the core needs it. Every answer may fail with
 // platform_unreachable, which says nothing about whether a write took effect.
 struct platform {
@@ -59,6 +74,10 @@
     std::function<void(std::int64_t seconds, std::function<void(base::result<std::int64_t>)>)>
         grant_lease;
     std::function<void(std::int64_t lease, std::function<void(base::result<bool>)>)> keep_lease;
+    // Waits for changes after a revision; empty where the platform has no watches.
+    std::function<void(std::string prefix, std::int64_t after, base::milliseconds wait,
+                       std::function<void(base::result<changes>)>)>
+        watch;
 };
 
 } // namespace camphorrail::ports
--- /dev/null
+++ b/src/proxy/admission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/codes.h"
+#include "base/result.h"
+#include "ports/dialect.h"
+#include "routes/operators_config.h"
+
+#include <memory>
+#include <optional>
+
+namespace camphorrail::proxy {
+
+// What an entry knows when a request arrives.
+struct admission_view {
+    // The configuration in force; null before the first.
+    std::shared_ptr<const routes::operators_config> config;
+    // How old the proof of it is; nothing where there is none.
+    std::optional<base::micros> config_age;
+    // A removed key must be refused within a bound even by a process that is cut off, so no key is
+    // honoured on a proof older than this.
+    base::micros longest_age{0};
+};
+
+// A request that may be sent on.
+struct admitted {
+    std::shared_ptr<const routes::operators_config> config;
+    const routes::route* route = nullptr;
+    // Null on routes that are open to all.
+    const routes::team* team = nullptr;
+};
+
+// Finds the request's route and team, or the code to refuse it with.
+base::result<admitted> admit(const admission_view& view, const http::request_head& head,
+                             const ports::caller_request& facts);
+
+// Whether an attempt may be made again at another upstream after one that may have run.
+bool may_repeat(const routes::route& route);
+
+// The rank of a request, from 0 (first) to 9: its team's where that has one, else its route's.
+int rank_of(const admitted& request);
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/caller_server.cpp
@@ -0,0 +1,386 @@
+#include "proxy/caller_server.h"
+
+#include "adapters/sockets.h"
+#include "adapters/timer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_head_too_large = 431;
+constexpr int listen_backlog = 1024;
+// Bytes of a next request that are read while an answer is under way. Reading goes on so that a
+// caller who leaves is noticed.
+constexpr std::size_t read_ahead_bytes = 64U << 10U;
+// After a last answer we read on for this long: closing with unread bytes would reset the
+// connection, and the caller could lose the answer.
+constexpr base::milliseconds linger{1000};
+// A caller's link may be slow; beyond this its machine is gone.
+constexpr adapters::silence_limits caller_silence{base::milliseconds(8000), base::seconds(3), 3};
+
+int status_of(http::read_fault fault) {
+    switch (fault) {
+    case http::read_fault::head_too_large:
+        return status_head_too_large;
+    case http::read_fault::body_too_large:
+        return status_too_large;
+    default:
+        return status_bad_request;
+    }
+}
+
+std::string_view contents(evbuffer* input) {
+    const auto length = evbuffer_get_length(input);
+    return {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length};
+}
+
+} // namespace
+
+// A caller's connection: reads one request at a time and writes its answer.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(caller_server& server, int descriptor)
+        : server(&server), bounds(server.handler.bounds()), reader(this->bounds.read),
+          next(server.base, [this] { this->read_request(); }) {
+        adapters::watch_for_silence(descriptor, caller_silence);
+        this->socket = bufferevent_socket_new(server.base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(this->socket, on_read, on_written, on_event, this);
+        this->wait_for_request();
+        bufferevent_enable(this->socket, EV_READ | EV_WRITE);
+    }
+
+    ~caller_connection() { this->release(); }
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+
+    [[nodiscard]] bool open() const { return this->socket != nullptr && !this->last_sent; }
+    [[nodiscard]] bool idle() const {
+        return this->exchange == nullptr && !this->reading && !this->last_sent;
+    }
+
+    void answer(int status, const http::fields& all, const std::string& body) {
+        const bool keep = this->keep_alive();
+        this->write(http::write_response_head(status, all, {http::framing::length, body.size()},
+                                              keep));
+        this->write(body);
+        this->end_exchange(keep);
+    }
+
+    void start(int status, const http::fields& all) {
+        this->chunked = this->exchange->head.chunks_allowed;
+        this->keep_after = this->keep_alive() && this->chunked;
+        const auto kind = this->chunked ? http::framing::chunks : http::framing::close;
+        this->write(http::write_response_head(status, all, {kind, 0}, this->keep_after));
+    }
+
+    void send(const std::string& bytes) {
+        this->write(this->chunked ? http::write_chunk(bytes) : bytes);
+    }
+
+    void finish() {
+        if (this->chunked) {
+            this->write(std::string(http::last_chunk));
+        }
+        this->end_exchange(this->keep_after);
+    }
+
+    void abort() {
+        if (this->socket != nullptr) {
+            // A reset, since an orderly close completes an answer without a length.
+            const struct linger at_once {
+                1, 0
+            };
+            setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &at_once,
+                       sizeof at_once);
+        }
+        this->exchange.reset();
+        this->close();
+    }
+
+    [[nodiscard]] std::size_t unsent() const {
+        return this->socket == nullptr
+                   ? 0
+                   : evbuffer_get_length(bufferevent_get_output(this->socket));
+    }
+
+    void close() {
+        const auto self = this->shared_from_this();
+        this->release();
+        this->server->connections.erase(self);
+        if (const auto left = std::exchange(this->exchange, nullptr)) {
+            left->gone.emit();
+        }
+    }
+
+private:
+    static std::shared_ptr<caller_connection> self_of(void* raw) {
+        return static_cast<caller_connection*>(raw)->shared_from_this();
+    }
+    static void on_read(bufferevent* /*socket*/, void* raw) { self_of(raw)->read_request(); }
+    static void on_written(bufferevent* /*socket*/, void* raw) { self_of(raw)->written(); }
+    static void on_event(bufferevent* /*socket*/, short what, void* raw) {
+        const auto self = self_of(raw);
+        if ((what & BEV_EVENT_TIMEOUT) != 0 && self->reading && !self->last_sent) {
+            self->refuse(status_timeout);
+            return;
+        }
+        self->close();
+    }
+
+    void release() {
+        if (this->socket != nullptr) {
+            bufferevent_free(std::exchange(this->socket, nullptr));
+        }
+    }
+
+    void write(const std::string& bytes) {
+        if (this->socket != nullptr) {
+            bufferevent_write(this->socket, bytes.data(), bytes.size());
+        }
+    }
+
+    [[nodiscard]] bool keep_alive() const {
+        return this->exchange->head.keep_alive && !this->server->closing;
+    }
+
+    void set_read_timeout(base::milliseconds limit) {
+        const timeval wait = adapters::to_timeval(limit);
+        bufferevent_set_timeouts(this->socket, limit.count() == 0 ? nullptr : &wait, nullptr);
+    }
+
+    void wait_for_request() {
+        this->reading = false;
+        this->bounds = this->server->handler.bounds();
+        this->reader = http::request_reader(this->bounds.read);
+        this->set_read_timeout(this->bounds.idle_timeout);
+        bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
+    }
+
+    void read_request() {
+        if (this->socket == nullptr || this->exchange != nullptr) {
+            return;
+        }
+        evbuffer* input = bufferevent_get_input(this->socket);
+        if (this->last_sent) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+            return;
+        }
+        this->skip_blank_lines(input);
+        if (evbuffer_get_length(input) == 0) {
+            return;
+        }
+        this->note_reading();
+        evbuffer_drain(input, this->reader.feed(contents(input)));
+        if (this->reader.fault() != http::read_fault::none) {
+            this->refuse(status_of(this->reader.fault()));
+        } else if (this->reader.complete()) {
+            this->begin_exchange();
+        } else if (this->reader.has_head()) {
+            this->welcome_body();
+        } else if (this->server->handler.now() - this->began > this->bounds.head_timeout) {
+            this->refuse(status_timeout);
+        }
+    }
+
+    // Some callers send an empty line after a body; it belongs to no request.
+    void skip_blank_lines(evbuffer* input) const {
+        while (!this->reading && evbuffer_get_length(input) >= 2) {
+            std::string_view begin = contents(input);
+            if (!begin.starts_with("\r\n")) {
+                return;
+            }
+            evbuffer_drain(input, 2);
+        }
+    }
+
+    void note_reading() {
+        if (this->reading) {
+            return;
+        }
+        this->reading = true;
+        this->welcomed = false;
+        this->began = this->server->handler.now();
+        this->set_read_timeout(this->bounds.head_timeout);
+    }
+
+    void welcome_body() {
+        if (this->welcomed) {
+            return;
+        }
+        this->welcomed = true;
+        if (http::same_name(http::value_of(this->reader.head().all, "Expect"), "100-continue")) {
+            this->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+
+    void begin_exchange() {
+        this->set_read_timeout(base::milliseconds(0));
+        bufferevent_setwatermark(this->socket, EV_READ, 0, read_ahead_bytes);
+        this->reading = false;
+        this->exchange = std::make_shared<caller_exchange>(
+            this->weak_from_this(), std::move(this->reader.head()), this->reader.take_body(),
+            this->began);
+        const auto held = this->exchange;
+        this->server->handler.request(held);
+    }
+
+    void refuse(int status) {
+        this->server->handler.refused(status);
+        this->write(http::write_response_head(status, {}, {http::framing::length, 0}, false));
+        this->end_exchange(false);
+    }
+
+    void end_exchange(bool keep) {
+        this->exchange.reset();
+        if (this->socket == nullptr) {
+            return;
+        }
+        if (keep) {
+            this->wait_for_request();
+            if (evbuffer_get_length(bufferevent_get_input(this->socket)) > 0) {
+                this->next.set(base::micros(0));
+            }
+            return;
+        }
+        this->last_sent = true;
+        this->reading = false;
+        bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
+        // A timeout stops the reading, and we go on until the caller has closed.
+        bufferevent_enable(this->socket, EV_READ);
+        if (this->unsent() == 0) {
+            this->written();
+        }
+    }
+
+    void written() {
+        if (this->exchange != nullptr) {
+            const auto held = this->exchange;
+            held->drained.emit();
+            return;
+        }
+        if (this->last_sent && this->socket != nullptr) {
+            shutdown(bufferevent_getfd(this->socket), SHUT_WR);
+            this->set_read_timeout(linger);
+        }
+    }
+
+    caller_server* server;
+    bufferevent* socket = nullptr;
+    caller_bounds bounds;
+    http::request_reader reader;
+    adapters::timer next;
+    exchange_ptr exchange;
+    base::instant began{};
+    // A request has begun to arrive and is not whole yet.
+    bool reading = false;
+    bool welcomed = false;
+    bool chunked = true;
+    bool keep_after = true;
+    // The last answer on this connection has been written.
+    bool last_sent = false;
+};
+
+caller_exchange::caller_exchange(std::weak_ptr<caller_connection> connection,
+                                 http::request_head head, std::string body, base::instant arrived)
+    : head(std::move(head)), body(std::move(body)), arrived(arrived),
+      connection(std::move(connection)) {}
+
+bool caller_exchange::open() const {
+    const auto held = this->connection.lock();
+    return held != nullptr && held->open();
+}
+
+void caller_exchange::answer(int status, const http::fields& all, const std::string& text) {
+    if (const auto held = this->connection.lock(); held != nullptr && held->open()) {
+        held->answer(status, all, text);
+    }
+}
+
+void caller_exchange::start(int status, const http::fields& all) {
+    if (const auto held = this->connection.lock(); held != nullptr && held->open()) {
+        held->start(status, all);
+    }
+}
+
+void caller_exchange::send(const std::string& bytes) {
+    if (const auto held = this->connection.lock(); held != nullptr && !bytes.empty()) {
+        held->send(bytes);
+    }
+}
+
+void caller_exchange::finish() {
+    if (const auto held = this->connection.lock(); held != nullptr && held->open()) {
+        held->finish();
+    }
+}
+
+void caller_exchange::abort() {
+    if (const auto held = this->connection.lock()) {
+        held->abort();
+    }
+}
+
+std::size_t caller_exchange::unsent() const {
+    const auto held = this->connection.lock();
+    return held == nullptr ? 0 : held->unsent();
+}
+
+caller_server::caller_server(event_base* base, caller_handler handler)
+    : base(base), handler(std::move(handler)) {}
+
+caller_server::~caller_server() {
+    if (this->listener != nullptr) {
+        evconnlistener_free(this->listener);
+    }
+}
+
+bool caller_server::listen(const std::string& address) {
+    sockaddr_storage storage{};
+    int length = sizeof storage;
+    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&storage),
+                                   &length) != 0) {
+        return false;
+    }
+    this->listener = evconnlistener_new_bind(
+        this->base,
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* raw) {
+            auto* self = static_cast<caller_server*>(raw);
+            self->connections.insert(std::make_shared<caller_connection>(*self, descriptor));
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
+        reinterpret_cast<sockaddr*>(&storage), length);
+    return this->listener != nullptr;
+}
+
+void caller_server::close_after_answers() {
+    this->closing = true;
+}
+
+void caller_server::stop() {
+    this->closing = true;
+    if (this->listener != nullptr) {
+        evconnlistener_free(std::exchange(this->listener, nullptr));
+    }
+    const std::vector<std::shared_ptr<caller_connection>> all(this->connections.begin(),
+                                                              this->connections.end());
+    for (const auto& each : all) {
+        if (each->idle()) {
+            each->close();
+        }
+    }
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/caller_server.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "http/readers.h"
+#include "http/writers.h"
+#include "base/units.h"
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+struct event_base;
+struct evconnlistener;
+
+namespace camphorrail::proxy {
+
+class caller_connection;
+
+// One request of a caller and its answer. It outlives the caller's connection; what is sent after
+// the caller has gone is dropped.
+class caller_exchange {
+public:
+    caller_exchange(std::weak_ptr<caller_connection> connection, http::request_head head,
+                    std::string body, base::instant arrived);
+
+    http::request_head head;
+    std::string body;
+    base::instant arrived;
+
+    [[nodiscard]] bool open() const;
+    // The whole answer at once.
+    void answer(int status, const http::fields& all, const std::string& body);
+    // An answer in pieces: `start`, any number of `send`, `finish`.
+    void start(int status, const http::fields& all);
+    void send(const std::string& bytes);
+    void finish();
+    // Breaks the connection under an answer that can't be completed, so that it can't be taken for
+    // a whole one.
+    void abort();
+    // Bytes that the kernel has not taken yet: how far the caller lags in reading.
+    [[nodiscard]] std::size_t unsent() const;
+
+    // The caller closed its connection before the answer was whole.
+    sigc::signal<void()> gone;
+    // All bytes sent so far were taken by the kernel.
+    sigc::signal<void()> drained;
+
+private:
+    std::weak_ptr<caller_connection> connection;
+};
+
+using exchange_ptr = std::shared_ptr<caller_exchange>;
+
+// Bounds on what a caller may send, and how long it may take.
+struct caller_bounds {
+    http::read_limits read;
+    base::milliseconds head_timeout{3000};
+    base::milliseconds idle_timeout{15000};
+};
+
+// What the server asks of its owner.
+struct caller_handler {
+    std::function<void(const exchange_ptr&)> request;
+    std::function<caller_bounds()> bounds;
+    std::function<base::instant()> now;
+    // A request was refused before it was read whole, with this status.
+    std::function<void(int status)> refused;
+};
+
+// HTTP/1.1 towards callers, over bufferevents: evhttp reads a whole body before its handler runs,
+// takes ambiguous heads, and can't tell a caller who leaves from one who sends the next request.
+class caller_server {
+public:
+    caller_server(event_base* base, caller_handler handler);
+    ~caller_server();
+    caller_server(const caller_server&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+
+    bool listen(const std::string& address);
+    // From now on each answer is the last on its connection.
+    void close_after_answers();
+    // Takes no more connections and closes the idle ones.
+    void stop();
+    [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
+
+private:
+    friend class caller_connection;
+
+    event_base* base;
+    caller_handler handler;
+    evconnlistener* listener = nullptr;
+    std::unordered_set<std::shared_ptr<caller_connection>> connections;
+    bool closing = false;
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/context.cpp
@@ -0,0 +1,60 @@
+#include "proxy/context.h"
+
+namespace camphorrail::proxy {
+
+bool is_fresh(const entry_context& context) {
+    const auto age = mirror::age(context.state.store, context.now());
+    return context.state.config != nullptr && age &&
+           *age <= longest_config_age(context.settings);
+}
+
+base::micros longest_config_age(const settings::proxy_settings& settings) {
+    // A request's way to the upstream, and the time a loaded machine takes for one turn of its loop.
+    constexpr base::milliseconds margin{400};
+    return std::max<base::milliseconds>(settings.bounds.revoke - margin, margin);
+}
+
+fleet::fleet_rules fleet_rules_of(const settings::proxy_settings& settings) {
+    fleet::fleet_rules rules;
+    // Two failures in a row are rare on a sound upstream, and a crashed one fails every call; with
+    // three, one more caller of each entry would be lost to it.
+    rules.health.failures_to_eject = 2;
+    rules.health.share_to_eject = 0.3;
+    rules.health.first_ejection = base::milliseconds(1000);
+    // A crashed engine is back in some seconds; a longer absence than this would cost more than the
+    // one call that finds it still down.
+    rules.health.longest_ejection = base::seconds(4);
+    rules.missing_grace = settings.bounds.drain * 7 / 10;
+    return rules;
+}
+
+void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why) {
+    const auto found = context.state.fleet.members.find(id);
+    if (found == context.state.fleet.members.end()) {
+        return;
+    }
+    const base::instant now = context.now();
+    const bool was_usable = membership::usable(found->second.health, now);
+    membership::note_failure(found->second.health, now, fleet_rules_of(context.settings).health);
+    const bool ejected = was_usable && !membership::usable(found->second.health, now);
+    if (!ejected) {
+        return;
+    }
+    context.connections.forget(id);
+    const base::micros span = found->second.health.ejected_until - now;
+    context.log.line(adapters::importance::keep, "upstream_ejected")
+        .text("upstream", id.value)
+        .text("why", why)
+        .span("for_ms", span);
+    context.metrics.count("camphorrail_ejections_total", {{"why", why}});
+    context.tell_suspicion(id, span, why);
+}
+
+void note_upstream_success(entry_context& context, const base::upstream_id& id) {
+    const auto found = context.state.fleet.members.find(id);
+    if (found != context.state.fleet.members.end()) {
+        membership::note_success(found->second.health, fleet_rules_of(context.settings).health);
+    }
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/context.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "adapters/event_log.h"
+#include "adapters/event_loop.h"
+#include "adapters/metrics.h"
+#include "admission/retry_budget.h"
+#include "fleet/fleet.h"
+#include "kvcache/placement.h"
+#include "mirror/store_mirror.h"
+#include "ports/dialect.h"
+#include "proxy/admission.h"
+#include "proxy/connection_pool.h"
+#include "proxy/named_weights.h"
+#include "settings/settings.h"
+
+#include <map>
+#include <memory>
+
+namespace camphorrail::proxy {
+
+// What an entry believes. Changed by what the store, other entries and its own requests tell.
+struct entry_state {
+    mirror::store_mirror store;
+    std::shared_ptr<const routes::operators_config> config;
+    fleet::fleet fleet;
+    std::map<base::model_id, weights_history> weights;
+    kvcache::cache_beliefs cache;
+    std::map<base::pool_id, admission::retry_budget> retries;
+    // Entries that share the retry budget, this one included.
+    std::int64_t entries = 1;
+    // The store of kept KV cache does not answer.
+    bool kv_store_down = false;
+    bool stopping = false;
+};
+
+// What every part of an entry works with.
+struct entry_context {
+    adapters::event_loop& loop;
+    const settings::proxy_settings& settings;
+    const ports::dialect& words;
+    entry_state& state;
+    connection_pool& connections;
+    adapters::event_log& log;
+    adapters::metrics& metrics;
+    // On a clock that counts suspension.
+    std::function<base::instant()> now;
+    // Tells other entries that an upstream takes nothing for a while.
+    std::function<void(const base::upstream_id&, base::micros, const char* why)> tell_suspicion;
+};
+
+// Whether the configuration is proved recently enough to serve by.
+bool is_fresh(const entry_context& context);
+
+// Longest age of the proof behind a configuration that requests are served by.
+base::micros longest_config_age(const settings::proxy_settings& settings);
+
+// The rules by which upstreams are judged, with the settings' figures.
+fleet::fleet_rules fleet_rules_of(const settings::proxy_settings& settings);
+
+// Notes that an attempt at an upstream failed; may eject it, and then tells other entries.
+void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why);
+
+void note_upstream_success(entry_context& context, const base::upstream_id& id);
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,375 @@
+#include "proxy/proxy.h"
+
+#include "adapters/logging.h"
+#include "process/operators_port.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+// Log lines reach their reader within this time.
+constexpr base::milliseconds tick_period{200};
+// The balancer asks once a second and takes an entry out after two misses; until then callers still
+// arrive, and must be served.
+constexpr base::milliseconds balancer_notices{2800};
+// What is left of the grace period for the process to end in.
+constexpr base::milliseconds exit_margin{700};
+// Part of the shared retry budget that the entries use together. The rest is for entries that start
+// or vanish meanwhile, and for calls that are counted late.
+constexpr double retry_share = 0.7;
+
+std::string read_file(const std::string& file) {
+    std::ifstream input(file);
+    std::ostringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+proxy::proxy(settings::proxy_settings settings, std::string settings_file,
+             proxy_platform platform_given)
+    : settings(std::move(settings)), settings_file(std::move(settings_file)),
+      settings_text(read_file(this->settings_file)), platform(std::move(platform_given)),
+      log(STDOUT_FILENO, this->settings.id.value, {}, this->loop.clock().wall_ms),
+      timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
+      connections(this->loop.base(), adapters::boot_now),
+      context{this->loop,
+              this->settings,
+              this->platform.words,
+              this->state,
+              this->connections,
+              this->log,
+              this->metrics,
+              adapters::boot_now,
+              [](const base::upstream_id&, base::micros, const char*) {}},
+      platform_calls(std::make_shared<adapters::platform_calls>()),
+      store(this->context, this->platform.make_store(
+                               this->loop.base(), this->settings.platform.endpoint,
+                               this->settings.platform.timeout, this->platform_calls)) {}
+
+bool proxy::listen() {
+    this->callers = std::make_unique<caller_server>(
+        this->loop.base(),
+        caller_handler{[this](const exchange_ptr& exchange) { this->on_request(exchange); },
+                       [this] {
+                           const auto limits = this->state.config == nullptr
+                                                   ? routes::caller_limits{}
+                                                   : this->state.config->limits;
+                           return caller_bounds{
+                               {static_cast<std::uint32_t>(limits.head_bytes),
+                                static_cast<std::uint64_t>(limits.body_bytes)},
+                               limits.head_timeout,
+                               limits.idle_timeout};
+                       },
+                       adapters::boot_now,
+                       [this](int status) {
+                           this->log.line(importance::keep, "request_unreadable")
+                               .number("status", status);
+                           this->metrics.count("camphorrail_unreadable_requests_total",
+                                               {{"status", std::to_string(status)}});
+                       }});
+    this->serve_operators_and_balancer();
+    const std::pair<const char*, bool> listened[] = {
+        {"listen", this->callers->listen(this->settings.listen)},
+        {"ready_listen", this->balancer->listen(this->settings.ready_listen)},
+        {"operators_listen", this->operators->listen(this->settings.operators_listen)}};
+    for (const auto& [name, fine] : listened) {
+        if (!fine) {
+            this->log.line(importance::keep, "cannot_listen").text("setting", name);
+        }
+    }
+    return listened[0].second && listened[1].second;
+}
+
+void proxy::serve_operators_and_balancer() {
+    this->balancer = std::make_unique<adapters::http_server>(
+        this->loop.base(), adapters::http_limits{}, [this](const adapters::exchange_ptr& asked) {
+            asked->reply(this->ready() ? status_ok : status_unavailable, {}, "");
+        });
+    this->operators = process::serve_operators(
+        this->loop, this->metrics, this->timeline,
+        {[this] { return this->ready(); }, [this] { return this->status(); },
+         [this] { this->refresh_metrics(); }});
+}
+
+int proxy::run() {
+    this->loop.on_stop_signal([this] { this->stop(); });
+    this->loop.on_reload_signal([this] { this->reload("signal"); });
+    const bool listening = this->listen();
+    this->log.line(importance::keep, "start")
+        .text("listen", this->settings.listen)
+        .text("availability_zone", this->settings.zone.value)
+        .text("platform", this->settings.platform.endpoint)
+        .number("pid", getpid())
+        .flag("listening", listening);
+    if (!listening) {
+        this->log.flush();
+        return 1;
+    }
+    this->store.changed = [this](const std::set<std::string>& keys) {
+        this->on_store_change(keys);
+    };
+    this->store.start();
+    this->loop.every(tick_period, [this] { this->tick(); });
+    this->loop.run();
+    this->log.line(importance::keep, "stopped").number("flows", static_cast<std::int64_t>(this->flows.size()));
+    this->log.flush();
+    return 0;
+}
+
+bool proxy::ready() const {
+    return !this->state.stopping && is_fresh(this->context) && !this->state.fleet.members.empty();
+}
+
+void proxy::on_request(const exchange_ptr& exchange) {
+    const auto flow = std::make_shared<request_flow>(this->context, exchange);
+    this->flows.insert(flow);
+    flow->on_end = [this, raw = std::weak_ptr<request_flow>(flow)] {
+        if (const auto ended = raw.lock()) {
+            this->flows.erase(ended);
+        }
+        this->exit_when_done();
+    };
+    flow->begin();
+}
+
+void proxy::on_store_change(const std::set<std::string>& keys) {
+    bool upstreams = false;
+    for (const auto& key : keys) {
+        upstreams = upstreams || key.starts_with(this->platform.words.upstreams_prefix);
+    }
+    if (keys.count(this->platform.words.operators_config_key) > 0) {
+        this->take_config();
+    }
+    this->take_named_weights();
+    if (upstreams) {
+        this->take_upstreams();
+    }
+    this->note_readiness();
+}
+
+void proxy::take_config() {
+    const auto found = this->state.store.items.find(this->platform.words.operators_config_key);
+    if (found == this->state.store.items.end()) {
+        return;
+    }
+    auto read = this->platform.words.read_config(found->second.value);
+    if (!read.has_value()) {
+        // The one in force stays: half a configuration would refuse callers that are allowed.
+        this->log.line(importance::keep, "config_unreadable")
+            .number("revision", found->second.mod_revision);
+        return;
+    }
+    if (this->state.config != nullptr && read.value().version <= this->state.config->version) {
+        return;
+    }
+    this->log.line(importance::keep, "config_in_force")
+        .number("version", read.value().version)
+        .number("before", this->state.config == nullptr ? 0 : this->state.config->version)
+        .number("revision", found->second.mod_revision)
+        .number("routes", static_cast<std::int64_t>(read.value().routes.size()))
+        .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
+    this->state.config =
+        std::make_shared<const routes::operators_config>(std::move(read.value()));
+    this->set_retry_budgets();
+}
+
+void proxy::set_retry_budgets() {
+    const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entries, 1));
+    for (const auto& [id, pool] : this->state.config->pools) {
+        auto& budget = this->state.retries[id];
+        budget.most =
+            std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
+        budget.a_request = this->settings.bounds.retry_ratio * retry_share;
+        budget.tokens = std::min(budget.tokens, budget.most);
+    }
+}
+
+void proxy::take_upstreams() {
+    std::vector<ports::listed_upstream> listed;
+    for (const auto& item :
+         mirror::items_below(this->state.store, this->platform.words.upstreams_prefix)) {
+        auto read = this->platform.words.read_upstream(item.key, item.value);
+        if (read.has_value()) {
+            listed.push_back(std::move(read.value()));
+        } else {
+            this->log.line(importance::keep, "upstream_unreadable").text("key", item.key);
+        }
+    }
+    const auto change = fleet::take_list(this->state.fleet, listed, this->context.now());
+    const auto tell = [this](const char* event, const std::vector<base::upstream_id>& ids) {
+        for (const auto& id : ids) {
+            const auto& one = this->state.fleet.members.at(id);
+            this->log.line(importance::keep, event)
+                .text("upstream", id.value)
+                .text("pool", one.listed.pool.value)
+                .text("address", one.listed.address)
+                .flag("leaving", one.listed.leaving)
+                .number("weights", one.listed.models.empty() ? 0 : one.listed.models[0].second)
+                .number("revision", this->state.store.revision);
+        }
+    };
+    tell("upstream_added", change.added);
+    tell("upstream_changed", change.changed);
+    tell("upstream_unlisted", change.removed);
+    for (const auto& id : change.removed) {
+        this->connections.forget(id);
+        kvcache::forget_holder(this->state.cache, id);
+    }
+}
+
+void proxy::take_named_weights() {
+    for (const auto& item :
+         mirror::items_below(this->state.store, this->platform.words.named_weights_prefix)) {
+        const auto read = this->platform.words.read_named_weights(item.value);
+        if (!read.has_value()) {
+            this->log.line(importance::keep, "weights_unreadable").text("key", item.key);
+            continue;
+        }
+        const auto& named = read.value();
+        if (note_named(this->state.weights[named.model], named.version, this->context.now())) {
+            this->log.line(importance::keep, "weights_named")
+                .text("model", named.model.value)
+                .number("version", named.version)
+                .number("revision", item.mod_revision);
+        }
+    }
+}
+
+void proxy::note_readiness() {
+    const bool now_ready = this->ready();
+    if (now_ready != this->was_ready) {
+        this->was_ready = now_ready;
+        this->log.line(importance::keep, now_ready ? "ready" : "not_ready")
+            .number("config_version",
+                    this->state.config == nullptr ? 0 : this->state.config->version)
+            .span("config_age_ms", mirror::age(this->state.store, this->context.now())
+                                       .value_or(base::micros(-1)))
+            .number("upstreams", static_cast<std::int64_t>(this->state.fleet.members.size()))
+            .flag("stopping", this->state.stopping);
+    }
+}
+
+void proxy::tick() {
+    this->note_readiness();
+    this->connections.sweep();
+    for (const auto& id : fleet::drop_missing(this->state.fleet, this->context.now(),
+                                              fleet_rules_of(this->settings))) {
+        this->log.line(importance::keep, "upstream_gone").text("upstream", id.value);
+    }
+    if (read_file(this->settings_file) != this->settings_text) {
+        this->reload("changed");
+    }
+    this->log.flush();
+}
+
+void proxy::reload(const char* why) {
+    const std::string text = read_file(this->settings_file);
+    this->settings_text = text;
+    auto parsed = settings::parse_settings(text);
+    const auto* fresh = std::get_if<settings::proxy_settings>(&parsed.settings);
+    const bool fine = parsed.faults.empty() && fresh != nullptr;
+    this->log.line(importance::keep, "reload")
+        .text("why", why)
+        .flag("taken", fine)
+        .text("fault", parsed.faults.empty() ? "" : parsed.faults.front().text);
+    if (!fine) {
+        return;
+    }
+    // Addresses stay as they are: changing them would cut requests under way.
+    this->settings.bounds = fresh->bounds;
+    if (this->state.config != nullptr) {
+        this->set_retry_budgets();
+    }
+}
+
+void proxy::stop() {
+    if (this->state.stopping) {
+        return;
+    }
+    this->state.stopping = true;
+    this->stop_at = this->context.now();
+    this->log.line(importance::keep, "stop").number("flows", static_cast<std::int64_t>(this->flows.size()));
+    this->note_readiness();
+    this->callers->close_after_answers();
+    this->loop.after(balancer_notices, [this] {
+        this->callers->stop();
+        this->exit_when_done();
+    });
+    this->loop.after(this->settings.bounds.grace - exit_margin, [this] {
+        const auto left = this->flows;
+        for (const auto& flow : left) {
+            flow->break_off();
+        }
+        this->loop.stop();
+    });
+}
+
+void proxy::exit_when_done() {
+    const bool noticed =
+        this->state.stopping && this->context.now() - this->stop_at >= balancer_notices;
+    if (noticed && this->flows.empty()) {
+        // What was written last still has to leave.
+        this->loop.after(base::milliseconds(100), [this] { this->loop.stop(); });
+    }
+}
+
+nlohmann::json proxy::status() const {
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const auto& [id, one] : this->state.fleet.members) {
+        upstreams.push_back({{"id", id.value},
+                             {"pool", one.listed.pool.value},
+                             {"address", one.listed.address},
+                             {"fit", fleet::is_fit(one, this->context.now())},
+                             {"in_flight", one.in_flight}});
+    }
+    const auto age = mirror::age(this->state.store, this->context.now());
+    return {{"id", this->settings.id.value},
+            {"ready", this->ready()},
+            {"config_version", this->state.config == nullptr ? 0 : this->state.config->version},
+            {"config_age_ms", age ? age->count() / 1000 : -1},
+            {"open_requests", this->flows.size()},
+            {"upstreams", upstreams}};
+}
+
+void proxy::refresh_metrics() {
+    const auto age = mirror::age(this->state.store, this->context.now());
+    this->metrics.set("camphorrail_config_age_seconds",
+                      age ? std::chrono::duration<double>(*age).count() : -1.0);
+    this->metrics.set("camphorrail_config_version",
+                      this->state.config == nullptr
+                          ? 0.0
+                          : static_cast<double>(this->state.config->version));
+    this->metrics.set("camphorrail_open_requests", static_cast<double>(this->flows.size()));
+    this->metrics.set("camphorrail_platform_calls",
+                      static_cast<double>(this->platform_calls->reads), {{"kind", "read"}});
+    this->metrics.set("camphorrail_platform_calls",
+                      static_cast<double>(this->platform_calls->writes), {{"kind", "write"}});
+    this->metrics.set("camphorrail_platform_calls",
+                      static_cast<double>(this->platform_calls->failed), {{"kind", "failed"}});
+    this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
+    this->metrics.set("camphorrail_connections_opened",
+                      static_cast<double>(this->connections.opened()));
+    std::int64_t fit = 0;
+    for (const auto& [id, one] : this->state.fleet.members) {
+        fit += fleet::is_fit(one, this->context.now()) ? 1 : 0;
+    }
+    this->metrics.set("camphorrail_upstreams", static_cast<double>(fit), {{"state", "fit"}});
+    this->metrics.set("camphorrail_upstreams",
+                      static_cast<double>(this->state.fleet.members.size()) -
+                          static_cast<double>(fit),
+                      {{"state", "unfit"}});
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "adapters/event_log.h"
+#include "adapters/event_loop.h"
+#include "adapters/http_platform.h"
+#include "adapters/http_server.h"
+#include "adapters/metrics.h"
+#include "adapters/timeline.h"
+#include "proxy/caller_server.h"
+#include "proxy/context.h"
+#include "proxy/request_flow.h"
+#include "proxy/store_follower.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace camphorrail::proxy {
+
+// What the daemon is given of the platform it runs on.
+struct proxy_platform {
+    ports::dialect words;
+    std::function<ports::platform(event_base*, const std::string& address,
+                                  base::milliseconds timeout,
+                                  std::shared_ptr<adapters::platform_calls>)>
+        make_store;
+};
+
+// `camphorrail proxy`: an entry that sends callers' requests straight to the upstreams.
+class proxy {
+public:
+    // `settings_file` is read again on SIGHUP and when it changes.
+    proxy(settings::proxy_settings settings, std::string settings_file, proxy_platform platform);
+
+    // Runs until stopped; the exit code.
+    int run();
+
+private:
+    [[nodiscard]] bool listen();
+    void on_request(const exchange_ptr& exchange);
+    void on_store_change(const std::set<std::string>& keys);
+    void take_config();
+    void take_upstreams();
+    void take_named_weights();
+    void set_retry_budgets();
+    void tick();
+    void reload(const char* why);
+    void stop();
+    void exit_when_done();
+    [[nodiscard]] bool ready() const;
+    void note_readiness();
+    [[nodiscard]] nlohmann::json status() const;
+    void refresh_metrics();
+    void serve_operators_and_balancer();
+
+    settings::proxy_settings settings;
+    std::string settings_file;
+    std::string settings_text;
+    proxy_platform platform;
+    adapters::event_loop loop;
+    adapters::event_log log;
+    adapters::metrics metrics;
+    adapters::timeline timeline;
+    entry_state state;
+    connection_pool connections;
+    entry_context context;
+    std::shared_ptr<adapters::platform_calls> platform_calls;
+    store_follower store;
+    std::unique_ptr<caller_server> callers;
+    std::unique_ptr<adapters::http_server> balancer;
+    std::unique_ptr<adapters::http_server> operators;
+    std::unordered_set<std::shared_ptr<request_flow>> flows;
+    base::instant stop_at{};
+    bool was_ready = false;
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/request_flow.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "adapters/timer.h"
+#include "proxy/admission.h"
+#include "proxy/caller_server.h"
+#include "proxy/context.h"
+#include "proxy/stream_relay.h"
+#include "proxy/upstream_choice.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// One request of a caller, from its arrival to its final answer: over one upstream, or several in
+// turn where it may be sent again.
+class request_flow : public std::enable_shared_from_this<request_flow> {
+public:
+    request_flow(entry_context& context, exchange_ptr exchange);
+
+    void begin();
+    // The process ends: whatever is under way is broken off.
+    void break_off();
+
+    // Told once, when the request has ended.
+    std::function<void()> on_end;
+
+private:
+    // One call to one upstream.
+    struct attempt {
+        upstream_choice choice;
+        connection_ptr connection;
+        base::instant sent_at;
+        ports::answer_facts facts;
+        http::response_head head;
+        bool answering = false;
+        // Its prompt still counts as unread at the upstream.
+        bool unread = false;
+        // It has said nothing for so long that others were warned.
+        bool suspected = false;
+    };
+
+    // Whether the caller's answer has begun, and in which form.
+    enum class answer_state { none, streaming, ended };
+
+    void send_attempt();
+    void send_to(upstream_choice choice);
+    [[nodiscard]] ports::attempt_terms terms_of(const upstream_choice& choice) const;
+    bool started(const http::response_head& head);
+    void received(std::string bytes);
+    void ended();
+    void failed(call_failure why);
+    void refused_by_upstream();
+    void answered_whole();
+    void pass_on(const std::string& bytes);
+    void silent();
+    void out_of_time();
+    void caller_caught_up();
+    void caller_gone();
+
+    [[nodiscard]] bool may_send_again() const;
+    bool take_retry();
+    void send_again_or_end(const char* why);
+    void watch_for_silence();
+    void count_first_byte();
+    void note_begun();
+    void leave_attempt();
+    void cancel_attempt();
+    void refuse(base::code number, base::ran ran, base::milliseconds retry_after);
+    void end_without_answer(const char* why);
+    void finish(const char* outcome, int status);
+
+    [[nodiscard]] base::milliseconds time_left() const;
+    [[nodiscard]] base::micros age() const;
+    [[nodiscard]] const char* kind_name() const;
+    [[nodiscard]] fleet::member* member_of_attempt() const;
+
+    entry_context& context;
+    exchange_ptr exchange;
+    ports::caller_request facts;
+    admitted request;
+    choice_request wanted;
+    base::milliseconds limit{0};
+    adapters::timer overall;
+    adapters::timer silence;
+    std::optional<attempt> current;
+    // Upstreams that may have begun on the request.
+    int begun = 0;
+    // Calls beyond the first, and connections that never came to stand.
+    int sent_again = 0;
+    int unreachable = 0;
+    stream_relay events;
+    std::string whole_body;
+    answer_state state = answer_state::none;
+    bool paused = false;
+    std::optional<base::micros> first_byte;
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/upstream_choice.cpp
@@ -0,0 +1,158 @@
+#include "proxy/upstream_choice.h"
+
+#include <algorithm>
+#include <map>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+// A request must not begin on weights that were outdated for longer than the bound. What is on its
+// way may wait in an upstream's queue, and our view of what was named may be this late.
+constexpr base::milliseconds outdated_margin{2000};
+// From here on an answer made on outdated weights is worth less to its caller.
+constexpr base::milliseconds outdated_free{1200};
+// While upstreams change weights one after the other, the first ones would take the whole load. One
+// whose share is beyond this part of the target in waiting is relieved by outdated ones.
+constexpr double busy_share = 0.25;
+
+using members = std::vector<fleet::member*>;
+
+std::vector<const fleet::member*> pool_members(const fleet::fleet& state,
+                                               const base::pool_id& pool) {
+    std::vector<const fleet::member*> found;
+    for (const auto& [id, one] : state.members) {
+        if (one.listed.pool == pool) {
+            found.push_back(&one);
+        }
+    }
+    return found;
+}
+
+// The candidates that hold a version, newest version first, without those that are outdated for too
+// long.
+std::map<std::int64_t, members, std::greater<>> by_weights(const members& all,
+                                                           const base::model_id& model,
+                                                           const weights_history& history,
+                                                           base::instant now,
+                                                           base::micros longest) {
+    std::map<std::int64_t, members, std::greater<>> groups;
+    for (auto* one : all) {
+        const std::int64_t version = fleet::weights_of(*one, model);
+        const auto since = outdated_since(history, version);
+        if (version > 0 && (since > now || now - since < longest)) {
+            groups[version].push_back(one);
+        }
+    }
+    return groups;
+}
+
+double waiting_ms(const fleet::member& one, const kvcache::placement_costs& costs) {
+    return static_cast<double>(one.unread_tokens) * costs.read_ms;
+}
+
+struct prompt_placement {
+    std::int64_t weights = 0;
+    std::string salt;
+    kvcache::prompt_chain chain;
+    kvcache::placement where;
+};
+
+prompt_placement place_in(entry_context& context, const choice_request& request,
+                          std::int64_t weights, const members& group) {
+    prompt_placement made;
+    made.weights = weights;
+    made.salt = kvcache::make_salt(request.prompt->model, weights, request.isolated_team);
+    made.chain = kvcache::make_chain(made.salt, request.prompt->parts);
+    const std::string store = context.state.kv_store_down
+                                  ? std::string()
+                                  : routes::kv_store_of(*context.state.config);
+    made.where = kvcache::place(group, pool_members(context.state.fleet, request.pool), made.chain,
+                                context.state.cache, store, context.now(),
+                                fleet_rules_of(context.settings), {});
+    return made;
+}
+
+std::optional<prompt_placement> place_prompt(entry_context& context,
+                                             const choice_request& request, const members& all) {
+    const base::instant now = context.now();
+    const auto& history = context.state.weights[request.prompt->model];
+    const auto groups = by_weights(all, request.prompt->model, history, now,
+                                   context.settings.bounds.outdated_weights - outdated_margin);
+    std::optional<prompt_placement> best;
+    for (const auto& [weights, group] : groups) {
+        const auto since = outdated_since(history, weights);
+        const bool still_free = since > now || now - since < outdated_free;
+        if (best && !still_free) {
+            break;
+        }
+        auto made = place_in(context, request, weights, group);
+        const double wait = waiting_ms(*made.where.target, {});
+        if (!best || wait < waiting_ms(*best->where.target, {}) / 2) {
+            best = std::move(made);
+        }
+        if (waiting_ms(*best->where.target, {}) <
+            busy_share * static_cast<double>(request.target.count())) {
+            break;
+        }
+    }
+    return best;
+}
+
+upstream_choice of_prompt(const entry_context& context, prompt_placement&& made) {
+    upstream_choice choice;
+    choice.id = made.where.target->listed.id;
+    choice.address = made.where.target->listed.address;
+    choice.weights = made.weights;
+    choice.cache_salt = std::move(made.salt);
+    choice.fetch_from = std::move(made.where.fetch_from);
+    choice.to_read = made.where.to_read;
+    choice.why = made.where.is_home ? "home" : "least_cost";
+    if (!context.state.kv_store_down && !kvcache::is_saved(context.state.cache, made.chain)) {
+        choice.save_to = routes::kv_store_of(*context.state.config);
+    }
+    choice.chain = std::move(made.chain);
+    return choice;
+}
+
+} // namespace
+
+std::optional<upstream_choice> choose_upstream(entry_context& context,
+                                               const choice_request& request) {
+    const base::instant now = context.now();
+    const auto rules = fleet_rules_of(context.settings);
+    const auto all =
+        fleet::candidates(context.state.fleet, request.pool, now, rules, request.tried);
+    if (all.empty()) {
+        return std::nullopt;
+    }
+    if (request.prompt != nullptr && !request.prompt->model.empty()) {
+        auto made = place_prompt(context, request, all);
+        return made ? std::optional(of_prompt(context, std::move(*made))) : std::nullopt;
+    }
+    const auto* target =
+        fleet::least_loaded(all, context.settings.zone, request.number, now, rules);
+    upstream_choice choice;
+    choice.id = target->listed.id;
+    choice.address = target->listed.address;
+    choice.why = "least_loaded";
+    return choice;
+}
+
+base::milliseconds when_free(const entry_context& context, const base::pool_id& pool) {
+    constexpr base::milliseconds unknown{250};
+    constexpr base::milliseconds soonest{20};
+    const base::instant now = context.now();
+    base::milliseconds wait = unknown;
+    for (const auto& [id, one] : context.state.fleet.members) {
+        if (one.listed.pool != pool || !fleet::is_listed(one)) {
+            continue;
+        }
+        const auto until = std::max(one.busy_until, one.health.ejected_until);
+        const auto left = std::chrono::duration_cast<base::milliseconds>(until - now);
+        wait = std::min(wait, std::max(left, soonest));
+    }
+    return wait;
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/upstream_choice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "proxy/context.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// What one attempt needs to know of its request.
+struct choice_request {
+    base::pool_id pool;
+    // Null where the route's requests name no parts of a prompt.
+    const ports::caller_request* prompt = nullptr;
+    base::team_id isolated_team;
+    std::uint64_t number = 0;
+    base::milliseconds target{0};
+    // Upstreams that have refused or failed it.
+    std::vector<base::upstream_id> tried;
+};
+
+// Where an attempt goes, and what it carries.
+struct upstream_choice {
+    base::upstream_id id;
+    std::string address;
+    kvcache::prompt_chain chain;
+    std::int64_t weights = 0;
+    std::string cache_salt;
+    std::string fetch_from;
+    std::string save_to;
+    std::int64_t to_read = 0;
+    // What decided it, for the log.
+    const char* why = "";
+};
+
+// The upstream for an attempt; nothing where none can take it now.
+std::optional<upstream_choice> choose_upstream(entry_context& context,
+                                               const choice_request& request);
+
+// When an upstream of the pool may be free again, counted from now; a short default where that is
+// not known.
+base::milliseconds when_free(const entry_context& context, const base::pool_id& pool);
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/routes/operators_config.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorrail::routes {
+
+// What may be done again with a request of a route.
+enum class request_kind {
+    // May run any number of times.
+    idempotent,
+    // Runs at most once for each attempt of the caller.
+    once,
+    // Answers with events. Runs at most once, unless the route says that it may be resumed.
+    stream,
+};
+
+// One destination of a route; requests are spread by weight.
+struct destination {
+    base::pool_id pool;
+    std::int64_t weight = 1;
+};
+
+// What the operators want of the requests to one host below one path.
+struct route {
+    std::string name;
+    std::string host;
+    std::string prefix;
+    request_kind kind = request_kind::once;
+    // Longest time that a caller is kept waiting.
+    base::milliseconds timeout{0};
+    // Time to the first byte within which an answer is on time.
+    base::milliseconds target{0};
+    // Longest pause between two events with which a stream is on time.
+    base::milliseconds gap_target{0};
+    // Rank; 0 is the most urgent.
+    int priority = 0;
+    // Upstreams that may begin on one attempt of a caller.
+    int attempts = 1;
+    // Needs no key.
+    bool open_to_all = false;
+    // Its requests name the parts of their prompt.
+    bool shares_prompts = false;
+    bool resumable = false;
+    std::vector<destination> destinations;
+};
+
+// What the operators say of the upstreams of one pool.
+struct pool {
+    base::pool_id id;
+    // Connections that one upstream takes of all entries together.
+    std::int64_t max_connections = 0;
+    // Model engines only: requests that run together, and tokens held in memory.
+    std::int64_t slots = 0;
+    std::int64_t kv_capacity = 0;
+    std::vector<base::model_id> models;
+    // Address of a store of kept KV cache; empty for pools that run requests.
+    std::string kv_store;
+};
+
+// Bounds on what one caller may send.
+struct caller_limits {
+    std::int64_t head_bytes = 16 << 10;
+    std::int64_t body_bytes = 4 << 20;
+    base::milliseconds head_timeout{3000};
+    base::milliseconds idle_timeout{15000};
+};
+
+struct team {
+    base::team_id id;
+    // Rank that goes before the route's; negative for none.
+    int priority = -1;
+    // Shares no cached part of a prompt with other teams.
+    bool isolated = false;
+    // Callers' keys that stand for this team.
+    std::vector<std::string> keys;
+};
+
+// One version of the operators' configuration, checked, with its look-up tables.
+struct operators_config {
+    std::int64_t version = 0;
+    std::vector<route> routes;
+    std::map<base::pool_id, pool> pools;
+    caller_limits limits;
+    std::vector<team> teams;
+    // Filled by `index`.
+    std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
+    std::unordered_map<std::string, std::size_t> team_by_key;
+};
+
+// Builds the look-up tables; to be called once all else is filled.
+void index(operators_config& config);
+
+// The route of a request: among those of its host, the one with the longest prefix that begins the
+// path. Null where there is none.
+const route* find_route(const operators_config& config, std::string_view host,
+                        std::string_view target);
+
+// The team that a key stands for; null where no team holds it.
+const team* find_team(const operators_config& config, const std::string& key);
+
+// The pool that takes a request, by the weights of its route. The same number always gives the same
+// pool, so that requests with one prompt stay together.
+base::pool_id choose_pool(const route& chosen, std::uint64_t number);
+
+// The store of kept KV cache, where the configuration has one; empty otherwise.
+std::string kv_store_of(const operators_config& config);
+
+} // namespace camphorrail::routes
--- /dev/null
+++ b/src/routes/operators_config_tests.cpp
@@ -0,0 +1,54 @@
+#include "routes/operators_config.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+routes::operators_config sample() {
+    routes::operators_config config;
+    config.routes = {{.name = "all", .host = "desk.example", .prefix = "/a/"},
+                     {.name = "deep", .host = "desk.example", .prefix = "/a/b/"},
+                     {.name = "other", .host = "line.example", .prefix = "/a/"}};
+    config.teams = {{.id = {"north"}, .keys = {"k1", "k2"}}, {.id = {"south"}, .keys = {"k3"}}};
+    routes::index(config);
+    return config;
+}
+
+std::string route_of(const routes::operators_config& config, std::string_view host,
+                     std::string_view target) {
+    const auto* found = routes::find_route(config, host, target);
+    return found == nullptr ? "" : found->name;
+}
+
+} // namespace
+
+TEST_CASE("a request finds its route", "[routes]") {
+    const auto config = sample();
+    CHECK(route_of(config, "desk.example", "/a/x") == "all");
+    CHECK(route_of(config, "desk.example", "/a/b/x") == "deep");
+    CHECK(route_of(config, "Desk.Example:80", "/a/b/") == "deep");
+    CHECK(route_of(config, "line.example", "/a/b/x") == "other");
+    CHECK(route_of(config, "desk.example", "/a") == "");
+    CHECK(route_of(config, "desk.example", "/c/?/a/") == "");
+    CHECK(route_of(config, "none.example", "/a/") == "");
+}
+
+TEST_CASE("a key stands for one team", "[routes]") {
+    const auto config = sample();
+    CHECK(routes::find_team(config, "k2")->id.value == "north");
+    CHECK(routes::find_team(config, "k3")->id.value == "south");
+    CHECK(routes::find_team(config, "") == nullptr);
+}
+
+TEST_CASE("requests are spread over a route's pools by weight", "[routes]") {
+    const routes::route split{.destinations = {{{"old"}, 90}, {{"new"}, 10}}};
+    int to_new = 0;
+    for (std::uint64_t number = 0; number < 1000; ++number) {
+        to_new += routes::choose_pool(split, number).value == "new" ? 1 : 0;
+    }
+    CHECK(to_new == 100);
+    const routes::route none_left{.destinations = {{{"old"}, 0}, {{"new"}, 0}}};
+    CHECK(routes::choose_pool(none_left, 7).value == "old");
+}
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -20,6 +20,7 @@
 constexpr number_range idle_range{1, 3600};
 constexpr number_range events_range{0, 1000000};
 constexpr number_range slots_range{1, 10000};
+constexpr double most_slack = 1e6;
 
 platform_settings parse_platform(yaml_reader reader, base::milliseconds poll) {
     platform_settings parsed;
@@ -85,6 +86,39 @@
     return parsed;
 }
 
+base::milliseconds read_span(yaml_reader& reader, const std::string& key,
+                             base::milliseconds fallback) {
+    return base::milliseconds(reader.number(key, fallback.count(), timeout_range));
+}
+
+bound_settings parse_bounds(yaml_reader reader) {
+    bound_settings parsed;
+    parsed.revoke = read_span(reader, "revoke_ms", parsed.revoke);
+    parsed.drain = read_span(reader, "drain_ms", parsed.drain);
+    parsed.grace = base::seconds(reader.number("grace_s", parsed.grace.count(), idle_range));
+    parsed.retry_ratio = reader.fraction("retry_ratio", parsed.retry_ratio, 1.0);
+    parsed.retry_slack = reader.fraction("retry_slack", parsed.retry_slack, most_slack);
+    parsed.lease = read_span(reader, "lease_ms", parsed.lease);
+    parsed.outdated_weights = read_span(reader, "outdated_weights_ms", parsed.outdated_weights);
+    parsed.loads_at_once = reader.number("loads_at_once", parsed.loads_at_once, slots_range);
+    reader.finish();
+    return parsed;
+}
+
+proxy_settings parse_proxy(yaml_reader& reader) {
+    proxy_settings parsed;
+    parsed.id.value = reader.text("id");
+    parsed.zone.value = reader.text("availability_zone");
+    parsed.listen = reader.address("listen");
+    parsed.ready_listen = reader.address("ready_listen");
+    parsed.operators_listen = reader.address("operators_listen");
+    parsed.peer_listen = reader.address("peer_listen");
+    parsed.platform = parse_platform(reader.section("platform"), entry_poll);
+    parsed.bounds = parse_bounds(reader.section("bounds"));
+    parsed.timeline = parse_timeline(reader.section("timeline"));
+    return parsed;
+}
+
 } // namespace
 
 parsed_settings parse_settings(const std::string& text) {
@@ -102,9 +136,11 @@
         parsed.settings = parse_entry(reader);
     } else if (role == "agent") {
         parsed.settings = parse_agent(reader);
+    } else if (role == "proxy") {
+        parsed.settings = parse_proxy(reader);
     } else {
         parsed.faults.push_back(
-            {base::code::settings_bad_value, 1, "'role' must be entry or agent"});
+            {base::code::settings_bad_value, 1, "'role' must be entry, agent or proxy"});
         return parsed;
     }
     reader.finish();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -69,7 +69,42 @@
     timeline_settings timeline;
 };
 
-using any_settings = std::variant<entry_settings, agent_settings>;
+// Figures that the platform's operators hold an entry to.
+struct bound_settings {
+    // After a key's removal is acknowledged, no entry may honour it for longer than this.
+    base::milliseconds revoke{5000};
+    // An upstream that leaves gets nothing new after this long.
+    base::milliseconds drain{2000};
+    // From SIGTERM to the end of the process.
+    base::seconds grace{8};
+    // Calls beyond the first of each request that all entries together may send to one pool: this
+    // share of the requests, and so many more in any ten seconds.
+    double retry_ratio = 0.2;
+    double retry_slack = 50;
+    // Two entries that order upstreams keep at least this far apart.
+    base::milliseconds lease{3000};
+    // A request may begin on outdated weights for this long.
+    base::milliseconds outdated_weights{8000};
+    // Upstreams that load weights at once without slowing each other.
+    std::int64_t loads_at_once = 3;
+};
+
+// Settings of `camphorrail proxy`: an entry whose upstreams have no agents.
+struct proxy_settings {
+    base::entry_id id;
+    base::availability_zone zone;
+    std::string listen;
+    // Where the balancer asks whether this entry takes callers.
+    std::string ready_listen;
+    std::string operators_listen;
+    // Where other entries link to this one.
+    std::string peer_listen;
+    platform_settings platform;
+    bound_settings bounds;
+    timeline_settings timeline;
+};
+
+using any_settings = std::variant<entry_settings, agent_settings, proxy_settings>;
 
 // What reading a settings file gives: settings that hold only where there are no faults.
 struct parsed_settings {
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -119,6 +119,24 @@
     return number;
 }
 
+double yaml_reader::fraction(const std::string& key, double fallback, double high) {
+    const YAML::Node value = this->take(key);
+    if (!value.IsDefined()) {
+        return fallback;
+    }
+    double number = 0.0;
+    const std::string text = value.IsScalar() ? value.Scalar() : std::string();
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = read.ec == std::errc{} && read.ptr == text.data() + text.size();
+    if (!whole || !(number >= 0.0 && number <= high)) {
+        this->report(base::code::settings_bad_value, value,
+                     "'" + this->path + key + "' must be a number from 0 to " +
+                         std::to_string(high));
+        return fallback;
+    }
+    return number;
+}
+
 bool yaml_reader::flag(const std::string& key, bool fallback) {
     const std::string text = this->text(key, fallback ? "true" : "false");
     if (text != "true" && text != "false") {
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -29,6 +29,8 @@
     std::string address(const std::string& key, const std::string& fallback);
     std::vector<std::string> addresses(const std::string& key);
     std::int64_t number(const std::string& key, std::int64_t fallback, number_range allowed);
+    // A number from 0 to `high` that need not be whole.
+    double fraction(const std::string& key, double fallback, double high);
     bool flag(const std::string& key, bool fallback);
     yaml_reader section(const std::string& key);
     void finish();
