--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,6 +26,8 @@
     base::instant load_at{};
     // It takes no new request before this moment: it loads weights, or has said that it is full.
     base::instant busy_until{};
+    // Takes short prompts before long ones; see kvcache/lanes.h.
+    bool short_lane = false;
     // Since when the platform's list lacks it.
     std::optional<base::instant> missing_since;
 };
--- a/src/kvcache/cache_beliefs.cpp
+++ b/src/kvcache/cache_beliefs.cpp
@@ -51,10 +51,10 @@
 }
 
 void note_read(cache_beliefs& beliefs, const prompt_chain& chain, const base::upstream_id& by,
-               bool saved) {
+               bool saved, base::instant now) {
     for (const std::uint64_t key : chain.keys) {
         auto& belief = touch(beliefs, key);
-        belief.saved = belief.saved || saved;
+        belief.saved_at = saved ? now : belief.saved_at;
         auto& holders = belief.holders;
         holders.erase(std::remove(holders.begin(), holders.end(), by), holders.end());
         holders.insert(holders.begin(), by);
@@ -74,7 +74,7 @@
 
 void forget_saved(cache_beliefs& beliefs) {
     for (auto& [key, belief] : beliefs.by_key) {
-        belief.saved = false;
+        belief.saved_at = {};
     }
 }
 
@@ -93,12 +93,12 @@
     return 0;
 }
 
-bool is_saved(const cache_beliefs& beliefs, const prompt_chain& chain) {
+bool is_saved(const cache_beliefs& beliefs, const prompt_chain& chain, base::instant since) {
     if (chain.keys.empty()) {
         return true;
     }
     const auto found = beliefs.by_key.find(chain.keys.back());
-    return found != beliefs.by_key.end() && found->second.saved;
+    return found != beliefs.by_key.end() && found->second.saved_at > since;
 }
 
 std::vector<base::upstream_id> holders_of(const cache_beliefs& beliefs,
--- a/src/kvcache/cache_beliefs.h
+++ b/src/kvcache/cache_beliefs.h
@@ -37,8 +37,8 @@
 struct cache_beliefs {
     struct belief {
         std::vector<base::upstream_id> holders;
-        // The store of kept KV cache has been sent it.
-        bool saved = false;
+        // When the store of kept KV cache was last sent it; the epoch for never.
+        base::instant saved_at{};
         std::list<std::uint64_t>::iterator age;
     };
     std::unordered_map<std::uint64_t, belief> by_key;
@@ -51,7 +51,7 @@
 
 // An upstream has read a prompt, so it holds all its levels now; `saved` where it was told to save.
 void note_read(cache_beliefs& beliefs, const prompt_chain& chain, const base::upstream_id& by,
-               bool saved);
+               bool saved, base::instant now);
 
 // The upstream has lost its cache, or has ended.
 void forget_holder(cache_beliefs& beliefs, const base::upstream_id& gone);
@@ -63,8 +63,8 @@
 std::int64_t held_tokens(const cache_beliefs& beliefs, const prompt_chain& chain,
                          const base::upstream_id& at);
 
-// Whether the whole chain was sent to the store.
-bool is_saved(const cache_beliefs& beliefs, const prompt_chain& chain);
+// Whether the whole chain was sent to the store after `since`.
+bool is_saved(const cache_beliefs& beliefs, const prompt_chain& chain, base::instant since);
 
 // The holders of the prompt's deepest level that anyone holds, newest first.
 std::vector<base::upstream_id> holders_of(const cache_beliefs& beliefs, const prompt_chain& chain);
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -1,6 +1,7 @@
 #include "kvcache/placement.h"
 
 #include "base/hash.h"
+#include "kvcache/lanes.h"
 #include "routing/rendezvous.h"
 
 #include <algorithm>
@@ -9,12 +10,20 @@
 
 namespace {
 
-// The candidate whose score for the prompt is highest.
+bool is_long(const prompt_chain& chain) {
+    return chain.shared_tokens() + chain.own_tokens >= lane_rules{}.long_prompt;
+}
+
+// The candidate of the prompt's lane whose score for the prompt is highest.
 const fleet::member* home_of(const std::vector<fleet::member*>& candidates,
                              const prompt_chain& chain) {
+    const bool long_prompt = is_long(chain);
     const fleet::member* home = nullptr;
     std::uint64_t best = 0;
     for (const auto* one : candidates) {
+        if (one->short_lane == long_prompt) {
+            continue;
+        }
         const auto score =
             routing::score(base::stable_hash(one->listed.id.value), chain.keys.back());
         if (home == nullptr || score > best) {
@@ -39,7 +48,7 @@
     if (chain.keys.empty()) {
         return {};
     }
-    if (!kv_store.empty() && is_saved(beliefs, chain)) {
+    if (!kv_store.empty() && is_saved(beliefs, chain, {})) {
         return kv_store;
     }
     for (const auto& holder : holders_of(beliefs, chain)) {
@@ -60,6 +69,7 @@
                 const cache_beliefs& beliefs, const std::string& kv_store, base::instant now,
                 const fleet::fleet_rules& rules, const placement_costs& costs) {
     const fleet::member* home = chain.keys.empty() ? nullptr : home_of(candidates, chain);
+    const bool long_prompt = is_long(chain);
     placement best;
     double best_ms = 0.0;
     for (auto* one : candidates) {
@@ -68,6 +78,9 @@
         const bool known_holder = missing == 0;
         double cost = waiting_ms(*one, now, rules, costs);
         cost += static_cast<double>(missing) * costs.fetch_ms;
+        if (one->short_lane == long_prompt) {
+            cost += costs.wrong_lane_ms;
+        }
         if (one != home && !known_holder) {
             cost += costs.away_from_home_ms;
         }
@@ -76,7 +89,7 @@
             best_ms = cost;
         }
     }
-    if (held_tokens(beliefs, chain, best.target->listed.id) < chain.shared_tokens()) {
+    if (!chain.keys.empty()) {
         best.fetch_from =
             source_of(*best.target, pool_members, chain, beliefs, kv_store, now);
     }
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -15,9 +15,11 @@
     // Fetching from another engine: 190 KB a token over 350 Gbit/s, and as much again for waiting.
     double fetch_ms = 0.009;
     // A request that is generating slows the others on its engine by about this much.
-    double running_ms = 1.0;
+    double running_ms = 2.0;
+    // A long prompt on an engine that is kept for short ones, or the other way round.
+    double wrong_lane_ms = 40.0;
     // Requests of a prompt spread only when the home is behind by more than this.
-    double away_from_home_ms = 6.0;
+    double away_from_home_ms = 15.0;
 };
 
 // Where a prompt goes.
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -62,7 +62,7 @@
     SECTION("without a fetch once it is believed to be there") {
         const auto first = entry.place(chain_of(1));
         CHECK(first.fetch_from == kv_store);
-        kvcache::note_read(entry.beliefs, chain_of(1), first.target->listed.id, true);
+        kvcache::note_read(entry.beliefs, chain_of(1), first.target->listed.id, true, now);
         CHECK(entry.place(chain_of(1)).fetch_from.empty());
         CHECK(entry.place(chain_of(1)).to_read == 2890);
     }
@@ -70,17 +70,17 @@
     // other engines idle. A second engine fetches the prompt and shares the load from then on.
     SECTION("until the home is behind; then another engine fetches it from there") {
         const auto home = entry.place(chain_of(1)).target;
-        kvcache::note_read(entry.beliefs, chain_of(1), home->listed.id, false);
+        kvcache::note_read(entry.beliefs, chain_of(1), home->listed.id, false, now);
         home->unread_tokens = 20000;
         const auto second = entry.place(chain_of(1));
         CHECK(second.target != home);
         CHECK(second.fetch_from == home->listed.address);
-        kvcache::note_read(entry.beliefs, chain_of(1), second.target->listed.id, false);
+        kvcache::note_read(entry.beliefs, chain_of(1), second.target->listed.id, false, now);
         CHECK(entry.place(chain_of(1)).fetch_from.empty());
     }
     SECTION("and from the kept copy when the home has crashed") {
         const auto home = entry.place(chain_of(1)).target;
-        kvcache::note_read(entry.beliefs, chain_of(1), home->listed.id, true);
+        kvcache::note_read(entry.beliefs, chain_of(1), home->listed.id, true, now);
         home->health.ejected_until = now + base::seconds(1);
         kvcache::forget_holder(entry.beliefs, home->listed.id);
         const auto next = entry.place(chain_of(1));
@@ -99,7 +99,7 @@
     kvcache::cache_beliefs beliefs;
     beliefs.most_keys = 10;
     for (int history = 0; history < 100; ++history) {
-        kvcache::note_read(beliefs, chain_of(history), {"e1"}, false);
+        kvcache::note_read(beliefs, chain_of(history), {"e1"}, false, now);
     }
     CHECK(beliefs.by_key.size() == 10);
     CHECK(kvcache::held_tokens(beliefs, chain_of(99), {"e1"}) == 6300);
--- a/src/membership/health.cpp
+++ b/src/membership/health.cpp
@@ -12,20 +12,35 @@
     }
 }
 
-void note_failure(health& state, base::instant now, const health_rules& rules) {
-    ++state.failures_in_row;
-    state.failure_share += (1.0 - state.failure_share) * rules.newest_weight;
-    if (state.failures_in_row < rules.failures_to_eject &&
-        state.failure_share < rules.share_to_eject) {
-        return;
-    }
-    state.failure_share = std::min(state.failure_share, rules.share_on_probation);
+namespace {
+
+void eject(health& state, base::instant now, const health_rules& rules) {
     constexpr int most_doublings = 10;
     const auto span =
         rules.first_ejection * (1 << std::min(state.ejections_in_row, most_doublings));
     state.ejected_until = now + std::min(span, rules.longest_ejection);
     ++state.ejections_in_row;
     state.failures_in_row = 0;
+    state.failure_share = std::min(state.failure_share, rules.share_on_probation);
+}
+
+} // namespace
+
+void note_failure(health& state, base::instant now, const health_rules& rules) {
+    ++state.failures_in_row;
+    if (state.failures_in_row >= rules.failures_to_eject) {
+        state.failure_share += (1.0 - state.failure_share) * rules.newest_weight;
+        eject(state, now, rules);
+        return;
+    }
+    note_error(state, now, rules);
+}
+
+void note_error(health& state, base::instant now, const health_rules& rules) {
+    state.failure_share += (1.0 - state.failure_share) * rules.newest_weight;
+    if (state.failure_share >= rules.share_to_eject) {
+        eject(state, now, rules);
+    }
 }
 
 bool note_engine(health& state, std::int64_t engine_incarnation, base::instant now) {
--- a/src/membership/health.h
+++ b/src/membership/health.h
@@ -42,6 +42,10 @@
 // each time.
 void note_failure(health& state, base::instant now, const health_rules& rules);
 
+// An answer that says the call failed. A sound service may fail some calls, several in a row among
+// them, so only the share counts.
+void note_error(health& state, base::instant now, const health_rules& rules);
+
 // The engine's life as reported; true when it came back, so that all cache hints of it are void.
 bool note_engine(health& state, std::int64_t engine_incarnation, base::instant now);
 
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -85,8 +85,6 @@
     bool leaving = false;
     // Models that it holds, with the version of their weights.
     std::vector<std::pair<base::model_id, std::int64_t>> models;
-    // Orders that it has accepted since its start.
-    std::int64_t orders = 0;
 };
 
 // Weights that the operators want in use.
@@ -109,6 +107,7 @@
 // What an upstream says of itself when asked.
 struct upstream_state {
     std::vector<std::pair<base::model_id, std::int64_t>> models;
+    // Orders that it has accepted since its start.
     std::int64_t orders = 0;
     // An order is being carried out.
     bool busy = false;
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -19,7 +19,7 @@
     // Two failures in a row are rare on a sound upstream, and a crashed one fails every call; with
     // three, one more caller of each entry would be lost to it.
     rules.health.failures_to_eject = 2;
-    rules.health.share_to_eject = 0.3;
+    rules.health.share_to_eject = 0.4;
     rules.health.first_ejection = base::milliseconds(1000);
     // A crashed engine is back in some seconds; a longer absence than this would cost more than the
     // one call that finds it still down.
@@ -28,14 +28,17 @@
     return rules;
 }
 
-void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why) {
+namespace {
+
+template <class Note>
+void note(entry_context& context, const base::upstream_id& id, const char* why, Note note_it) {
     const auto found = context.state.fleet.members.find(id);
     if (found == context.state.fleet.members.end()) {
         return;
     }
     const base::instant now = context.now();
     const bool was_usable = membership::usable(found->second.health, now);
-    membership::note_failure(found->second.health, now, fleet_rules_of(context.settings).health);
+    note_it(found->second.health, now, fleet_rules_of(context.settings).health);
     const bool ejected = was_usable && !membership::usable(found->second.health, now);
     if (!ejected) {
         return;
@@ -50,6 +53,16 @@
     context.tell_suspicion(id, span, why);
 }
 
+} // namespace
+
+void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why) {
+    note(context, id, why, membership::note_failure);
+}
+
+void note_upstream_error(entry_context& context, const base::upstream_id& id) {
+    note(context, id, "error_answers", membership::note_error);
+}
+
 void note_upstream_success(entry_context& context, const base::upstream_id& id) {
     const auto found = context.state.fleet.members.find(id);
     if (found != context.state.fleet.members.end()) {
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -46,6 +46,9 @@
     std::function<base::instant()> now;
     // Tells other entries that an upstream takes nothing for a while.
     std::function<void(const base::upstream_id&, base::micros, const char* why)> tell_suspicion;
+    // Notes, here and at other entries, which weights an upstream holds now.
+    std::function<void(const base::upstream_id&, const base::model_id&, std::int64_t version)>
+        tell_weights;
 };
 
 // Whether the configuration is proved recently enough to serve by.
@@ -60,6 +63,9 @@
 // Notes that an attempt at an upstream failed; may eject it, and then tells other entries.
 void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why);
 
+// Notes that an upstream answered that a call failed.
+void note_upstream_error(entry_context& context, const base::upstream_id& id);
+
 void note_upstream_success(entry_context& context, const base::upstream_id& id);
 
 } // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/peer_messages.cpp
@@ -0,0 +1,89 @@
+#include "proxy/peer_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using nlohmann::json;
+
+json to_json(const peer_hello& message) {
+    return {"hello", message.from.value};
+}
+
+json to_json(const peer_suspicion& message) {
+    return {"suspicion", message.upstream.value, message.span.count(), message.why};
+}
+
+json to_json(const peer_weights& message) {
+    return {"weights", message.upstream.value, message.model.value, message.version};
+}
+
+json to_json(const peer_store_ask& message) {
+    return {"ask", message.number, message.revision};
+}
+
+json to_json(const peer_store_view& message) {
+    json items = json::array();
+    for (const auto& item : message.items) {
+        items.push_back({item.key, item.value, item.mod_revision});
+    }
+    return {"view", message.number, message.proved, message.age.count(), message.revision, items};
+}
+
+peer_store_view read_view(const json& read) {
+    peer_store_view view;
+    view.number = read.at(1).get<std::int64_t>();
+    view.proved = read.at(2).get<bool>();
+    view.age = base::micros(read.at(3).get<std::int64_t>());
+    view.revision = read.at(4).get<std::int64_t>();
+    for (const auto& item : read.at(5)) {
+        view.items.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
+                              item.at(2).get<std::int64_t>()});
+    }
+    return view;
+}
+
+peer_message read_message(const json& read) {
+    const std::string kind = read.at(0).get<std::string>();
+    if (kind == "hello") {
+        return peer_hello{{read.at(1).get<std::string>()}};
+    }
+    if (kind == "suspicion") {
+        return peer_suspicion{{read.at(1).get<std::string>()},
+                              base::milliseconds(read.at(2).get<std::int64_t>()),
+                              read.at(3).get<std::string>()};
+    }
+    if (kind == "weights") {
+        return peer_weights{{read.at(1).get<std::string>()},
+                            {read.at(2).get<std::string>()},
+                            read.at(3).get<std::int64_t>()};
+    }
+    if (kind == "ask") {
+        return peer_store_ask{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>()};
+    }
+    if (kind == "view") {
+        return read_view(read);
+    }
+    throw std::invalid_argument("no such message");
+}
+
+} // namespace
+
+std::string encode(const peer_message& message) {
+    const json written = std::visit([](const auto& each) { return to_json(each); }, message);
+    std::string bytes;
+    json::to_cbor(written, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+base::result<peer_message> decode(std::string_view bytes) {
+    try {
+        return read_message(json::from_cbor(bytes));
+    } catch (const std::exception&) {
+        return base::code::frame_malformed;
+    }
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/peer_messages.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/units.h"
+#include "ports/platform.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// The first message on a link: who is at the other end.
+struct peer_hello {
+    base::entry_id from;
+};
+
+// An upstream takes nothing new for a while.
+struct peer_suspicion {
+    base::upstream_id upstream;
+    base::milliseconds span{0};
+    std::string why;
+};
+
+// An upstream holds these weights now; said before the platform's list does.
+struct peer_weights {
+    base::upstream_id upstream;
+    base::model_id model;
+    std::int64_t version = 0;
+};
+
+// Asks for what the other end knows of the store. Asked by an entry that the store turns away.
+struct peer_store_ask {
+    std::int64_t number = 0;
+    std::int64_t revision = 0;
+};
+
+// What an entry knows of the store, and how old the proof of it is. Ages and no times of day: clocks
+// differ between VMs, and jump.
+struct peer_store_view {
+    std::int64_t number = 0;
+    bool proved = false;
+    base::micros age{0};
+    std::int64_t revision = 0;
+    // Empty where the asker knows as much.
+    std::vector<ports::stored_value> items;
+};
+
+using peer_message =
+    std::variant<peer_hello, peer_suspicion, peer_weights, peer_store_ask, peer_store_view>;
+
+std::string encode(const peer_message& message);
+
+// frame_malformed where the bytes are no message.
+base::result<peer_message> decode(std::string_view bytes);
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/peers.cpp
@@ -0,0 +1,285 @@
+#include "proxy/peers.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+
+// An entry that vanishes leaves the list after this long; a renewal costs a tenth of a call.
+constexpr std::int64_t lease_seconds = 8;
+constexpr base::milliseconds registration_period{2500};
+constexpr base::milliseconds connect_pause{700};
+// Well above the period of our own proofs, well below the age that ends service.
+constexpr base::milliseconds ask_after_age{1600};
+constexpr base::milliseconds ask_period{300};
+// An entry that answers no ask for this long is cut off too, or its link has fallen silent.
+constexpr base::milliseconds ask_patience{900};
+// A configuration of 350 routes beside a list of 2,000 upstreams is below 1 MB.
+constexpr std::size_t max_message_bytes = 8U << 20U;
+
+} // namespace
+
+peers::peers(entry_context& context, ports::platform platform)
+    : context(context), platform(std::move(platform)) {}
+
+std::string peers::list_prefix() const {
+    return this->context.words.own_prefix + "entries/";
+}
+
+std::map<base::entry_id, std::string> peers::listed() const {
+    std::map<base::entry_id, std::string> found;
+    const std::string prefix = this->list_prefix();
+    for (const auto& item : mirror::items_below(this->context.state.store, prefix)) {
+        found[{item.key.substr(prefix.size())}] = item.value;
+    }
+    return found;
+}
+
+std::int64_t peers::count() const {
+    const auto all = this->listed();
+    const bool listed_self = all.count(this->context.settings.id) > 0;
+    return static_cast<std::int64_t>(all.size()) + (listed_self ? 0 : 1);
+}
+
+bool peers::listen() {
+    this->listener = adapters::listen_for_links(
+        this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
+        [this](const adapters::link_ptr& link) {
+            this->add(link, {});
+            this->links.at(link.get()).open = true;
+            link->send(encode(peer_hello{this->context.settings.id}));
+        });
+    return this->listener != nullptr;
+}
+
+void peers::tick() {
+    const base::instant now = this->context.now();
+    if (!this->context.state.stopping && !this->registering && now >= this->next_registration) {
+        this->register_self();
+    }
+    this->connect_to_new();
+    const auto age = mirror::age(this->context.state.store, now);
+    if (now >= this->next_ask && (!age || *age > ask_after_age)) {
+        this->ask_for_store();
+    }
+    if (const auto entries = this->count(); entries != this->last_count) {
+        this->last_count = entries;
+        this->context.state.entries = entries;
+        this->count_changed();
+    }
+}
+
+void peers::register_self() {
+    this->next_registration = this->context.now() + registration_period;
+    this->registering = true;
+    const std::string key = this->list_prefix() + this->context.settings.id.value;
+    const auto& items = this->context.state.store.items;
+    const auto found = items.find(key);
+    const bool there =
+        found != items.end() && found->second.value == this->context.settings.peer_listen;
+    if (this->lease != 0 && there) {
+        this->platform.keep_lease(this->lease, [this](base::result<bool> kept) {
+            this->registering = false;
+            if (kept.has_value() && !kept.value()) {
+                this->lease = 0;
+                this->next_registration = this->context.now();
+            }
+        });
+        return;
+    }
+    this->platform.grant_lease(lease_seconds, [this, key](base::result<std::int64_t> granted) {
+        this->registering = false;
+        if (!granted.has_value()) {
+            return;
+        }
+        this->lease = granted.value();
+        ports::transaction change;
+        change.writes = {{key, this->context.settings.peer_listen, false, this->lease}};
+        this->platform.commit(change, [this](base::result<ports::committed> done) {
+            const bool fine = done.has_value() && done.value().applied;
+            this->context.log.line(importance::keep, "entry_listed").flag("done", fine);
+        });
+    });
+}
+
+void peers::connect_to_new() {
+    const base::instant now = this->context.now();
+    std::set<base::entry_id> linked;
+    for (const auto& [key, each] : this->links) {
+        linked.insert(each.id);
+    }
+    for (const auto& [id, address] : this->listed()) {
+        // One link a pair: the entry with the lower name connects.
+        if (!(this->context.settings.id < id) || linked.count(id) > 0 ||
+            now < this->next_try[id]) {
+            continue;
+        }
+        this->next_try[id] = now + connect_pause;
+        const auto link = adapters::connect_link(this->context.loop.base(), address,
+                                                 {max_message_bytes});
+        this->add(link, id);
+        link->opened.connect([this, key = link.get()] {
+            const auto found = this->links.find(key);
+            if (found != this->links.end()) {
+                found->second.open = true;
+                found->second.link->send(encode(peer_hello{this->context.settings.id}));
+            }
+        });
+    }
+}
+
+void peers::add(const adapters::link_ptr& link, base::entry_id id) {
+    const link_key key = link.get();
+    this->links[key] = {link, std::move(id), false, 0, {}};
+    link->received.connect([this, key](std::string_view bytes) { this->received(key, bytes); });
+    link->closed.connect([this, key] { this->drop(key); });
+}
+
+void peers::drop(link_key key) {
+    const auto found = this->links.find(key);
+    if (found == this->links.end()) {
+        return;
+    }
+    const auto held = std::move(found->second);
+    this->links.erase(found);
+    this->context.log.line(importance::keep, "entry_link_lost")
+        .text("entry", held.id.value)
+        .flag("stood", held.open);
+    // The link may be telling us this itself.
+    this->context.loop.after(base::micros(0), [link = held.link] { link->close(); });
+}
+
+void peers::tell(const peer_message& message) {
+    const std::string bytes = encode(message);
+    for (const auto& [key, each] : this->links) {
+        if (each.open) {
+            each.link->send(bytes);
+        }
+    }
+}
+
+// Asks every linked entry in turn until one has a fresh view; with many entries, a few at a time.
+void peers::ask_for_store() {
+    const base::instant now = this->context.now();
+    this->next_ask = now + ask_period;
+    std::vector<link_key> silent;
+    constexpr int most_asks = 2;
+    int asks = 0;
+    for (auto& [key, each] : this->links) {
+        if (!each.open) {
+            continue;
+        }
+        if (each.asked != 0) {
+            if (now - each.asked_at > ask_patience) {
+                silent.push_back(key);
+            }
+            continue;
+        }
+        if (asks < most_asks) {
+            ++asks;
+            each.asked = ++this->last_ask;
+            each.asked_at = now;
+            each.link->send(encode(peer_store_ask{each.asked, this->context.state.store.revision}));
+        }
+    }
+    for (const auto* key : silent) {
+        this->drop(key);
+    }
+}
+
+void peers::received(link_key key, std::string_view bytes) {
+    const auto message = decode(bytes);
+    if (!message.has_value()) {
+        this->context.log.line(importance::keep, "entry_message_unreadable");
+        this->drop(key);
+        return;
+    }
+    std::visit([this, key](const auto& each) { this->take(key, each); }, message.value());
+}
+
+void peers::take(link_key key, const peer_hello& message) {
+    this->links.at(key).id = message.from;
+    this->context.log.line(importance::keep, "entry_link_stands").text("entry", message.from.value);
+}
+
+void peers::take(link_key key, const peer_suspicion& message) {
+    const auto found = this->context.state.fleet.members.find(message.upstream);
+    if (found == this->context.state.fleet.members.end()) {
+        return;
+    }
+    auto& one = found->second;
+    one.busy_until = std::max<base::instant>(one.busy_until, this->context.now() + message.span);
+    this->context.log.line(importance::keep, "upstream_suspected_by_entry")
+        .text("upstream", message.upstream.value)
+        .text("entry", this->links.at(key).id.value)
+        .text("why", message.why)
+        .number("for_ms", message.span.count());
+}
+
+void peers::take(link_key /*key*/, const peer_weights& message) {
+    this->weights_changed(message);
+}
+
+void peers::take(link_key key, const peer_store_ask& message) {
+    const auto& store = this->context.state.store;
+    peer_store_view view;
+    view.number = message.number;
+    view.revision = store.revision;
+    if (const auto age = mirror::age(store, this->context.now())) {
+        view.proved = true;
+        view.age = *age;
+    }
+    if (store.revision > message.revision) {
+        for (const auto& [name, item] : store.items) {
+            view.items.push_back(item);
+        }
+    }
+    this->links.at(key).link->send(encode(view));
+}
+
+void peers::take(link_key key, const peer_store_view& message) {
+    auto& asked = this->links.at(key);
+    if (message.number != asked.asked) {
+        return;
+    }
+    asked.asked = 0;
+    auto& store = this->context.state.store;
+    if (!message.proved) {
+        return;
+    }
+    // The other end's proof was that old when it answered, so at least that old when we asked.
+    const base::instant proved = asked.asked_at - message.age;
+    const auto before = mirror::age(store, this->context.now());
+    std::set<std::string> changed;
+    if (message.revision > store.revision) {
+        changed = mirror::take_snapshot(store, {message.revision, message.items}, proved);
+    } else {
+        mirror::prove(store, proved);
+    }
+    this->context.log.line(importance::keep, "store_view_from_entry")
+        .text("entry", asked.id.value)
+        .number("revision", message.revision)
+        .span("age_ms", message.age)
+        .span("our_age_ms", before.value_or(base::micros(-1)))
+        .number("changed", static_cast<std::int64_t>(changed.size()));
+    if (!changed.empty()) {
+        this->store_changed(changed);
+    }
+}
+
+void peers::resign() {
+    if (this->lease == 0) {
+        return;
+    }
+    ports::transaction change;
+    change.writes = {{this->list_prefix() + this->context.settings.id.value, "", true, 0}};
+    this->platform.commit(change, [](const base::result<ports::committed>& /*done*/) {
+        // If it fails, the lease ends by itself.
+    });
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/peers.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "adapters/link.h"
+#include "proxy/context.h"
+#include "proxy/peer_messages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace camphorrail::proxy {
+
+// Links to the other entries. Over them an entry that the store turns away stays up to date through
+// those it serves, and all learn at once what one of them has found out about an upstream.
+class peers {
+public:
+    peers(entry_context& context, ports::platform platform);
+
+    bool listen();
+    // Renews this entry's place on the list of entries, connects to new ones, and asks for the store's
+    // contents where our own proof grows old.
+    void tick();
+    void tell(const peer_message& message);
+    // Leaves the list.
+    void resign();
+    [[nodiscard]] std::int64_t count() const;
+
+    // Told what another entry said, once it is applied to the mirror where it tells of the store.
+    std::function<void(const std::set<std::string>&)> store_changed;
+    std::function<void(const peer_weights&)> weights_changed;
+    // The number of entries has changed.
+    std::function<void()> count_changed;
+
+private:
+    struct peer_link {
+        adapters::link_ptr link;
+        base::entry_id id;
+        bool open = false;
+        // The ask that is under way, and when it was sent.
+        std::int64_t asked = 0;
+        base::instant asked_at{};
+    };
+    using link_key = const adapters::link*;
+
+    void register_self();
+    void connect_to_new();
+    void ask_for_store();
+    void add(const adapters::link_ptr& link, base::entry_id id);
+    void drop(link_key key);
+    void received(link_key key, std::string_view bytes);
+    void take(link_key key, const peer_hello& message);
+    void take(link_key key, const peer_suspicion& message);
+    void take(link_key key, const peer_weights& message);
+    void take(link_key key, const peer_store_ask& message);
+    void take(link_key key, const peer_store_view& message);
+    [[nodiscard]] std::string list_prefix() const;
+    [[nodiscard]] std::map<base::entry_id, std::string> listed() const;
+
+    entry_context& context;
+    ports::platform platform;
+    std::unique_ptr<adapters::link_listener> listener;
+    std::map<link_key, peer_link> links;
+    std::map<base::entry_id, base::instant> next_try;
+    std::int64_t lease = 0;
+    bool registering = false;
+    base::instant next_registration{};
+    base::instant next_ask{};
+    std::int64_t last_ask = 0;
+    std::int64_t last_count = 0;
+};
+
+} // namespace camphorrail::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,6 +1,6 @@
 #include "proxy/proxy.h"
 
-#include "adapters/logging.h"
+#include "kvcache/lanes.h"
 #include "process/operators_port.h"
 
 #include <nlohmann/json.hpp>
@@ -18,7 +18,7 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 // Log lines reach their reader within this time.
-constexpr base::milliseconds tick_period{200};
+constexpr base::milliseconds tick_period{100};
 // The balancer asks once a second and takes an entry out after two misses; until then callers still
 // arrive, and must be served.
 constexpr base::milliseconds balancer_notices{2800};
@@ -52,11 +52,21 @@
               this->log,
               this->metrics,
               adapters::boot_now,
-              [](const base::upstream_id&, base::micros, const char*) {}},
+              [this](const base::upstream_id& id, base::micros span, const char* why) {
+                  this->others.tell(peer_suspicion{
+                      id, std::chrono::duration_cast<base::milliseconds>(span), why});
+              },
+              [this](const base::upstream_id& id, const base::model_id& model,
+                     std::int64_t version) {
+                  this->take_weights_of({id, model, version});
+                  this->others.tell(peer_weights{id, model, version});
+              }},
       platform_calls(std::make_shared<adapters::platform_calls>()),
-      store(this->context, this->platform.make_store(
-                               this->loop.base(), this->settings.platform.endpoint,
-                               this->settings.platform.timeout, this->platform_calls)) {}
+      store_calls(this->platform.make_store(this->loop.base(), this->settings.platform.endpoint,
+                                            this->settings.platform.timeout,
+                                            this->platform_calls)),
+      store(this->context, this->store_calls), leader(this->context, this->store_calls),
+      loader(this->context, this->leader), others(this->context, this->store_calls) {}
 
 bool proxy::listen() {
     this->callers = std::make_unique<caller_server>(
@@ -83,6 +93,7 @@
     const std::pair<const char*, bool> listened[] = {
         {"listen", this->callers->listen(this->settings.listen)},
         {"ready_listen", this->balancer->listen(this->settings.ready_listen)},
+        {"peer_listen", this->others.listen()},
         {"operators_listen", this->operators->listen(this->settings.operators_listen)}};
     for (const auto& [name, fine] : listened) {
         if (!fine) {
@@ -120,6 +131,11 @@
     this->store.changed = [this](const std::set<std::string>& keys) {
         this->on_store_change(keys);
     };
+    this->others.store_changed = this->store.changed;
+    this->others.weights_changed = [this](const peer_weights& told) {
+        this->take_weights_of(told);
+    };
+    this->others.count_changed = [this] { this->set_retry_budgets(); };
     this->store.start();
     this->loop.every(tick_period, [this] { this->tick(); });
     this->loop.run();
@@ -185,7 +201,26 @@
     this->set_retry_budgets();
 }
 
+void proxy::take_weights_of(const peer_weights& told) {
+    const auto found = this->state.fleet.members.find(told.upstream);
+    if (found == this->state.fleet.members.end()) {
+        return;
+    }
+    for (auto& [model, version] : found->second.listed.models) {
+        if (model == told.model && version < told.version) {
+            version = told.version;
+            found->second.busy_until = this->context.now();
+            this->log.line(importance::keep, "upstream_weights")
+                .text("upstream", told.upstream.value)
+                .number("version", told.version);
+        }
+    }
+}
+
 void proxy::set_retry_budgets() {
+    if (this->state.config == nullptr) {
+        return;
+    }
     const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entries, 1));
     for (const auto& [id, pool] : this->state.config->pools) {
         auto& budget = this->state.retries[id];
@@ -208,6 +243,7 @@
         }
     }
     const auto change = fleet::take_list(this->state.fleet, listed, this->context.now());
+    kvcache::assign_lanes(this->state.fleet, {});
     const auto tell = [this](const char* event, const std::vector<base::upstream_id>& ids) {
         for (const auto& id : ids) {
             const auto& one = this->state.fleet.members.at(id);
@@ -264,6 +300,9 @@
 void proxy::tick() {
     this->note_readiness();
     this->connections.sweep();
+    this->others.tick();
+    this->leader.tick();
+    this->loader.tick();
     for (const auto& id : fleet::drop_missing(this->state.fleet, this->context.now(),
                                               fleet_rules_of(this->settings))) {
         this->log.line(importance::keep, "upstream_gone").text("upstream", id.value);
@@ -289,9 +328,7 @@
     }
     // Addresses stay as they are: changing them would cut requests under way.
     this->settings.bounds = fresh->bounds;
-    if (this->state.config != nullptr) {
-        this->set_retry_budgets();
-    }
+    this->set_retry_budgets();
 }
 
 void proxy::stop() {
@@ -303,6 +340,8 @@
     this->log.line(importance::keep, "stop").number("flows", static_cast<std::int64_t>(this->flows.size()));
     this->note_readiness();
     this->callers->close_after_answers();
+    this->leader.resign();
+    this->others.resign();
     this->loop.after(balancer_notices, [this] {
         this->callers->stop();
         this->exit_when_done();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -8,8 +8,11 @@
 #include "adapters/timeline.h"
 #include "proxy/caller_server.h"
 #include "proxy/context.h"
+#include "proxy/leadership.h"
+#include "proxy/peers.h"
 #include "proxy/request_flow.h"
 #include "proxy/store_follower.h"
+#include "proxy/weights_loader.h"
 
 #include <memory>
 #include <set>
@@ -43,6 +46,7 @@
     void take_config();
     void take_upstreams();
     void take_named_weights();
+    void take_weights_of(const peer_weights& told);
     void set_retry_budgets();
     void tick();
     void reload(const char* why);
@@ -66,7 +70,11 @@
     connection_pool connections;
     entry_context context;
     std::shared_ptr<adapters::platform_calls> platform_calls;
+    ports::platform store_calls;
     store_follower store;
+    leadership leader;
+    weights_loader loader;
+    peers others;
     std::unique_ptr<caller_server> callers;
     std::unique_ptr<adapters::http_server> balancer;
     std::unique_ptr<adapters::http_server> operators;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -5,6 +5,7 @@
 #include "process/problem.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorrail::proxy {
 
@@ -316,7 +317,8 @@
     if (auto* one = this->member_of_attempt()) {
         one->unread_tokens -= choice.to_read;
     }
-    kvcache::note_read(this->context.state.cache, choice.chain, choice.id, !choice.save_to.empty());
+    kvcache::note_read(this->context.state.cache, choice.chain, choice.id, !choice.save_to.empty(),
+                       this->context.now());
     if (!this->first_byte) {
         this->first_byte = this->age();
         this->context.metrics.observe_seconds(
@@ -355,7 +357,7 @@
     const auto id = this->current->choice.id;
     const bool in_time = this->time_left() > least_time;
     if (error && in_time) {
-        note_upstream_failure(this->context, id, "error_answer");
+        note_upstream_error(this->context, id);
     } else if (!error) {
         note_upstream_success(this->context, id);
     }
@@ -363,7 +365,7 @@
         this->may_send_again() && this->take_retry()) {
         this->leave_attempt();
         this->wanted.tried.push_back(id);
-        this->whole_body.clear();
+        this->error_answer = whole_answer{head, std::exchange(this->whole_body, {})};
         this->send_attempt();
         return;
     }
@@ -570,6 +572,13 @@
 }
 
 void request_flow::refuse(base::code number, base::ran ran, milliseconds retry_after) {
+    if (this->error_answer) {
+        // An upstream's own error says more than ours.
+        const whole_answer kept = std::move(*this->error_answer);
+        this->exchange->answer(kept.head.status, caller_fields(kept.head), kept.body);
+        this->finish("upstream_error", kept.head.status);
+        return;
+    }
     const int status = base::describe(number).http_status;
     this->context.log.line(importance::keep, "refused")
         .text("request", this->facts.request_id)
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -42,6 +42,11 @@
         bool suspected = false;
     };
 
+    struct whole_answer {
+        http::response_head head;
+        std::string body;
+    };
+
     // Whether the caller's answer has begun, and in which form.
     enum class answer_state { none, streaming, ended };
 
@@ -93,6 +98,8 @@
     int unreachable = 0;
     stream_relay events;
     std::string whole_body;
+    // An upstream's error, for the case that no other upstream gives a better answer.
+    std::optional<whole_answer> error_answer;
     answer_state state = answer_state::none;
     bool paused = false;
     std::optional<base::micros> first_byte;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -108,7 +108,9 @@
     choice.fetch_from = std::move(made.where.fetch_from);
     choice.to_read = made.where.to_read;
     choice.why = made.where.is_home ? "home" : "least_cost";
-    if (!context.state.kv_store_down && !kvcache::is_saved(context.state.cache, made.chain)) {
+    static const base::milliseconds T(getenv("SAVE_MS") ? atoi(getenv("SAVE_MS")) : 30000);
+    static const long minshared = getenv("SAVE_MIN") ? atoi(getenv("SAVE_MIN")) : 500;
+    if (!context.state.kv_store_down && made.chain.shared_tokens() > minshared && !kvcache::is_saved(context.state.cache, made.chain, context.now() - T)) {
         choice.save_to = routes::kv_store_of(*context.state.config);
     }
     choice.chain = std::move(made.chain);
--- /dev/null
+++ b/src/proxy/weights_loader.cpp
@@ -0,0 +1,214 @@
+#include "proxy/weights_loader.h"
+
+#include "adapters/http_client.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+
+constexpr base::milliseconds order_timeout{700};
+constexpr std::size_t max_answer_bytes = 64U << 10U;
+constexpr int status_ok = 200;
+// Stands in place of a version while an upstream is asked what it holds.
+constexpr std::int64_t asking = std::numeric_limits<std::int64_t>::max() - 1;
+// An order whose answer was lost may still be carried out; the upstream is asked after this long.
+constexpr base::milliseconds unanswered_pause{1200};
+// Requests under way finish first, which takes some seconds at most; then the load itself.
+constexpr base::milliseconds longest_load{6000};
+// The platform's list tells of a finished load up to two seconds late. An upstream's own report is
+// some hundred milliseconds old, and asking for it costs next to nothing beside a load.
+constexpr base::micros first_look = base::milliseconds(450);
+constexpr base::milliseconds look_period{200};
+// Nothing new is sent to an upstream that is about to load, for as long as a load usually takes.
+constexpr base::milliseconds load_time{900};
+
+ports::upstream_call to_call(const ports::control_call& from) {
+    ports::upstream_call call{from.method, from.path, {}, from.body};
+    for (const auto& field : from.fields) {
+        call.fields.emplace_back(field.name, field.value);
+    }
+    return call;
+}
+
+const char* name_of(ports::order_outcome outcome) {
+    switch (outcome) {
+    case ports::order_outcome::accepted:
+        return "accepted";
+    case ports::order_outcome::already_done:
+        return "already_done";
+    case ports::order_outcome::conflict:
+        return "conflict";
+    case ports::order_outcome::wrong_instance:
+        return "wrong_instance";
+    case ports::order_outcome::refused:
+        break;
+    }
+    return "refused";
+}
+
+} // namespace
+
+weights_loader::weights_loader(entry_context& context, leadership& leader)
+    : context(context), leader(leader) {}
+
+void weights_loader::tick() {
+    if (!this->leader.may_order()) {
+        this->orders.clear();
+        this->accepted_orders.clear();
+        return;
+    }
+    for (const auto& [model, history] : this->context.state.weights) {
+        this->load_model(model, history);
+    }
+}
+
+weights::load_candidate weights_loader::candidate_of(const fleet::member& one,
+                                                     const base::model_id& model,
+                                                     const weights_history& history) {
+    weights::load_candidate made;
+    made.id = one.listed.id;
+    made.version = fleet::weights_of(one, model);
+    made.outdated_since = outdated_since(history, made.version);
+    made.in_flight = one.in_flight;
+    made.suspected = !membership::usable(one.health, this->context.now());
+    const auto sent = this->orders.find(one.listed.id);
+    if (sent == this->orders.end()) {
+        return made;
+    }
+    const auto since = this->context.now() - sent->second.at;
+    const bool done = sent->second.accepted && made.version >= sent->second.version;
+    if (done || since > longest_load) {
+        this->orders.erase(sent);
+        return made;
+    }
+    made.loading = true;
+    const auto due = sent->second.accepted ? first_look : base::micros(unanswered_pause);
+    if (since > due && this->context.now() >= sent->second.next_look) {
+        sent->second.next_look = this->context.now() + look_period;
+        this->ask_state(made.id);
+    }
+    return made;
+}
+
+void weights_loader::load_model(const base::model_id& model, const weights_history& history) {
+    std::vector<weights::load_candidate> all;
+    for (const auto& [id, one] : this->context.state.fleet.members) {
+        if (fleet::is_listed(one) && fleet::weights_of(one, model) > 0) {
+            all.push_back(this->candidate_of(one, model, history));
+        }
+    }
+    weights::load_rules rules;
+    rules.at_once = static_cast<std::size_t>(this->context.settings.bounds.loads_at_once);
+    const std::int64_t version = newest(history);
+    for (const auto& id : weights::plan_loads(all, version, this->context.now(), rules)) {
+        this->order(id, model, version);
+    }
+}
+
+void weights_loader::order(const base::upstream_id& id, const base::model_id& model,
+                           std::int64_t version) {
+    const auto known = this->accepted_orders.find(id);
+    if (known == this->accepted_orders.end()) {
+        // Without the count an order that is carried out late could undo a newer one.
+        this->orders[id] = {asking, this->context.now(), false, {}};
+        this->ask_state(id);
+        return;
+    }
+    auto& one = this->context.state.fleet.members.at(id);
+    const ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
+                                  known->second};
+    this->orders[id] = {version, this->context.now(), false, {}};
+    one.busy_until = std::max(one.busy_until, this->context.now() + load_time);
+    this->context.tell_suspicion(id, load_time, "loading");
+    this->context.log.line(importance::keep, "load_ordered")
+        .text("upstream", id.value)
+        .number("version", version)
+        .number("from_version", fleet::weights_of(one, model))
+        .number("fence", order.fence)
+        .number("expected_orders", order.expected_orders)
+        .number("in_flight", one.in_flight);
+    this->context.metrics.count("camphorrail_load_orders_total");
+    adapters::http_fetch(this->context.loop.base(), one.listed.address,
+                         to_call(this->context.words.order_call(order, id)),
+                         {order_timeout, false}, max_answer_bytes,
+                         [this, id, version](base::result<adapters::http_answer> answer) {
+                             if (!answer.has_value()) {
+                                 this->context.log.line(importance::keep, "load_order_unanswered")
+                                     .text("upstream", id.value)
+                                     .number("version", version);
+                                 return;
+                             }
+                             this->note_answer(
+                                 id, version,
+                                 this->context.words.read_order_answer(answer.value().status));
+                         });
+}
+
+void weights_loader::note_answer(const base::upstream_id& id, std::int64_t version,
+                                 ports::order_outcome outcome) {
+    this->context.log.line(importance::keep, "load_order_answered")
+        .text("upstream", id.value)
+        .number("version", version)
+        .text("outcome", name_of(outcome));
+    const auto sent = this->orders.find(id);
+    if (sent == this->orders.end() || sent->second.version != version) {
+        return;
+    }
+    if (outcome == ports::order_outcome::accepted) {
+        sent->second.accepted = true;
+        ++this->accepted_orders[id];
+        return;
+    }
+    this->orders.erase(sent);
+    this->accepted_orders.erase(id);
+    const auto found = this->context.state.fleet.members.find(id);
+    if (found != this->context.state.fleet.members.end()) {
+        found->second.busy_until = this->context.now();
+    }
+    this->ask_state(id);
+}
+
+// An upstream that does not do as ordered is asked what it holds: the platform's list may lag.
+void weights_loader::ask_state(const base::upstream_id& id) {
+    const auto found = this->context.state.fleet.members.find(id);
+    if (found == this->context.state.fleet.members.end()) {
+        return;
+    }
+    adapters::http_fetch(
+        this->context.loop.base(), found->second.listed.address,
+        to_call(this->context.words.state_call), {order_timeout, false}, max_answer_bytes,
+        [this, id](base::result<adapters::http_answer> answer) {
+            const auto held = this->context.state.fleet.members.find(id);
+            const auto asked = this->orders.find(id);
+            if (!answer.has_value() || answer.value().status != status_ok ||
+                held == this->context.state.fleet.members.end()) {
+                return;
+            }
+            const auto state = this->context.words.read_state(answer.value().body);
+            if (!state.has_value()) {
+                return;
+            }
+            for (const auto& [model, version] : state.value().models) {
+                this->context.tell_weights(id, model, version);
+            }
+            this->accepted_orders[id] = state.value().orders;
+            const bool ours = asked != this->orders.end() && asked->second.accepted;
+            if (state.value().busy && asked == this->orders.end()) {
+                // Another leader's order, or one of ours that came late.
+                this->orders[id] = {asking, this->context.now(), true, {}};
+            } else if (!state.value().busy && asked != this->orders.end() && !ours) {
+                this->orders.erase(asked);
+            }
+            this->context.log.line(importance::keep, "upstream_state")
+                .text("upstream", id.value)
+                .number("orders", state.value().orders)
+                .flag("busy", state.value().busy);
+        });
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/weights_loader.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "proxy/context.h"
+#include "proxy/leadership.h"
+#include "weights/load_plan.h"
+
+#include <map>
+
+namespace camphorrail::proxy {
+
+// Brings the upstreams to the weights that operators name, while this entry leads.
+class weights_loader {
+public:
+    weights_loader(entry_context& context, leadership& leader);
+
+    // Gives the orders that are due.
+    void tick();
+
+private:
+    // An order that was sent.
+    struct order_sent {
+        std::int64_t version = 0;
+        base::instant at;
+        bool accepted = false;
+        base::instant next_look{};
+    };
+
+    void load_model(const base::model_id& model, const weights_history& history);
+    [[nodiscard]] weights::load_candidate candidate_of(const fleet::member& one,
+                                                       const base::model_id& model,
+                                                       const weights_history& history);
+    void order(const base::upstream_id& id, const base::model_id& model, std::int64_t version);
+    void ask_state(const base::upstream_id& id);
+    void note_answer(const base::upstream_id& id, std::int64_t version,
+                     ports::order_outcome outcome);
+
+    entry_context& context;
+    leadership& leader;
+    std::map<base::upstream_id, order_sent> orders;
+    // What upstreams said when asked, newer than the platform's list.
+    std::map<base::upstream_id, std::int64_t> accepted_orders;
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/weights/term.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+
+namespace camphorrail::weights {
+
+// One stretch during which this process alone may give orders, as it knows it.
+struct term {
+    // Rises with every change of the holder.
+    std::int64_t fence = 0;
+    std::int64_t lease = 0;
+    // No order before this moment: the holder before may have given one until just before its lease
+    // ended, and upstreams must not see two holders take turns.
+    base::instant from{};
+    // No order after this moment, counted on a clock that counts suspension from before the renewal
+    // was sent: a process that was frozen must not order with a lease that has run out meanwhile.
+    base::instant until{};
+};
+
+struct term_rules {
+    base::micros lease = base::seconds(3);
+    // What an order takes to its upstream, and how far clocks may run apart.
+    base::micros margin = base::milliseconds(400);
+    // Least time between the last order of one holder and the first of the next.
+    base::micros apart = base::seconds(3);
+};
+
+// A new term. `asked` is when the lease was asked for, `won` when the store's answer was read.
+term begin_term(std::int64_t fence, std::int64_t lease, bool other_before, base::instant asked,
+                base::instant won, const term_rules& rules);
+
+// The lease was renewed by a call that was sent at `asked`.
+void renew(term& held, base::instant asked, const term_rules& rules);
+
+// Whether an order may be given now.
+bool may_order(const term& held, base::instant now);
+
+} // namespace camphorrail::weights
--- /dev/null
+++ b/src/weights/term_tests.cpp
@@ -0,0 +1,40 @@
+#include "weights/term.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+base::instant at(int millis) {
+    return base::instant{base::milliseconds(millis)};
+}
+
+} // namespace
+
+// A holder freezes for longer than its lease; another takes over and orders an upstream to load
+// weights. If the first woke and went on, the upstream would see two holders take turns, and could
+// end up on weights that the second one has just replaced.
+TEST_CASE("two holders never order within the bound", "[weights]") {
+    const weights::term_rules rules;
+    auto first = weights::begin_term(7, 1, false, at(0), at(10), rules);
+    CHECK(weights::may_order(first, at(10)));
+    weights::renew(first, at(1000), rules);
+    CHECK(weights::may_order(first, at(3599)));
+
+    SECTION("since the first stops by its own clock before its lease can have ended") {
+        CHECK_FALSE(weights::may_order(first, at(3600)));
+        weights::renew(first, at(500), rules);
+        CHECK_FALSE(weights::may_order(first, at(3600)));
+    }
+    SECTION("and the second waits after it has won") {
+        const auto second = weights::begin_term(9, 2, true, at(4000), at(4010), rules);
+        CHECK_FALSE(weights::may_order(second, at(7000)));
+        const auto gap = second.from - at(3600);
+        CHECK(gap >= rules.apart);
+    }
+    SECTION("while one that held it before need not wait for itself") {
+        CHECK(weights::may_order(weights::begin_term(9, 2, false, at(4000), at(4010), rules),
+                                 at(4010)));
+    }
+}
