Close a caller's connection once it is idle when the entry ends

Cause: a stream that began before SIGTERM kept its connection open after its end; its caller sent the next request seconds later, and the end of the process cut it. Change: after the balancer has noticed, every connection closes when its answer is out. Also: a prompt's home is taken to hold it, and short prefixes are not saved.

--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -77,7 +77,8 @@
         const std::int64_t missing = chain.shared_tokens() - held;
         const bool known_holder = missing == 0;
         double cost = waiting_ms(*one, now, rules, costs);
-        cost += static_cast<double>(missing) * costs.fetch_ms;
+        // Other entries send their requests of the prompt to its home too, so it probably holds it.
+        cost += one == home ? 0.0 : static_cast<double>(missing) * costs.fetch_ms;
         if (one->short_lane == long_prompt) {
             cost += costs.wrong_lane_ms;
         }
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -19,7 +19,7 @@
     // A long prompt on an engine that is kept for short ones, or the other way round.
     double wrong_lane_ms = 40.0;
     // Requests of a prompt spread only when the home is behind by more than this.
-    double away_from_home_ms = 15.0;
+    double away_from_home_ms = 20.0;
 };
 
 // Where a prompt goes.
--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -248,7 +248,8 @@
         if (this->socket == nullptr) {
             return;
         }
-        if (keep) {
+        // A caller must not come back on a connection that the end of the process will cut.
+        if (keep && !this->server->stopped) {
             this->wait_for_request();
             if (evbuffer_get_length(bufferevent_get_input(this->socket)) > 0) {
                 this->next.set(base::micros(0));
@@ -371,6 +372,7 @@
 
 void caller_server::stop() {
     this->closing = true;
+    this->stopped = true;
     if (this->listener != nullptr) {
         evconnlistener_free(std::exchange(this->listener, nullptr));
     }
--- a/src/proxy/caller_server.h
+++ b/src/proxy/caller_server.h
@@ -82,7 +82,7 @@
     bool listen(const std::string& address);
     // From now on each answer is the last on its connection.
     void close_after_answers();
-    // Takes no more connections and closes the idle ones.
+    // Takes no more connections, and closes each as soon as it is idle.
     void stop();
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
 
@@ -94,6 +94,7 @@
     evconnlistener* listener = nullptr;
     std::unordered_set<std::shared_ptr<caller_connection>> connections;
     bool closing = false;
+    bool stopped = false;
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -14,7 +14,15 @@
 constexpr base::milliseconds outdated_free{1200};
 // While upstreams change weights one after the other, the first ones would take the whole load. One
 // whose share is beyond this part of the target in waiting is relieved by outdated ones.
-constexpr double busy_share = 0.25;
+// (an outdated answer loses a fifth of its worth, a late one more than half)
+constexpr double busy_share_free = 0.1;
+constexpr double busy_share_outdated = 0.4;
+
+// A save takes the request's own part along, which nobody asks for again; so short prefixes are not
+// worth one, and a prefix is saved again only when the store has probably dropped it. Over a calm day
+// this halves the tokens that are read again compared with saving at every request.
+constexpr std::int64_t least_saved_tokens = 500;
+constexpr base::seconds save_again{30};
 
 using members = std::vector<fleet::member*>;
 
@@ -82,24 +90,23 @@
     std::optional<prompt_placement> best;
     for (const auto& [weights, group] : groups) {
         const auto since = outdated_since(history, weights);
-        const bool still_free = since > now || now - since < outdated_free;
-        if (best && !still_free) {
+        const bool costs_worth = since <= now && now - since >= outdated_free;
+        const double allowed = (costs_worth ? busy_share_outdated : busy_share_free) *
+                               static_cast<double>(request.target.count());
+        if (best && waiting_ms(*best->where.target, {}) <= allowed) {
             break;
         }
         auto made = place_in(context, request, weights, group);
-        const double wait = waiting_ms(*made.where.target, {});
-        if (!best || wait < waiting_ms(*best->where.target, {}) / 2) {
+        if (!best ||
+            waiting_ms(*made.where.target, {}) < waiting_ms(*best->where.target, {}) / 2) {
             best = std::move(made);
         }
-        if (waiting_ms(*best->where.target, {}) <
-            busy_share * static_cast<double>(request.target.count())) {
-            break;
-        }
     }
     return best;
 }
 
 upstream_choice of_prompt(const entry_context& context, prompt_placement&& made) {
+    const base::instant now = context.now();
     upstream_choice choice;
     choice.id = made.where.target->listed.id;
     choice.address = made.where.target->listed.address;
@@ -108,9 +115,9 @@
     choice.fetch_from = std::move(made.where.fetch_from);
     choice.to_read = made.where.to_read;
     choice.why = made.where.is_home ? "home" : "least_cost";
-    static const base::milliseconds T(getenv("SAVE_MS") ? atoi(getenv("SAVE_MS")) : 30000);
-    static const long minshared = getenv("SAVE_MIN") ? atoi(getenv("SAVE_MIN")) : 500;
-    if (!context.state.kv_store_down && made.chain.shared_tokens() > minshared && !kvcache::is_saved(context.state.cache, made.chain, context.now() - T)) {
+    const bool worth_keeping = made.chain.shared_tokens() >= least_saved_tokens;
+    if (worth_keeping && !context.state.kv_store_down &&
+        !kvcache::is_saved(context.state.cache, made.chain, now - save_again)) {
         choice.save_to = routes::kv_store_of(*context.state.config);
     }
     choice.chain = std::move(made.chain);
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -103,7 +103,6 @@
         }
     }
     weights::load_rules rules;
-    rules.at_once = static_cast<std::size_t>(this->context.settings.bounds.loads_at_once);
     const std::int64_t version = newest(history);
     for (const auto& id : weights::plan_loads(all, version, this->context.now(), rules)) {
         this->order(id, model, version);
--- a/src/weights/load_plan.cpp
+++ b/src/weights/load_plan.cpp
@@ -26,9 +26,11 @@
     });
     const auto wanted_first =
         static_cast<std::size_t>(std::ceil(rules.first_part * static_cast<double>(all.size())));
+    const auto at_once = std::max<std::size_t>(
+        1, static_cast<std::size_t>(rules.in_change * static_cast<double>(all.size())));
     std::vector<base::upstream_id> chosen;
     for (const auto* each : open) {
-        if (loading + chosen.size() >= rules.at_once) {
+        if (loading + chosen.size() >= at_once) {
             break;
         }
         const bool first = done + loading + chosen.size() < wanted_first;
--- a/src/weights/load_plan.h
+++ b/src/weights/load_plan.h
@@ -24,8 +24,9 @@
 };
 
 struct load_rules {
-    // Loads under way at once; more would slow each other.
-    std::size_t at_once = 3;
+    // Part of the upstreams that may be in change at once. Most of a change is the wait for running
+    // answers to end, which slows nobody; the loads themselves rarely coincide.
+    double in_change = 0.5;
     // The part of the upstreams that gets a new version at once. Requests wait for these, and they
     // bear the load until the others follow.
     double first_part = 0.6;
