Have a new leader wait for the last that gave orders, and tell how old versions are

Change: the store holds who ordered last, and only that one is waited for; a leader that is stopped leads until it ends; entries tell each other when versions were seen.

--- a/src/proxy/leadership.cpp
+++ b/src/proxy/leadership.cpp
@@ -28,8 +28,8 @@
     return this->context.words.own_prefix + "leader";
 }
 
-std::string leadership::last_leader_key() const {
-    return this->context.words.own_prefix + "last-leader";
+std::string leadership::orderer_key() const {
+    return this->context.words.own_prefix + "orderer";
 }
 
 weights::term_rules leadership::rules() const {
@@ -39,9 +39,66 @@
     return rules;
 }
 
-bool leadership::may_order() const {
-    return this->held && !this->context.state.stopping &&
-           weights::may_order(*this->held, this->context.now());
+bool leadership::may_order() {
+    if (!this->held || !weights::may_order(*this->held, this->context.now())) {
+        return false;
+    }
+    if (!this->written_down) {
+        this->write_down_orderer();
+    }
+    return this->written_down;
+}
+
+// Others wait for the end of the last term in which orders were given; so that must be in the store
+// before the first of them.
+void leadership::write_down_orderer() {
+    if (this->writing_down) {
+        return;
+    }
+    this->writing_down = true;
+    ports::transaction change;
+    change.expectations = {{this->leader_key(), this->held->fence}};
+    change.writes = {{this->orderer_key(), this->name(), false, 0}};
+    const std::int64_t fence = this->held->fence;
+    this->platform.commit(change, [this, fence](base::result<ports::committed> done) {
+        this->writing_down = false;
+        if (!this->held || this->held->fence != fence || !done.has_value()) {
+            return;
+        }
+        if (done.value().applied) {
+            this->written_down = true;
+        } else {
+            this->lose("replaced");
+        }
+    });
+}
+
+void leadership::note_store_change() {
+    const auto& items = this->context.state.store.items;
+    const auto found = items.find(this->leader_key());
+    const std::string holder = found == items.end() ? std::string() : found->second.value;
+    if (holder == this->holder_seen) {
+        return;
+    }
+    if (!this->holder_seen.empty()) {
+        this->seen_ended[this->holder_seen] = this->context.now();
+    }
+    this->holder_seen = holder;
+}
+
+weights::last_orderer leadership::last_orderer() const {
+    const auto& items = this->context.state.store.items;
+    const auto last = items.find(this->orderer_key());
+    weights::last_orderer before;
+    if (last == items.end() || last->second.value == this->name()) {
+        return before;
+    }
+    before.other = true;
+    const auto ended = this->seen_ended.find(last->second.value);
+    if (ended != this->seen_ended.end()) {
+        before.seen_ended = ended->second;
+    }
+    return before;
 }
 
 void leadership::tick() {
@@ -80,29 +137,30 @@
 
 void leadership::claim(std::int64_t lease, base::instant asked) {
     const auto& items = this->context.state.store.items;
-    const auto last = items.find(this->last_leader_key());
+    const auto last = items.find(this->orderer_key());
     const std::int64_t last_revision = last == items.end() ? 0 : last->second.mod_revision;
-    const bool other_before = last != items.end() && last->second.value != this->name();
+    const auto before = this->last_orderer();
     ports::transaction change;
-    change.expectations = {{this->leader_key(), 0}, {this->last_leader_key(), last_revision}};
-    change.writes = {{this->leader_key(), this->name(), false, lease},
-                     {this->last_leader_key(), this->name(), false, 0}};
+    // What is known of the last one that ordered must be up to date.
+    change.expectations = {{this->leader_key(), 0}, {this->orderer_key(), last_revision}};
+    change.writes = {{this->leader_key(), this->name(), false, lease}};
     this->asking = true;
-    this->platform.commit(change, [this, lease, asked,
-                                   other_before](base::result<ports::committed> done) {
-        this->asking = false;
-        if (!done.has_value() || !done.value().applied) {
-            return;
-        }
-        const base::instant now = this->context.now();
-        this->held = weights::begin_term(done.value().revision, lease, other_before, asked, now,
-                                         this->rules());
-        this->next_renewal = now + renewal_period;
-        this->context.log.line(importance::keep, "leader")
-            .number("fence", this->held->fence)
-            .flag("other_before", other_before)
-            .span("orders_after_ms", this->held->from - now);
-    });
+    this->platform.commit(
+        change, [this, lease, asked, before](base::result<ports::committed> done) {
+            this->asking = false;
+            if (!done.has_value() || !done.value().applied) {
+                return;
+            }
+            const base::instant now = this->context.now();
+            this->held = weights::begin_term(done.value().revision, lease, before, asked, now,
+                                             this->rules());
+            this->written_down = false;
+            this->next_renewal = now + renewal_period;
+            this->context.log.line(importance::keep, "leader")
+                .number("fence", this->held->fence)
+                .flag("other_before", before.other)
+                .span("orders_after_ms", this->held->from - now);
+        });
 }
 
 void leadership::renew() {
@@ -127,19 +185,16 @@
         .text("why", why)
         .number("fence", this->held->fence);
     this->held.reset();
+    this->written_down = false;
 }
 
 void leadership::resign() {
     if (!this->held) {
         return;
     }
-    const auto found = this->context.state.store.items.find(this->leader_key());
-    this->lose("stopping");
-    if (found == this->context.state.store.items.end()) {
-        return;
-    }
     ports::transaction change;
-    change.expectations = {{this->leader_key(), found->second.mod_revision}};
+    change.expectations = {{this->leader_key(), this->held->fence}};
+    this->lose("stopping");
     change.writes = {{this->leader_key(), "", true, 0}};
     this->platform.commit(change, [this](base::result<ports::committed> done) {
         if (!done.has_value()) {
--- a/src/proxy/leadership.h
+++ b/src/proxy/leadership.h
@@ -5,7 +5,9 @@
 #include "weights/term.h"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace camphorrail::proxy {
 
@@ -18,8 +20,11 @@
     void tick();
     // Gives the lease up, so that another entry need not wait for its end.
     void resign();
-    // Whether an order may be given now.
-    [[nodiscard]] bool may_order() const;
+    // Whether an order may be given now. The first such question of a term only has it written down
+    // that this entry orders.
+    [[nodiscard]] bool may_order();
+    // Notes when another entry's term is over; to be called after each change of the mirror.
+    void note_store_change();
     [[nodiscard]] std::int64_t fence() const { return this->held ? this->held->fence : 0; }
     // What upstreams know this holder by.
     [[nodiscard]] std::string name() const;
@@ -30,13 +35,21 @@
     void renew();
     void lose(const char* why);
     [[nodiscard]] std::string leader_key() const;
-    [[nodiscard]] std::string last_leader_key() const;
+    [[nodiscard]] std::string orderer_key() const;
+    void write_down_orderer();
+    [[nodiscard]] weights::last_orderer last_orderer() const;
     [[nodiscard]] weights::term_rules rules() const;
 
     entry_context& context;
     ports::platform platform;
     std::optional<weights::term> held;
     bool asking = false;
+    // The store holds that this entry orders in this term.
+    bool written_down = false;
+    bool writing_down = false;
+    // Who holds the leader's key, as last seen, and when others were seen to hold it no more.
+    std::string holder_seen;
+    std::map<std::string, base::instant> seen_ended;
     base::instant next_renewal{};
     base::instant next_campaign{};
 };
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -20,6 +20,10 @@
     return {"weights", message.upstream.value, message.model.value, message.version};
 }
 
+json to_json(const peer_named& message) {
+    return {"named", message.model.value, message.version, message.age.count()};
+}
+
 json to_json(const peer_store_ask& message) {
     return {"ask", message.number, message.revision};
 }
@@ -60,6 +64,11 @@
                             {read.at(2).get<std::string>()},
                             read.at(3).get<std::int64_t>()};
     }
+    if (kind == "named") {
+        return peer_named{{read.at(1).get<std::string>()},
+                          read.at(2).get<std::int64_t>(),
+                          base::micros(read.at(3).get<std::int64_t>())};
+    }
     if (kind == "ask") {
         return peer_store_ask{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>()};
     }
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -32,6 +32,14 @@
     std::int64_t version = 0;
 };
 
+// A version of weights that was named, and how long ago the sender saw it. Said when a link stands: a
+// process that has just started can't know how long weights have been outdated.
+struct peer_named {
+    base::model_id model;
+    std::int64_t version = 0;
+    base::micros age{0};
+};
+
 // Asks for what the other end knows of the store. Asked by an entry that the store turns away.
 struct peer_store_ask {
     std::int64_t number = 0;
@@ -50,7 +58,8 @@
 };
 
 using peer_message =
-    std::variant<peer_hello, peer_suspicion, peer_weights, peer_store_ask, peer_store_view>;
+    std::variant<peer_hello, peer_suspicion, peer_weights, peer_named, peer_store_ask,
+                 peer_store_view>;
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -50,8 +50,7 @@
         this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
         [this](const adapters::link_ptr& link) {
             this->add(link, {});
-            this->links.at(link.get()).open = true;
-            link->send(encode(peer_hello{this->context.settings.id}));
+            this->greet(this->links.at(link.get()));
         });
     return this->listener != nullptr;
 }
@@ -125,13 +124,23 @@
         link->opened.connect([this, key = link.get()] {
             const auto found = this->links.find(key);
             if (found != this->links.end()) {
-                found->second.open = true;
-                found->second.link->send(encode(peer_hello{this->context.settings.id}));
+                this->greet(found->second);
             }
         });
     }
 }
 
+void peers::greet(peer_link& to) {
+    to.open = true;
+    to.link->send(encode(peer_hello{this->context.settings.id}));
+    const base::instant now = this->context.now();
+    for (const auto& [model, history] : this->context.state.weights) {
+        for (const auto& [version, seen] : history.seen) {
+            to.link->send(encode(peer_named{model, version, now - seen}));
+        }
+    }
+}
+
 void peers::add(const adapters::link_ptr& link, base::entry_id id) {
     const link_key key = link.get();
     this->links[key] = {link, std::move(id), false, 0, {}};
@@ -224,6 +233,10 @@
     this->weights_changed(message);
 }
 
+void peers::take(link_key /*key*/, const peer_named& message) {
+    this->named_weights_told(message);
+}
+
 void peers::take(link_key key, const peer_store_ask& message) {
     const auto& store = this->context.state.store;
     peer_store_view view;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -30,6 +30,7 @@
     // Told what another entry said, once it is applied to the mirror where it tells of the store.
     std::function<void(const std::set<std::string>&)> store_changed;
     std::function<void(const peer_weights&)> weights_changed;
+    std::function<void(const peer_named&)> named_weights_told;
     // The number of entries has changed.
     std::function<void()> count_changed;
 
@@ -47,12 +48,14 @@
     void register_self();
     void connect_to_new();
     void ask_for_store();
+    void greet(peer_link& to);
     void add(const adapters::link_ptr& link, base::entry_id id);
     void drop(link_key key);
     void received(link_key key, std::string_view bytes);
     void take(link_key key, const peer_hello& message);
     void take(link_key key, const peer_suspicion& message);
     void take(link_key key, const peer_weights& message);
+    void take(link_key key, const peer_named& message);
     void take(link_key key, const peer_store_ask& message);
     void take(link_key key, const peer_store_view& message);
     [[nodiscard]] std::string list_prefix() const;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -24,6 +24,8 @@
 constexpr base::milliseconds balancer_notices{2800};
 // What is left of the grace period for the process to end in.
 constexpr base::milliseconds exit_margin{700};
+// What giving up the lead and writing the last log lines takes.
+constexpr base::milliseconds resign_time{150};
 // Part of the shared retry budget that the entries use together. The rest is for entries that start
 // or vanish meanwhile, and for calls that are counted late.
 constexpr double retry_share = 0.7;
@@ -135,6 +137,7 @@
     this->others.weights_changed = [this](const peer_weights& told) {
         this->take_weights_of(told);
     };
+    this->others.named_weights_told = [this](const peer_named& told) { this->take_named(told); };
     this->others.count_changed = [this] { this->set_retry_budgets(); };
     this->store.start();
     this->loop.every(tick_period, [this] { this->tick(); });
@@ -161,6 +164,7 @@
 }
 
 void proxy::on_store_change(const std::set<std::string>& keys) {
+    this->leader.note_store_change();
     bool upstreams = false;
     for (const auto& key : keys) {
         upstreams = upstreams || key.starts_with(this->platform.words.upstreams_prefix);
@@ -283,6 +287,17 @@
     }
 }
 
+void proxy::take_named(const peer_named& told) {
+    // Whoever saw the version first is right: requests must not begin on outdated weights because
+    // this process has only just started.
+    auto& seen = this->state.weights[told.model].seen;
+    const base::instant at = this->context.now() - told.age;
+    const auto [found, is_new] = seen.emplace(told.version, at);
+    if (!is_new && found->second > at) {
+        found->second = at;
+    }
+}
+
 void proxy::note_readiness() {
     const bool now_ready = this->ready();
     if (now_ready != this->was_ready) {
@@ -340,12 +355,13 @@
     this->log.line(importance::keep, "stop").number("flows", static_cast<std::int64_t>(this->flows.size()));
     this->note_readiness();
     this->callers->close_after_answers();
-    this->leader.resign();
     this->others.resign();
     this->loop.after(balancer_notices, [this] {
         this->callers->stop();
         this->exit_when_done();
     });
+    this->loop.after(this->settings.bounds.grace - exit_margin - resign_time,
+                     [this] { this->leader.resign(); });
     this->loop.after(this->settings.bounds.grace - exit_margin, [this] {
         const auto left = this->flows;
         for (const auto& flow : left) {
@@ -359,8 +375,10 @@
     const bool noticed =
         this->state.stopping && this->context.now() - this->stop_at >= balancer_notices;
     if (noticed && this->flows.empty()) {
-        // What was written last still has to leave.
-        this->loop.after(base::milliseconds(100), [this] { this->loop.stop(); });
+        // An entry that leads goes on doing so until now: in a rolling restart the next one is
+        // stopped soon too.
+        this->leader.resign();
+        this->loop.after(resign_time, [this] { this->loop.stop(); });
     }
 }
 
--- a/src/weights/term.cpp
+++ b/src/weights/term.cpp
@@ -4,12 +4,16 @@
 
 namespace camphorrail::weights {
 
-term begin_term(std::int64_t fence, std::int64_t lease, bool other_before, base::instant asked,
-                base::instant won, const term_rules& rules) {
+term begin_term(std::int64_t fence, std::int64_t lease, const last_orderer& before,
+                base::instant asked, base::instant won, const term_rules& rules) {
     term begun;
     begun.fence = fence;
     begun.lease = lease;
-    begun.from = other_before ? won + rules.apart + rules.margin : won;
+    begun.from = won;
+    if (before.other) {
+        const base::instant ended = before.seen_ended.value_or(won);
+        begun.from = std::max(won, ended + rules.apart + rules.margin);
+    }
     begun.until = asked + rules.lease - rules.margin;
     return begun;
 }
--- a/src/weights/term.h
+++ b/src/weights/term.h
@@ -3,6 +3,7 @@
 #include "base/units.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace camphorrail::weights {
 
@@ -27,9 +28,19 @@
     base::micros apart = base::seconds(3);
 };
 
-// A new term. `asked` is when the lease was asked for, `won` when the store's answer was read.
-term begin_term(std::int64_t fence, std::int64_t lease, bool other_before, base::instant asked,
-                base::instant won, const term_rules& rules);
+// Who gave the last orders before a term, as the one that begins it knows.
+struct last_orderer {
+    // Another process; false where none ever ordered, or this one did.
+    bool other = false;
+    // When this process saw that the other's term was over; nothing where it did not see it.
+    std::optional<base::instant> seen_ended;
+};
+
+// A new term. `asked` is when the lease was asked for, `won` when the store's answer was read. It
+// waits for the last one that gave orders and not for the last holder: in a rolling restart each
+// holder is stopped before its wait is over, and no order would ever be given.
+term begin_term(std::int64_t fence, std::int64_t lease, const last_orderer& before,
+                base::instant asked, base::instant won, const term_rules& rules);
 
 // The lease was renewed by a call that was sent at `asked`.
 void renew(term& held, base::instant asked, const term_rules& rules);
--- a/src/weights/term_tests.cpp
+++ b/src/weights/term_tests.cpp
@@ -17,7 +17,7 @@
 // end up on weights that the second one has just replaced.
 TEST_CASE("two holders never order within the bound", "[weights]") {
     const weights::term_rules rules;
-    auto first = weights::begin_term(7, 1, false, at(0), at(10), rules);
+    auto first = weights::begin_term(7, 1, {}, at(0), at(10), rules);
     CHECK(weights::may_order(first, at(10)));
     weights::renew(first, at(1000), rules);
     CHECK(weights::may_order(first, at(3599)));
@@ -28,13 +28,24 @@
         CHECK_FALSE(weights::may_order(first, at(3600)));
     }
     SECTION("and the second waits after it has won") {
-        const auto second = weights::begin_term(9, 2, true, at(4000), at(4010), rules);
+        const auto second = weights::begin_term(9, 2, {.other = true}, at(4000), at(4010), rules);
         CHECK_FALSE(weights::may_order(second, at(7000)));
         const auto gap = second.from - at(3600);
         CHECK(gap >= rules.apart);
     }
     SECTION("while one that held it before need not wait for itself") {
-        CHECK(weights::may_order(weights::begin_term(9, 2, false, at(4000), at(4010), rules),
+        CHECK(weights::may_order(weights::begin_term(9, 2, {}, at(4000), at(4010), rules),
                                  at(4010)));
     }
 }
+
+// A rolling restart stops each leader a second or two after it has taken over. Were each to wait for
+// the one before it, nobody would order new weights until the last is back, and requests would begin
+// on weights that were outdated for twelve seconds.
+TEST_CASE("holders that gave no order are not waited for", "[weights]") {
+    const weights::term_rules rules;
+    const auto third = weights::begin_term(34, 3, {.other = true, .seen_ended = at(1000)}, at(3200),
+                                           at(3210), rules);
+    CHECK_FALSE(weights::may_order(third, at(4399)));
+    CHECK(weights::may_order(third, at(4400)));
+}
