Share what waits where, and keep long prompts out of the short lane

Causes: entries saw only their own part of an engine's queue and overloaded the same homes; an engine that was only slow was ejected for silence; upstreams that don't answer orders held up the loading of others; in overload long prompts spilled into the short lane, where each delays some thirty answers.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -101,12 +101,24 @@
     return suspected.empty() ? vanished : suspected;
 }
 
+std::int64_t all_unread_tokens(const member& one, base::instant now, const fleet_rules& rules) {
+    std::int64_t total = one.unread_tokens;
+    for (const auto& [entry, load] : one.elsewhere) {
+        total += now - load.at <= rules.load_lifetime ? load.unread_tokens : 0;
+    }
+    return total;
+}
+
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules) {
+    std::int64_t known = one.in_flight;
+    for (const auto& [entry, load] : one.elsewhere) {
+        known += now - load.at <= rules.load_lifetime ? load.in_flight : 0;
+    }
     if (!one.load || now - one.load_at > rules.load_lifetime) {
-        return one.in_flight;
+        return known;
     }
     // The report counts the request that it came with, which has ended.
-    return std::max(one.in_flight, one.load->running + one.load->waiting - 1);
+    return std::max(known, one.load->running + one.load->waiting - 1);
 }
 
 member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,13 @@
 
 namespace camphorrail::fleet {
 
+// What another entry has under way at an upstream, and when it said so.
+struct entry_load {
+    std::int64_t in_flight = 0;
+    std::int64_t unread_tokens = 0;
+    base::instant at{};
+};
+
 // What an entry knows of one upstream: what the platform lists, and what its own requests show.
 struct member {
     ports::listed_upstream listed;
@@ -21,9 +28,13 @@
     std::int64_t in_flight = 0;
     // Prompt tokens of those requests whose first byte has not come yet.
     std::int64_t unread_tokens = 0;
+    // The same at the other entries.
+    std::map<base::entry_id, entry_load> elsewhere;
     // What the upstream last said of its load, and when.
     std::optional<ports::reported_load> load;
     base::instant load_at{};
+    // When the last byte came from it, on whatever request.
+    base::instant heard_at{};
     // It takes no new request before this moment: it loads weights, or has said that it is full.
     base::instant busy_until{};
     // Takes short prompts before long ones; see kvcache/lanes.h.
@@ -76,6 +87,9 @@
                                 const fleet_rules& rules,
                                 const std::vector<base::upstream_id>& except);
 
+// Prompt tokens that wait at a member to be read, over all entries.
+std::int64_t all_unread_tokens(const member& one, base::instant now, const fleet_rules& rules);
+
 // How many requests a member probably holds, ours and those of other entries.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
 
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -36,7 +36,7 @@
 
 double waiting_ms(const fleet::member& one, base::instant now, const fleet::fleet_rules& rules,
                   const placement_costs& costs) {
-    return static_cast<double>(one.unread_tokens) * costs.read_ms +
+    return static_cast<double>(fleet::all_unread_tokens(one, now, rules)) * costs.read_ms +
            static_cast<double>(fleet::estimated_load(one, now, rules)) * costs.running_ms;
 }
 
@@ -80,7 +80,7 @@
         // Other entries send their requests of the prompt to its home too, so it probably holds it.
         cost += one == home ? 0.0 : static_cast<double>(missing) * costs.fetch_ms;
         if (one->short_lane == long_prompt) {
-            cost += costs.wrong_lane_ms;
+            cost += long_prompt ? costs.long_among_short_ms : costs.short_among_long_ms;
         }
         if (one != home && !known_holder) {
             cost += costs.away_from_home_ms;
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -15,9 +15,12 @@
     // Fetching from another engine: 190 KB a token over 350 Gbit/s, and as much again for waiting.
     double fetch_ms = 0.009;
     // A request that is generating slows the others on its engine by about this much.
-    double running_ms = 2.0;
-    // A long prompt on an engine that is kept for short ones, or the other way round.
-    double wrong_lane_ms = 40.0;
+    double running_ms = 0.5;
+    // A short prompt on an engine that reads long ones.
+    double short_among_long_ms = 40.0;
+    // A long prompt on an engine that is kept for short ones. When all are busy, the short lane must
+    // not fill up with long prompts too: each would delay some thirty answers that are under way.
+    double long_among_short_ms = 1000.0;
     // Requests of a prompt spread only when the home is behind by more than this.
     double away_from_home_ms = 20.0;
 };
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -20,6 +20,14 @@
     return {"weights", message.upstream.value, message.model.value, message.version};
 }
 
+json to_json(const peer_load& message) {
+    json items = json::array();
+    for (const auto& item : message.items) {
+        items.push_back({item.upstream.value, item.in_flight, item.unread_tokens});
+    }
+    return {"load", items};
+}
+
 json to_json(const peer_named& message) {
     return {"named", message.model.value, message.version, message.age.count()};
 }
@@ -49,6 +57,16 @@
     return view;
 }
 
+peer_load read_load(const json& read) {
+    peer_load load;
+    for (const auto& item : read.at(1)) {
+        load.items.push_back({{item.at(0).get<std::string>()},
+                              item.at(1).get<std::int64_t>(),
+                              item.at(2).get<std::int64_t>()});
+    }
+    return load;
+}
+
 peer_message read_message(const json& read) {
     const std::string kind = read.at(0).get<std::string>();
     if (kind == "hello") {
@@ -64,6 +82,9 @@
                             {read.at(2).get<std::string>()},
                             read.at(3).get<std::int64_t>()};
     }
+    if (kind == "load") {
+        return read_load(read);
+    }
     if (kind == "named") {
         return peer_named{{read.at(1).get<std::string>()},
                           read.at(2).get<std::int64_t>(),
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -32,6 +32,16 @@
     std::int64_t version = 0;
 };
 
+// What the sender has under way at upstreams, those with nothing left out.
+struct peer_load {
+    struct item {
+        base::upstream_id upstream;
+        std::int64_t in_flight = 0;
+        std::int64_t unread_tokens = 0;
+    };
+    std::vector<item> items;
+};
+
 // A version of weights that was named, and how long ago the sender saw it. Said when a link stands: a
 // process that has just started can't know how long weights have been outdated.
 struct peer_named {
@@ -58,8 +68,8 @@
 };
 
 using peer_message =
-    std::variant<peer_hello, peer_suspicion, peer_weights, peer_named, peer_store_ask,
-                 peer_store_view>;
+    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
+                 peer_store_ask, peer_store_view>;
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -61,6 +61,7 @@
         this->register_self();
     }
     this->connect_to_new();
+    this->tell_load();
     const auto age = mirror::age(this->context.state.store, now);
     if (now >= this->next_ask && (!age || *age > ask_after_age)) {
         this->ask_for_store();
@@ -171,6 +172,22 @@
     }
 }
 
+// Entries that send prompts to the same homes would each see only their part of what waits there, and
+// all overload the same engine at once.
+void peers::tell_load() {
+    peer_load load;
+    for (const auto& [id, one] : this->context.state.fleet.members) {
+        if (one.in_flight > 0) {
+            load.items.push_back({id, one.in_flight, one.unread_tokens});
+        }
+    }
+    // One last message says that nothing is left.
+    if (!load.items.empty() || this->load_told) {
+        this->tell(load);
+    }
+    this->load_told = !load.items.empty();
+}
+
 // Asks every linked entry in turn until one has a fresh view; with many entries, a few at a time.
 void peers::ask_for_store() {
     const base::instant now = this->context.now();
@@ -233,6 +250,20 @@
     this->weights_changed(message);
 }
 
+void peers::take(link_key key, const peer_load& message) {
+    const auto& entry = this->links.at(key).id;
+    const base::instant now = this->context.now();
+    for (auto& [id, one] : this->context.state.fleet.members) {
+        one.elsewhere.erase(entry);
+    }
+    for (const auto& item : message.items) {
+        const auto found = this->context.state.fleet.members.find(item.upstream);
+        if (found != this->context.state.fleet.members.end()) {
+            found->second.elsewhere[entry] = {item.in_flight, item.unread_tokens, now};
+        }
+    }
+}
+
 void peers::take(link_key /*key*/, const peer_named& message) {
     this->named_weights_told(message);
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -47,6 +47,7 @@
 
     void register_self();
     void connect_to_new();
+    void tell_load();
     void ask_for_store();
     void greet(peer_link& to);
     void add(const adapters::link_ptr& link, base::entry_id id);
@@ -55,6 +56,7 @@
     void take(link_key key, const peer_hello& message);
     void take(link_key key, const peer_suspicion& message);
     void take(link_key key, const peer_weights& message);
+    void take(link_key key, const peer_load& message);
     void take(link_key key, const peer_named& message);
     void take(link_key key, const peer_store_ask& message);
     void take(link_key key, const peer_store_view& message);
@@ -72,6 +74,7 @@
     base::instant next_ask{};
     std::int64_t last_ask = 0;
     std::int64_t last_count = 0;
+    bool load_told = false;
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -20,10 +20,17 @@
 constexpr milliseconds hop{4};
 // With less time than this no upstream can answer.
 constexpr milliseconds least_time{15};
-// An idempotent call that has had no answer for this many targets goes elsewhere: plain calls take a
-// fifth of their target, so a silence of twice the target is no slow answer any more.
-constexpr int silent_targets = 2;
-constexpr milliseconds shortest_silence{150};
+// A request that has had no answer for this many targets goes elsewhere, if it may. By then it is
+// late, and what it has waited for so long it may go on waiting for.
+constexpr int silent_targets = 3;
+constexpr milliseconds shortest_silence{200};
+// An upstream that has sent nothing on any request for this part of the target, while one waits, is
+// dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt in it; the
+// longest prompts alone on an engine take 200 ms to read.
+constexpr milliseconds shortest_dead{120};
+base::micros dead_after(milliseconds target) {
+    return std::max<base::micros>(target * 5 / 4, shortest_dead);
+}
 // A stream's first event may wait behind other prompts; a pause in mid-stream is held to the gap
 // target, and upstreams that preempt a stream read its prompt again.
 constexpr int silent_gaps = 4;
@@ -207,6 +214,7 @@
     this->current.emplace();
     this->current->choice = std::move(choice);
     this->current->sent_at = this->context.now();
+    this->last_progress = this->current->sent_at;
     const auto& sent = this->current->choice;
     const bool once = !may_repeat(*this->request.route);
     this->current->connection = this->context.connections.take(
@@ -241,19 +249,31 @@
          }});
 }
 
-// How long an upstream may say nothing. Only where the request can go elsewhere is it taken from it;
-// else others are warned of it.
+// How long an upstream may say nothing on this request before it is looked into.
+milliseconds request_flow::silence_limit() const {
+    const auto& route = *this->request.route;
+    if (this->state == answer_state::streaming) {
+        return std::max(route.gap_target * silent_gaps, shortest_gap);
+    }
+    return std::max(route.target * silent_targets, shortest_silence);
+}
+
 void request_flow::watch_for_silence() {
     const auto& route = *this->request.route;
-    const bool streaming = this->state == answer_state::streaming;
-    if (streaming && !route.resumable) {
+    if (this->state == answer_state::streaming && !route.resumable) {
         this->silence.clear();
         return;
     }
-    const milliseconds span = streaming
-                                  ? std::max(route.gap_target * silent_gaps, shortest_gap)
-                                  : std::max(route.target * silent_targets, shortest_silence);
-    this->silence.set(span);
+    this->silence.set(std::min<base::micros>(this->silence_limit(), dead_after(route.target)));
+}
+
+// Whether nothing at all has come from the upstream lately. One that is only slow still says
+// something on its other requests; taking its work away then would only move the load.
+bool request_flow::upstream_is_dead() const {
+    const auto* one = this->member_of_attempt();
+    const auto heard = one == nullptr ? this->current->sent_at
+                                      : std::max(one->heard_at, this->current->sent_at);
+    return this->context.now() - heard >= dead_after(this->request.route->target);
 }
 
 bool request_flow::started(const http::response_head& head) {
@@ -267,6 +287,7 @@
             .number("status", head.status);
         return false;
     }
+    this->note_heard();
     this->current->answering = true;
     this->current->head = head;
     this->current->facts = answer;
@@ -277,7 +298,15 @@
     return true;
 }
 
+void request_flow::note_heard() {
+    this->last_progress = this->context.now();
+    if (auto* one = this->member_of_attempt()) {
+        one->heard_at = this->last_progress;
+    }
+}
+
 void request_flow::received(std::string bytes) {
+    this->note_heard();
     const bool success = this->current->head.status < first_refusal_status;
     if (success && this->request.route->kind == routes::request_kind::stream) {
         this->pass_on(bytes);
@@ -441,6 +470,8 @@
     }
     // Nothing has left, so nothing is repeated.
     ++this->unreachable;
+    // A connection that can't be made says more than an answer that fails.
+    note_upstream_failure(this->context, id, name);
     if (this->unreachable < most_unreachable) {
         this->send_attempt();
     } else {
@@ -487,17 +518,29 @@
     if (!this->current || this->paused) {
         return;
     }
-    if (!this->current->suspected) {
+    const bool dead = this->upstream_is_dead();
+    const base::micros waited = this->context.now() - this->last_progress;
+    if (dead && !this->current->suspected) {
         this->current->suspected = true;
         note_upstream_failure(this->context, this->current->choice.id, "silent");
     }
     const bool last_attempt = this->begun + 1 >= this->request.route->attempts;
+    const bool waited_out = dead || waited >= this->silence_limit();
     if (last_attempt || !this->may_send_again()) {
+        if (!this->current->suspected) {
+            this->silence.set(dead_after(this->request.route->target));
+        }
+        return;
+    }
+    if (!waited_out) {
+        this->silence.set(std::min<base::micros>(this->silence_limit() - waited,
+                                                 dead_after(this->request.route->target)));
         return;
     }
     this->context.log.line(importance::keep, "attempt_silent")
         .text("request", this->facts.request_id)
         .text("upstream", this->current->choice.id.value)
+        .flag("upstream_dead", dead)
         .text("last_event", this->events.last_event)
         .span("after_ms", this->context.now() - this->current->sent_at);
     this->wanted.tried.push_back(this->current->choice.id);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -69,6 +69,9 @@
     bool take_retry();
     void send_again_or_end(const char* why);
     void watch_for_silence();
+    [[nodiscard]] base::milliseconds silence_limit() const;
+    [[nodiscard]] bool upstream_is_dead() const;
+    void note_heard();
     void count_first_byte();
     void note_begun();
     void leave_attempt();
@@ -102,6 +105,8 @@
     std::optional<whole_answer> error_answer;
     answer_state state = answer_state::none;
     bool paused = false;
+    // When the current attempt last gave a byte, or was sent.
+    base::instant last_progress{};
     std::optional<base::micros> first_byte;
 };
 
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -11,12 +11,11 @@
 // way may wait in an upstream's queue, and our view of what was named may be this late.
 constexpr base::milliseconds outdated_margin{2000};
 // From here on an answer made on outdated weights is worth less to its caller.
-constexpr base::milliseconds outdated_free{1200};
-// While upstreams change weights one after the other, the first ones would take the whole load. One
-// whose share is beyond this part of the target in waiting is relieved by outdated ones.
-// (an outdated answer loses a fifth of its worth, a late one more than half)
-constexpr double busy_share_free = 0.1;
-constexpr double busy_share_outdated = 0.4;
+constexpr base::milliseconds outdated_free{1300};
+// While upstreams change weights one after the other, the first ones would take the whole load. Where
+// a request would wait for longer than this part of its target, other weights are tried: an outdated
+// answer loses a fifth of its worth, a late one more than half.
+constexpr double busy_share = 0.3;
 
 // A save takes the request's own part along, which nobody asks for again; so short prefixes are not
 // worth one, and a prefix is saved again only when the store has probably dropped it. Over a calm day
@@ -39,12 +38,14 @@
 
 // The candidates that hold a version, newest version first, without those that are outdated for too
 // long.
-std::map<std::int64_t, members, std::greater<>> by_weights(const members& all,
+using weights_groups = std::map<std::int64_t, members, std::greater<>>;
+
+weights_groups by_weights(const members& all,
                                                            const base::model_id& model,
                                                            const weights_history& history,
                                                            base::instant now,
                                                            base::micros longest) {
-    std::map<std::int64_t, members, std::greater<>> groups;
+    weights_groups groups;
     for (auto* one : all) {
         const std::int64_t version = fleet::weights_of(*one, model);
         const auto since = outdated_since(history, version);
@@ -55,8 +56,25 @@
     return groups;
 }
 
-double waiting_ms(const fleet::member& one, const kvcache::placement_costs& costs) {
-    return static_cast<double>(one.unread_tokens) * costs.read_ms;
+// Which weights to try first. As long as outdated ones cost nothing, they are: their engines hold the
+// prompts, while every prompt is read anew on the newest ones, few of which are ready yet.
+std::vector<std::int64_t> preference(const weights_groups& groups, const weights_history& history,
+                                     base::instant now) {
+    std::vector<std::int64_t> free;
+    std::vector<std::int64_t> others;
+    for (const auto& [weights, group] : groups) {
+        const auto since = outdated_since(history, weights);
+        const bool costs_nothing = since <= now && now - since < outdated_free;
+        (costs_nothing ? free : others).push_back(weights);
+    }
+    free.insert(free.end(), others.begin(), others.end());
+    return free;
+}
+
+double waiting_ms(const entry_context& context, const fleet::member& one) {
+    const auto unread =
+        fleet::all_unread_tokens(one, context.now(), fleet_rules_of(context.settings));
+    return static_cast<double>(unread) * kvcache::placement_costs{}.read_ms;
 }
 
 struct prompt_placement {
@@ -87,18 +105,16 @@
     const auto& history = context.state.weights[request.prompt->model];
     const auto groups = by_weights(all, request.prompt->model, history, now,
                                    context.settings.bounds.outdated_weights - outdated_margin);
+    const auto order = preference(groups, history, now);
     std::optional<prompt_placement> best;
-    for (const auto& [weights, group] : groups) {
-        const auto since = outdated_since(history, weights);
-        const bool costs_worth = since <= now && now - since >= outdated_free;
-        const double allowed = (costs_worth ? busy_share_outdated : busy_share_free) *
-                               static_cast<double>(request.target.count());
-        if (best && waiting_ms(*best->where.target, {}) <= allowed) {
+    for (const std::int64_t weights : order) {
+        const double allowed = busy_share * static_cast<double>(request.target.count());
+        if (best && waiting_ms(context, *best->where.target) <= allowed) {
             break;
         }
-        auto made = place_in(context, request, weights, group);
+        auto made = place_in(context, request, weights, groups.at(weights));
         if (!best ||
-            waiting_ms(*made.where.target, {}) < waiting_ms(*best->where.target, {}) / 2) {
+            waiting_ms(context, *made.where.target) < waiting_ms(context, *best->where.target) / 2) {
             best = std::move(made);
         }
     }
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -75,21 +75,27 @@
     made.version = fleet::weights_of(one, model);
     made.outdated_since = outdated_since(history, made.version);
     made.in_flight = one.in_flight;
+    made.lane = one.short_lane ? 1 : 0;
     made.suspected = !membership::usable(one.health, this->context.now());
     const auto sent = this->orders.find(one.listed.id);
     if (sent == this->orders.end()) {
         return made;
     }
-    const auto since = this->context.now() - sent->second.at;
-    const bool done = sent->second.accepted && made.version >= sent->second.version;
+    auto& order = sent->second;
+    const auto since = this->context.now() - order.at;
+    const bool done = order.accepted && made.version >= order.version;
     if (done || since > longest_load) {
         this->orders.erase(sent);
         return made;
     }
-    made.loading = true;
-    const auto due = sent->second.accepted ? first_look : base::micros(unanswered_pause);
-    if (since > due && this->context.now() >= sent->second.next_look) {
-        sent->second.next_look = this->context.now() + look_period;
+    // An upstream that does not answer holds nobody up: it gets no further order for a while, and
+    // others are loaded in its place.
+    const bool unanswered = !order.accepted && since > unanswered_pause;
+    made.loading = !unanswered;
+    made.suspected = made.suspected || unanswered;
+    const auto due = order.accepted ? first_look : base::micros(unanswered_pause);
+    if (since > due && this->context.now() >= order.next_look) {
+        order.next_look = this->context.now() + look_period;
         this->ask_state(made.id);
     }
     return made;
--- a/src/weights/load_plan.h
+++ b/src/weights/load_plan.h
@@ -17,6 +17,8 @@
     base::instant outdated_since{};
     // Requests that it would have to finish first.
     std::int64_t in_flight = 0;
+    // Upstreams of one lane serve one kind of request; each lane gets its part of the new ones.
+    int lane = 0;
     // An order was sent and is not carried out yet.
     bool loading = false;
     // It can't be reached, or has failed lately.
@@ -24,7 +26,7 @@
 };
 
 struct load_rules {
-    // Part of the upstreams that may be in change at once. Most of a change is the wait for running
+    // Part of the sound upstreams that may be in change at once. Most of a change is the wait for running
     // answers to end, which slows nobody; the loads themselves rarely coincide.
     double in_change = 0.5;
     // The part of the upstreams that gets a new version at once. Requests wait for these, and they
