--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -122,11 +122,10 @@
     const auto passed = static_cast<double>(now_ms - this->refilled_ms) / millis_a_second;
     const double share = std::clamp(passed, 0.0, 1.0);
     this->refilled_ms = now_ms;
-    this->routine_left =
-        std::min(this->limits.routine_lines_a_second,
-                 this->routine_left + share * this->limits.routine_lines_a_second);
-    this->all_left = std::min(this->limits.lines_a_second,
-                              this->all_left + share * this->limits.lines_a_second);
+    this->routine_left = std::min(this->limits.routine_lines_a_second,
+                                  this->routine_left + share * this->limits.routine_lines_a_second);
+    this->all_left =
+        std::min(this->limits.lines_a_second, this->all_left + share * this->limits.lines_a_second);
     const bool routine = weight == importance::routine;
     if (this->all_left < 1.0 || (routine && this->routine_left < 1.0)) {
         ++this->dropped;
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -83,8 +83,7 @@
     clock_gettime(CLOCK_BOOTTIME, &now);
     constexpr std::int64_t micros_a_second = 1000000;
     constexpr std::int64_t nanos_a_micro = 1000;
-    return base::instant{
-        base::micros(now.tv_sec * micros_a_second + now.tv_nsec / nanos_a_micro)};
+    return base::instant{base::micros(now.tv_sec * micros_a_second + now.tv_nsec / nanos_a_micro)};
 }
 
 ports::clock event_loop::clock() {
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -34,7 +34,8 @@
     read.revision = whole(answer.at("header"), "revision");
     for (const auto& item : answer.value("kvs", json::array())) {
         read.values.push_back({base::from_base64(item.at("key").get<std::string>()).value_or(""),
-                               base::from_base64(item.value("value", "")).value_or(""), whole(item, "mod_revision")});
+                               base::from_base64(item.value("value", "")).value_or(""),
+                               whole(item, "mod_revision")});
     }
     return read;
 }
@@ -101,7 +102,8 @@
     made.read = [at](const std::string& prefix, auto done) {
         ++at.calls->reads;
         at.post<ports::snapshot>(
-            "/v3/kv/range", {{"key", base::to_base64(prefix)}, {"range_end", base::to_base64(end_of(prefix))}},
+            "/v3/kv/range",
+            {{"key", base::to_base64(prefix)}, {"range_end", base::to_base64(end_of(prefix))}},
             read_snapshot, std::move(done));
     };
     made.revision = [at](const std::string& key, auto done) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -80,9 +80,9 @@
 // Whether nothing speaks against sending a new request there.
 bool is_fit(const member& one, base::instant now);
 
-// The members of a pool that a new request may go to: the fit ones; where there are none, those that
-// are only suspected; where there are none either, those that vanished a moment ago. `except` are
-// left out.
+// The members of a pool that a new request may go to: the fit ones; where there are none, those
+// that are only suspected; where there are none either, those that vanished a moment ago. `except`
+// are left out.
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
                                 const fleet_rules& rules,
                                 const std::vector<base::upstream_id>& except);
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -8,10 +8,15 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-    "Transfer-Encoding", "TE",         "Trailer",          "Upgrade",
-    "Expect"};
+constexpr std::array<std::string_view, 9> connection_fields{"Connection",
+                                                            "Keep-Alive",
+                                                            "Proxy-Connection",
+                                                            "Proxy-Authenticate",
+                                                            "Transfer-Encoding",
+                                                            "TE",
+                                                            "Trailer",
+                                                            "Upgrade",
+                                                            "Expect"};
 
 char lower(char letter) {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -36,8 +36,8 @@
     using code = beast::error_code;
     using text = beast::string_view;
 
-    void on_request_impl(beast::http::verb /*verb*/, text method_text, text target_text,
-                         int number, code& /*error*/) override {
+    void on_request_impl(beast::http::verb /*verb*/, text method_text, text target_text, int number,
+                         code& /*error*/) override {
         this->method.assign(method_text.data(), method_text.size());
         this->target.assign(target_text.data(), target_text.size());
         this->version = number;
@@ -50,8 +50,8 @@
                        code& /*error*/) override {
         // Fields after the body (trailers) are dropped: nobody here acts on them.
         if (!this->is_header_done()) {
-            this->all.push_back({std::string(name.data(), name.size()),
-                                 std::string(value.data(), value.size())});
+            this->all.push_back(
+                {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
         }
     }
     void on_header_impl(code& /*error*/) override {}
--- a/src/http/writers.cpp
+++ b/src/http/writers.cpp
@@ -61,8 +61,8 @@
 
 } // namespace
 
-std::string write_request_head(std::string_view method, std::string_view target,
-                               const fields& all, body_framing body) {
+std::string write_request_head(std::string_view method, std::string_view target, const fields& all,
+                               body_framing body) {
     std::string out;
     out += method;
     out += ' ';
@@ -74,8 +74,7 @@
     return out;
 }
 
-std::string write_response_head(int status, const fields& all, body_framing body,
-                                bool keep_alive) {
+std::string write_response_head(int status, const fields& all, body_framing body, bool keep_alive) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
     out += reason_of(status);
     out += "\r\n";
@@ -90,7 +89,8 @@
 
 std::string write_chunk(std::string_view bytes) {
     std::array<char, hexadecimal> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), hexadecimal);
+    const auto end =
+        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), hexadecimal);
     std::string out(size.data(), end.ptr);
     out += "\r\n";
     out += bytes;
--- a/src/http/writers.h
+++ b/src/http/writers.h
@@ -18,8 +18,8 @@
 };
 
 // The bytes of a request's head. The fields must not frame the body; that is added here.
-std::string write_request_head(std::string_view method, std::string_view target,
-                               const fields& all, body_framing body);
+std::string write_request_head(std::string_view method, std::string_view target, const fields& all,
+                               body_framing body);
 
 std::string write_response_head(int status, const fields& all, body_framing body, bool keep_alive);
 
--- a/src/kvcache/cache_beliefs.cpp
+++ b/src/kvcache/cache_beliefs.cpp
@@ -101,8 +101,7 @@
     return found != beliefs.by_key.end() && found->second.saved_at > since;
 }
 
-std::vector<base::upstream_id> holders_of(const cache_beliefs& beliefs,
-                                          const prompt_chain& chain) {
+std::vector<base::upstream_id> holders_of(const cache_beliefs& beliefs, const prompt_chain& chain) {
     for (std::size_t level = chain.keys.size(); level > 0; --level) {
         const auto found = beliefs.by_key.find(chain.keys[level - 1]);
         if (found != beliefs.by_key.end() && !found->second.holders.empty()) {
--- a/src/kvcache/lanes.h
+++ b/src/kvcache/lanes.h
@@ -5,8 +5,8 @@
 namespace camphorrail::kvcache {
 
 // Some engines of a pool are kept for short prompts. An engine reads long prompts in large pieces
-// between the tokens of the answers it is generating, so on an engine that takes both, short answers
-// pause while a long prompt is read: one in ten comes late although nothing else is wrong.
+// between the tokens of the answers it is generating, so on an engine that takes both, short
+// answers pause while a long prompt is read: one in ten comes late although nothing else is wrong.
 struct lane_rules {
     // A prompt of this many tokens to read is long: half of the pieces that engines read in.
     std::int64_t long_prompt = 2048;
@@ -16,8 +16,8 @@
     std::size_t smallest_pool = 4;
 };
 
-// Decides which engines of each pool are kept for short prompts. Every entry that sees the same list
-// decides alike.
+// Decides which engines of each pool are kept for short prompts. Every entry that sees the same
+// list decides alike.
 void assign_lanes(fleet::fleet& state, const lane_rules& rules);
 
 } // namespace camphorrail::kvcache
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -91,8 +91,7 @@
         }
     }
     if (!chain.keys.empty()) {
-        best.fetch_from =
-            source_of(*best.target, pool_members, chain, beliefs, kv_store, now);
+        best.fetch_from = source_of(*best.target, pool_members, chain, beliefs, kv_store, now);
     }
     return best;
 }
--- a/src/mirror/store_mirror.cpp
+++ b/src/mirror/store_mirror.cpp
@@ -40,8 +40,7 @@
         }
     }
     for (auto it = state.items.begin(); it != state.items.end();) {
-        const bool gone =
-            present.count(it->first) == 0 && it->second.mod_revision <= read.revision;
+        const bool gone = present.count(it->first) == 0 && it->second.mod_revision <= read.revision;
         if (gone) {
             changed.insert(it->first);
         }
@@ -73,8 +72,7 @@
     return state.proved_at ? std::optional(now - *state.proved_at) : std::nullopt;
 }
 
-std::vector<ports::stored_value> items_below(const store_mirror& state,
-                                             const std::string& prefix) {
+std::vector<ports::stored_value> items_below(const store_mirror& state, const std::string& prefix) {
     std::vector<ports::stored_value> found;
     for (auto it = state.items.lower_bound(prefix);
          it != state.items.end() && it->first.starts_with(prefix); ++it) {
--- /dev/null
+++ b/src/proxy/admission_tests.cpp
@@ -0,0 +1,90 @@
+#include "proxy/admission.h"
+#include "proxy/named_weights.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+std::shared_ptr<const routes::operators_config> sample() {
+    auto config = std::make_shared<routes::operators_config>();
+    config->version = 3;
+    config->routes = {
+        {.name = "tag",
+         .host = "desk.example",
+         .prefix = "/tag/",
+         .kind = routes::request_kind::stream,
+         .priority = 4},
+        {.name = "open", .host = "desk.example", .prefix = "/o/", .open_to_all = true}};
+    config->teams = {{.id = {"north"}, .priority = 2, .keys = {"k1"}},
+                     {.id = {"south"}, .keys = {"k2"}}};
+    routes::index(*config);
+    return config;
+}
+
+http::request_head request(const std::string& target) {
+    return {"POST", target, {{"Host", "desk.example"}}, true, true};
+}
+
+} // namespace
+
+TEST_CASE("a request is admitted by the configuration in force", "[proxy]") {
+    const proxy::admission_view view{sample(), base::seconds(1), base::milliseconds(4600)};
+    const auto code = [&](const std::string& target, const std::string& key) {
+        const auto admitted = proxy::admit(view, request(target), {.request_id = "1", .key = key});
+        return admitted.has_value() ? 0 : static_cast<int>(base::to_code(admitted.error()));
+    };
+    CHECK(code("/tag/x", "k1") == 0);
+    CHECK(code("/tag/x", "k9") == 205);
+    CHECK(code("/tag/x", "") == 205);
+    CHECK(code("/o/x", "") == 0);
+    CHECK(code("/none/", "k1") == 203);
+
+    SECTION("at its team's rank, or else at its route's") {
+        const auto rank = [&](const std::string& key) {
+            return proxy::rank_of(
+                proxy::admit(view, request("/tag/x"), {.request_id = "1", .key = key}).value());
+        };
+        CHECK(rank("k1") == 2);
+        CHECK(rank("k2") == 4);
+    }
+}
+
+// A key is taken away while an entry is cut off from the store, or frozen. It can't know, and would
+// go on honouring the key. So it serves nobody on a proof that is older than the bound: the caller
+// is told that nothing has run, and reaches another entry.
+TEST_CASE("nothing is served on a configuration that was not proved lately", "[proxy]") {
+    proxy::admission_view view{sample(), base::milliseconds(4601), base::milliseconds(4600)};
+    const ports::caller_request facts{.request_id = "1", .key = "k1"};
+    CHECK(proxy::admit(view, request("/tag/x"), facts).error() == base::code::not_ready);
+    // Not even with an answer that would be final for the caller.
+    CHECK(proxy::admit(view, request("/none/"), facts).error() == base::code::not_ready);
+    view.config_age.reset();
+    CHECK(proxy::admit(view, request("/tag/x"), facts).error() == base::code::not_ready);
+    view = {nullptr, base::seconds(1), base::milliseconds(4600)};
+    CHECK(proxy::admit(view, request("/tag/x"), facts).error() == base::code::not_ready);
+}
+
+TEST_CASE("only requests that may run twice are repeated", "[proxy]") {
+    using routes::request_kind;
+    CHECK(proxy::may_repeat({.kind = request_kind::idempotent}));
+    CHECK_FALSE(proxy::may_repeat({.kind = request_kind::once}));
+    CHECK_FALSE(proxy::may_repeat({.kind = request_kind::stream}));
+    CHECK(proxy::may_repeat({.kind = request_kind::stream, .resumable = true}));
+    // The mark means nothing on other kinds.
+    CHECK_FALSE(proxy::may_repeat({.kind = request_kind::once, .resumable = true}));
+}
+
+TEST_CASE("weights are outdated since the first newer version was named", "[proxy]") {
+    const auto at = [](int seconds) { return base::instant{base::seconds(seconds)}; };
+    proxy::weights_history history;
+    CHECK(proxy::newest(history) == 0);
+    CHECK(proxy::note_named(history, 2, at(2)));
+    CHECK(proxy::note_named(history, 3, at(5)));
+    CHECK_FALSE(proxy::note_named(history, 3, at(6)));
+    CHECK(proxy::newest(history) == 3);
+    CHECK(proxy::outdated_since(history, 1) == at(2));
+    CHECK(proxy::outdated_since(history, 2) == at(5));
+    CHECK(proxy::outdated_since(history, 3) == base::instant::max());
+}
--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -73,8 +73,8 @@
 
     void answer(int status, const http::fields& all, const std::string& body) {
         const bool keep = this->keep_alive();
-        this->write(http::write_response_head(status, all, {http::framing::length, body.size()},
-                                              keep));
+        this->write(
+            http::write_response_head(status, all, {http::framing::length, body.size()}, keep));
         this->write(body);
         this->end_exchange(keep);
     }
@@ -100,9 +100,7 @@
     void abort() {
         if (this->socket != nullptr) {
             // A reset, since an orderly close completes an answer without a length.
-            const struct linger at_once {
-                1, 0
-            };
+            const struct linger at_once { 1, 0 };
             setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &at_once,
                        sizeof at_once);
         }
@@ -111,9 +109,8 @@
     }
 
     [[nodiscard]] std::size_t unsent() const {
-        return this->socket == nullptr
-                   ? 0
-                   : evbuffer_get_length(bufferevent_get_output(this->socket));
+        return this->socket == nullptr ? 0
+                                       : evbuffer_get_length(bufferevent_get_output(this->socket));
     }
 
     void close() {
@@ -230,9 +227,9 @@
         this->set_read_timeout(base::milliseconds(0));
         bufferevent_setwatermark(this->socket, EV_READ, 0, read_ahead_bytes);
         this->reading = false;
-        this->exchange = std::make_shared<caller_exchange>(
-            this->weak_from_this(), std::move(this->reader.head()), this->reader.take_body(),
-            this->began);
+        this->exchange = std::make_shared<caller_exchange>(this->weak_from_this(),
+                                                           std::move(this->reader.head()),
+                                                           this->reader.take_body(), this->began);
         const auto held = this->exchange;
         this->server->handler.request(held);
     }
--- a/src/proxy/caller_server.h
+++ b/src/proxy/caller_server.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/units.h"
 #include "http/readers.h"
 #include "http/writers.h"
-#include "base/units.h"
 
 #include <sigc++/sigc++.h>
 
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -40,9 +40,8 @@
     if (found == this->idle.end()) {
         return;
     }
-    std::erase_if(found->second, [ended](const idle_connection& each) {
-        return each.connection.get() == ended;
-    });
+    std::erase_if(found->second,
+                  [ended](const idle_connection& each) { return each.connection.get() == ended; });
 }
 
 void connection_pool::forget(const base::upstream_id& id) {
--- a/src/proxy/connection_pool.h
+++ b/src/proxy/connection_pool.h
@@ -14,8 +14,8 @@
 public:
     connection_pool(event_base* base, std::function<base::instant()> now);
 
-    // A connection to an upstream: one that stands and was used at most `longest_idle` ago, or else a
-    // new one.
+    // A connection to an upstream: one that stands and was used at most `longest_idle` ago, or else
+    // a new one.
     connection_ptr take(const base::upstream_id& id, const std::string& address,
                         base::micros longest_idle);
     // Keeps a connection whose answer was whole, for at most `keep` from now.
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -4,12 +4,12 @@
 
 bool is_fresh(const entry_context& context) {
     const auto age = mirror::age(context.state.store, context.now());
-    return context.state.config != nullptr && age &&
-           *age <= longest_config_age(context.settings);
+    return context.state.config != nullptr && age && *age <= longest_config_age(context.settings);
 }
 
 base::micros longest_config_age(const settings::proxy_settings& settings) {
-    // A request's way to the upstream, and the time a loaded machine takes for one turn of its loop.
+    // A request's way to the upstream, and the time a loaded machine takes for one turn of its
+    // loop.
     constexpr base::milliseconds margin{400};
     return std::max<base::milliseconds>(settings.bounds.revoke - margin, margin);
 }
--- a/src/proxy/leadership.cpp
+++ b/src/proxy/leadership.cpp
@@ -119,7 +119,8 @@
 void leadership::campaign() {
     const base::instant now = this->context.now();
     const auto spread = base::milliseconds(
-        base::stable_hash(this->name(), static_cast<std::uint64_t>(now.time_since_epoch().count())) %
+        base::stable_hash(this->name(),
+                          static_cast<std::uint64_t>(now.time_since_epoch().count())) %
         campaign_spread_ms);
     this->next_campaign = now + campaign_period + spread;
     const auto& store = this->context.state.store;
@@ -145,22 +146,22 @@
     change.expectations = {{this->leader_key(), 0}, {this->orderer_key(), last_revision}};
     change.writes = {{this->leader_key(), this->name(), false, lease}};
     this->asking = true;
-    this->platform.commit(
-        change, [this, lease, asked, before](base::result<ports::committed> done) {
-            this->asking = false;
-            if (!done.has_value() || !done.value().applied) {
-                return;
-            }
-            const base::instant now = this->context.now();
-            this->held = weights::begin_term(done.value().revision, lease, before, asked, now,
-                                             this->rules());
-            this->written_down = false;
-            this->next_renewal = now + renewal_period;
-            this->context.log.line(importance::keep, "leader")
-                .number("fence", this->held->fence)
-                .flag("other_before", before.other)
-                .span("orders_after_ms", this->held->from - now);
-        });
+    this->platform.commit(change,
+                          [this, lease, asked, before](base::result<ports::committed> done) {
+                              this->asking = false;
+                              if (!done.has_value() || !done.value().applied) {
+                                  return;
+                              }
+                              const base::instant now = this->context.now();
+                              this->held = weights::begin_term(done.value().revision, lease, before,
+                                                               asked, now, this->rules());
+                              this->written_down = false;
+                              this->next_renewal = now + renewal_period;
+                              this->context.log.line(importance::keep, "leader")
+                                  .number("fence", this->held->fence)
+                                  .flag("other_before", before.other)
+                                  .span("orders_after_ms", this->held->from - now);
+                          });
 }
 
 void leadership::renew() {
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -42,8 +42,8 @@
     std::vector<item> items;
 };
 
-// A version of weights that was named, and how long ago the sender saw it. Said when a link stands: a
-// process that has just started can't know how long weights have been outdated.
+// A version of weights that was named, and how long ago the sender saw it. Said when a link stands:
+// a process that has just started can't know how long weights have been outdated.
 struct peer_named {
     base::model_id model;
     std::int64_t version = 0;
@@ -56,8 +56,8 @@
     std::int64_t revision = 0;
 };
 
-// What an entry knows of the store, and how old the proof of it is. Ages and no times of day: clocks
-// differ between VMs, and jump.
+// What an entry knows of the store, and how old the proof of it is. Ages and no times of day:
+// clocks differ between VMs, and jump.
 struct peer_store_view {
     std::int64_t number = 0;
     bool proved = false;
@@ -67,9 +67,8 @@
     std::vector<ports::stored_value> items;
 };
 
-using peer_message =
-    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
-                 peer_store_ask, peer_store_view>;
+using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
+                                  peer_store_ask, peer_store_view>;
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -46,12 +46,12 @@
 }
 
 bool peers::listen() {
-    this->listener = adapters::listen_for_links(
-        this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
-        [this](const adapters::link_ptr& link) {
-            this->add(link, {});
-            this->greet(this->links.at(link.get()));
-        });
+    this->listener =
+        adapters::listen_for_links(this->context.loop.base(), this->context.settings.peer_listen,
+                                   {max_message_bytes}, [this](const adapters::link_ptr& link) {
+                                       this->add(link, {});
+                                       this->greet(this->links.at(link.get()));
+                                   });
     return this->listener != nullptr;
 }
 
@@ -114,13 +114,12 @@
     }
     for (const auto& [id, address] : this->listed()) {
         // One link a pair: the entry with the lower name connects.
-        if (!(this->context.settings.id < id) || linked.count(id) > 0 ||
-            now < this->next_try[id]) {
+        if (!(this->context.settings.id < id) || linked.count(id) > 0 || now < this->next_try[id]) {
             continue;
         }
         this->next_try[id] = now + connect_pause;
-        const auto link = adapters::connect_link(this->context.loop.base(), address,
-                                                 {max_message_bytes});
+        const auto link =
+            adapters::connect_link(this->context.loop.base(), address, {max_message_bytes});
         this->add(link, id);
         link->opened.connect([this, key = link.get()] {
             const auto found = this->links.find(key);
@@ -172,8 +171,8 @@
     }
 }
 
-// Entries that send prompts to the same homes would each see only their part of what waits there, and
-// all overload the same engine at once.
+// Entries that send prompts to the same homes would each see only their part of what waits there,
+// and all overload the same engine at once.
 void peers::tell_load() {
     peer_load load;
     for (const auto& [id, one] : this->context.state.fleet.members) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -19,8 +19,8 @@
     peers(entry_context& context, ports::platform platform);
 
     bool listen();
-    // Renews this entry's place on the list of entries, connects to new ones, and asks for the store's
-    // contents where our own proof grows old.
+    // Renews this entry's place on the list of entries, connects to new ones, and asks for the
+    // store's contents where our own proof grows old.
     void tick();
     void tell(const peer_message& message);
     // Leaves the list.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -46,51 +46,48 @@
       log(STDOUT_FILENO, this->settings.id.value, {}, this->loop.clock().wall_ms),
       timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
       connections(this->loop.base(), adapters::boot_now),
-      context{this->loop,
-              this->settings,
-              this->platform.words,
-              this->state,
-              this->connections,
-              this->log,
-              this->metrics,
-              adapters::boot_now,
-              [this](const base::upstream_id& id, base::micros span, const char* why) {
-                  this->others.tell(peer_suspicion{
-                      id, std::chrono::duration_cast<base::milliseconds>(span), why});
-              },
-              [this](const base::upstream_id& id, const base::model_id& model,
-                     std::int64_t version) {
-                  this->take_weights_of({id, model, version});
-                  this->others.tell(peer_weights{id, model, version});
-              }},
+      context{
+          this->loop,
+          this->settings,
+          this->platform.words,
+          this->state,
+          this->connections,
+          this->log,
+          this->metrics,
+          adapters::boot_now,
+          [this](const base::upstream_id& id, base::micros span, const char* why) {
+              this->others.tell(
+                  peer_suspicion{id, std::chrono::duration_cast<base::milliseconds>(span), why});
+          },
+          [this](const base::upstream_id& id, const base::model_id& model, std::int64_t version) {
+              this->take_weights_of({id, model, version});
+              this->others.tell(peer_weights{id, model, version});
+          }},
       platform_calls(std::make_shared<adapters::platform_calls>()),
       store_calls(this->platform.make_store(this->loop.base(), this->settings.platform.endpoint,
-                                            this->settings.platform.timeout,
-                                            this->platform_calls)),
+                                            this->settings.platform.timeout, this->platform_calls)),
       store(this->context, this->store_calls), leader(this->context, this->store_calls),
       loader(this->context, this->leader), others(this->context, this->store_calls) {}
 
 bool proxy::listen() {
     this->callers = std::make_unique<caller_server>(
         this->loop.base(),
-        caller_handler{[this](const exchange_ptr& exchange) { this->on_request(exchange); },
-                       [this] {
-                           const auto limits = this->state.config == nullptr
-                                                   ? routes::caller_limits{}
-                                                   : this->state.config->limits;
-                           return caller_bounds{
-                               {static_cast<std::uint32_t>(limits.head_bytes),
-                                static_cast<std::uint64_t>(limits.body_bytes)},
-                               limits.head_timeout,
-                               limits.idle_timeout};
-                       },
-                       adapters::boot_now,
-                       [this](int status) {
-                           this->log.line(importance::keep, "request_unreadable")
-                               .number("status", status);
-                           this->metrics.count("camphorrail_unreadable_requests_total",
-                                               {{"status", std::to_string(status)}});
-                       }});
+        caller_handler{
+            [this](const exchange_ptr& exchange) { this->on_request(exchange); },
+            [this] {
+                const auto limits = this->state.config == nullptr ? routes::caller_limits{}
+                                                                  : this->state.config->limits;
+                return caller_bounds{{static_cast<std::uint32_t>(limits.head_bytes),
+                                      static_cast<std::uint64_t>(limits.body_bytes)},
+                                     limits.head_timeout,
+                                     limits.idle_timeout};
+            },
+            adapters::boot_now,
+            [this](int status) {
+                this->log.line(importance::keep, "request_unreadable").number("status", status);
+                this->metrics.count("camphorrail_unreadable_requests_total",
+                                    {{"status", std::to_string(status)}});
+            }});
     this->serve_operators_and_balancer();
     const std::pair<const char*, bool> listened[] = {
         {"listen", this->callers->listen(this->settings.listen)},
@@ -110,10 +107,10 @@
         this->loop.base(), adapters::http_limits{}, [this](const adapters::exchange_ptr& asked) {
             asked->reply(this->ready() ? status_ok : status_unavailable, {}, "");
         });
-    this->operators = process::serve_operators(
-        this->loop, this->metrics, this->timeline,
-        {[this] { return this->ready(); }, [this] { return this->status(); },
-         [this] { this->refresh_metrics(); }});
+    this->operators = process::serve_operators(this->loop, this->metrics, this->timeline,
+                                               {[this] { return this->ready(); },
+                                                [this] { return this->status(); },
+                                                [this] { this->refresh_metrics(); }});
 }
 
 int proxy::run() {
@@ -142,7 +139,8 @@
     this->store.start();
     this->loop.every(tick_period, [this] { this->tick(); });
     this->loop.run();
-    this->log.line(importance::keep, "stopped").number("flows", static_cast<std::int64_t>(this->flows.size()));
+    this->log.line(importance::keep, "stopped")
+        .number("flows", static_cast<std::int64_t>(this->flows.size()));
     this->log.flush();
     return 0;
 }
@@ -200,8 +198,7 @@
         .number("revision", found->second.mod_revision)
         .number("routes", static_cast<std::int64_t>(read.value().routes.size()))
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
-    this->state.config =
-        std::make_shared<const routes::operators_config>(std::move(read.value()));
+    this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
     this->set_retry_budgets();
 }
 
@@ -228,8 +225,7 @@
     const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entries, 1));
     for (const auto& [id, pool] : this->state.config->pools) {
         auto& budget = this->state.retries[id];
-        budget.most =
-            std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
+        budget.most = std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
         budget.a_request = this->settings.bounds.retry_ratio * retry_share;
         budget.tokens = std::min(budget.tokens, budget.most);
     }
@@ -305,8 +301,8 @@
         this->log.line(importance::keep, now_ready ? "ready" : "not_ready")
             .number("config_version",
                     this->state.config == nullptr ? 0 : this->state.config->version)
-            .span("config_age_ms", mirror::age(this->state.store, this->context.now())
-                                       .value_or(base::micros(-1)))
+            .span("config_age_ms",
+                  mirror::age(this->state.store, this->context.now()).value_or(base::micros(-1)))
             .number("upstreams", static_cast<std::int64_t>(this->state.fleet.members.size()))
             .flag("stopping", this->state.stopping);
     }
@@ -352,7 +348,8 @@
     }
     this->state.stopping = true;
     this->stop_at = this->context.now();
-    this->log.line(importance::keep, "stop").number("flows", static_cast<std::int64_t>(this->flows.size()));
+    this->log.line(importance::keep, "stop")
+        .number("flows", static_cast<std::int64_t>(this->flows.size()));
     this->note_readiness();
     this->callers->close_after_answers();
     this->others.resign();
@@ -404,10 +401,9 @@
     const auto age = mirror::age(this->state.store, this->context.now());
     this->metrics.set("camphorrail_config_age_seconds",
                       age ? std::chrono::duration<double>(*age).count() : -1.0);
-    this->metrics.set("camphorrail_config_version",
-                      this->state.config == nullptr
-                          ? 0.0
-                          : static_cast<double>(this->state.config->version));
+    this->metrics.set(
+        "camphorrail_config_version",
+        this->state.config == nullptr ? 0.0 : static_cast<double>(this->state.config->version));
     this->metrics.set("camphorrail_open_requests", static_cast<double>(this->flows.size()));
     this->metrics.set("camphorrail_platform_calls",
                       static_cast<double>(this->platform_calls->reads), {{"kind", "read"}});
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -25,8 +25,8 @@
 constexpr int silent_targets = 3;
 constexpr milliseconds shortest_silence{200};
 // An upstream that has sent nothing on any request for this part of the target, while one waits, is
-// dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt in it; the
-// longest prompts alone on an engine take 200 ms to read.
+// dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt in it;
+// the longest prompts alone on an engine take 200 ms to read.
 constexpr milliseconds shortest_dead{120};
 base::micros dead_after(milliseconds target) {
     return std::max<base::micros>(target * 5 / 4, shortest_dead);
@@ -97,10 +97,10 @@
         return;
     }
     this->facts = std::move(read.value());
-    const auto admission =
-        admit({this->context.state.config, mirror::age(this->context.state.store, this->context.now()),
-               longest_config_age(this->context.settings)},
-              this->exchange->head, this->facts);
+    const auto admission = admit({this->context.state.config,
+                                  mirror::age(this->context.state.store, this->context.now()),
+                                  longest_config_age(this->context.settings)},
+                                 this->exchange->head, this->facts);
     if (!admission.has_value()) {
         const auto number = base::to_code(admission.error());
         const bool come_back = number == base::code::not_ready;
@@ -211,7 +211,7 @@
         .number("time_left_ms", terms.time_left.count())
         .number("tries", this->begun + this->sent_again + this->unreachable);
 
-    this->current.emplace();
+    this->current = attempt{};
     this->current->choice = std::move(choice);
     this->current->sent_at = this->context.now();
     this->last_progress = this->current->sent_at;
@@ -226,27 +226,26 @@
     }
     this->watch_for_silence();
     const std::weak_ptr<request_flow> weak = this->weak_from_this();
-    this->current->connection->call(
-        std::move(bytes),
-        {[weak](const http::response_head& answer) {
-             const auto held = weak.lock();
-             return held != nullptr && held->started(answer);
-         },
-         [weak](std::string piece) {
-             if (const auto held = weak.lock()) {
-                 held->received(std::move(piece));
-             }
-         },
-         [weak] {
-             if (const auto held = weak.lock()) {
-                 held->ended();
-             }
-         },
-         [weak](call_failure why) {
-             if (const auto held = weak.lock()) {
-                 held->failed(why);
-             }
-         }});
+    this->current->connection->call(std::move(bytes), {[weak](const http::response_head& answer) {
+                                                           const auto held = weak.lock();
+                                                           return held != nullptr &&
+                                                                  held->started(answer);
+                                                       },
+                                                       [weak](std::string piece) {
+                                                           if (const auto held = weak.lock()) {
+                                                               held->received(std::move(piece));
+                                                           }
+                                                       },
+                                                       [weak] {
+                                                           if (const auto held = weak.lock()) {
+                                                               held->ended();
+                                                           }
+                                                       },
+                                                       [weak](call_failure why) {
+                                                           if (const auto held = weak.lock()) {
+                                                               held->failed(why);
+                                                           }
+                                                       }});
 }
 
 // How long an upstream may say nothing on this request before it is looked into.
@@ -271,8 +270,8 @@
 // something on its other requests; taking its work away then would only move the load.
 bool request_flow::upstream_is_dead() const {
     const auto* one = this->member_of_attempt();
-    const auto heard = one == nullptr ? this->current->sent_at
-                                      : std::max(one->heard_at, this->current->sent_at);
+    const auto heard =
+        one == nullptr ? this->current->sent_at : std::max(one->heard_at, this->current->sent_at);
     return this->context.now() - heard >= dead_after(this->request.route->target);
 }
 
@@ -410,13 +409,12 @@
     auto* one = this->member_of_attempt();
     const auto load = this->current->facts.load;
     const bool has_room = load && load->waiting == 0 && load->running < load->slots;
-    const bool outdated =
-        this->wanted.prompt != nullptr &&
-        choice.weights < newest(this->context.state.weights[this->facts.model]);
+    const bool outdated = this->wanted.prompt != nullptr &&
+                          choice.weights < newest(this->context.state.weights[this->facts.model]);
     if (one != nullptr) {
         const bool changing = outdated || this->current->facts.wrong_instance;
-        one->busy_until = std::max(one->busy_until, this->context.now() + (changing ? loading_pause
-                                                                                    : full_pause));
+        one->busy_until = std::max(one->busy_until,
+                                   this->context.now() + (changing ? loading_pause : full_pause));
     }
     if (has_room && !outdated) {
         note_upstream_failure(this->context, choice.id, "refuses_with_room");
@@ -432,8 +430,8 @@
     this->wanted.tried.push_back(choice.id);
     this->leave_attempt();
     this->whole_body.clear();
-    const bool again = this->sent_again < most_sent_again && this->time_left() > least_time &&
-                       this->take_retry();
+    const bool again =
+        this->sent_again<most_sent_again&& this->time_left()> least_time && this->take_retry();
     if (again) {
         this->send_attempt();
     } else if (this->state == answer_state::streaming) {
@@ -481,7 +479,7 @@
 
 bool request_flow::may_send_again() const {
     return may_repeat(*this->request.route) && this->begun < this->request.route->attempts &&
-           this->sent_again < most_sent_again && this->time_left() > least_time;
+           this->sent_again<most_sent_again&& this->time_left()> least_time;
 }
 
 bool request_flow::take_retry() {
@@ -631,17 +629,18 @@
         .number("retry_after_ms", retry_after.count())
         .number("config_version",
                 this->context.state.config == nullptr ? 0 : this->context.state.config->version)
-        .span("config_age_ms",
-              mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)))
+        .span(
+            "config_age_ms",
+            mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)))
         .number("sent_again", this->sent_again)
         .number("unreachable", this->unreachable);
     this->context.metrics.count("camphorrail_refusals_total",
                                 {{"code", std::string(base::describe(number).name)},
                                  {"ran", std::string(base::to_string(ran))}});
     const process::problem problem{number, ran, retry_after, ""};
-    this->exchange->answer(
-        status, this->context.words.refusal_fields(this->facts.request_id, retry_after),
-        process::to_json(problem) + "\n");
+    this->exchange->answer(status,
+                           this->context.words.refusal_fields(this->facts.request_id, retry_after),
+                           process::to_json(problem) + "\n");
     this->finish("refused", status);
 }
 
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -61,25 +61,25 @@
 
 void store_follower::watch() {
     const std::int64_t mine = ++this->generation;
-    this->platform.watch(
-        all_keys, this->context.state.store.revision, watch_wait,
-        [this, mine](base::result<ports::changes> told) {
-            if (told.has_value() && !told.value().forgotten) {
-                this->apply(mirror::take_changes(this->context.state.store, told.value()));
-            }
-            if (mine != this->generation) {
-                return;
-            }
-            if (!told.has_value()) {
-                this->next_watch.set(watch_retry);
-            } else if (told.value().forgotten) {
-                this->context.log.line(importance::keep, "store_history_lost")
-                    .number("revision", this->context.state.store.revision);
-                this->read_all();
-            } else {
-                this->watch();
-            }
-        });
+    this->platform.watch(all_keys, this->context.state.store.revision, watch_wait,
+                         [this, mine](base::result<ports::changes> told) {
+                             if (told.has_value() && !told.value().forgotten) {
+                                 this->apply(
+                                     mirror::take_changes(this->context.state.store, told.value()));
+                             }
+                             if (mine != this->generation) {
+                                 return;
+                             }
+                             if (!told.has_value()) {
+                                 this->next_watch.set(watch_retry);
+                             } else if (told.value().forgotten) {
+                                 this->context.log.line(importance::keep, "store_history_lost")
+                                     .number("revision", this->context.state.store.revision);
+                                 this->read_all();
+                             } else {
+                                 this->watch();
+                             }
+                         });
 }
 
 ports::transaction store_follower::operators_part() const {
@@ -92,8 +92,8 @@
     if (config != items.end()) {
         expect(config->second);
     }
-    for (const auto& item : mirror::items_below(this->context.state.store,
-                                                this->context.words.named_weights_prefix)) {
+    for (const auto& item :
+         mirror::items_below(this->context.state.store, this->context.words.named_weights_prefix)) {
         expect(item);
     }
     return check;
@@ -138,11 +138,11 @@
     if (answered == before) {
         return;
     }
-    this->context.log
-        .line(importance::keep, answered ? "store_regained" : "store_lost")
+    this->context.log.line(importance::keep, answered ? "store_regained" : "store_lost")
         .number("revision", this->context.state.store.revision)
-        .span("config_age_ms", mirror::age(this->context.state.store, this->context.now())
-                                   .value_or(base::micros(-1)));
+        .span(
+            "config_age_ms",
+            mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)));
     if (answered && this->read_once) {
         // The watch may have been cut without a sign.
         this->watch();
--- a/src/proxy/stream_relay.h
+++ b/src/proxy/stream_relay.h
@@ -9,9 +9,9 @@
 
 namespace camphorrail::proxy {
 
-// One answer made of events, as its caller sees it, from one upstream or several in turn. Only whole
-// events are passed on: an upstream may break off in the middle of one, and another then goes on
-// after the last whole one.
+// One answer made of events, as its caller sees it, from one upstream or several in turn. Only
+// whole events are passed on: an upstream may break off in the middle of one, and another then goes
+// on after the last whole one.
 struct stream_relay {
     stream::event_splitter splitter;
     // The id of the last event that was passed on; empty before the first.
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -12,14 +12,14 @@
 constexpr base::milliseconds outdated_margin{2000};
 // From here on an answer made on outdated weights is worth less to its caller.
 constexpr base::milliseconds outdated_free{1300};
-// While upstreams change weights one after the other, the first ones would take the whole load. Where
-// a request would wait for longer than this part of its target, other weights are tried: an outdated
-// answer loses a fifth of its worth, a late one more than half.
+// While upstreams change weights one after the other, the first ones would take the whole load.
+// Where a request would wait for longer than this part of its target, other weights are tried: an
+// outdated answer loses a fifth of its worth, a late one more than half.
 constexpr double busy_share = 0.3;
 
 // A save takes the request's own part along, which nobody asks for again; so short prefixes are not
-// worth one, and a prefix is saved again only when the store has probably dropped it. Over a calm day
-// this halves the tokens that are read again compared with saving at every request.
+// worth one, and a prefix is saved again only when the store has probably dropped it. Over a calm
+// day this halves the tokens that are read again compared with saving at every request.
 constexpr std::int64_t least_saved_tokens = 500;
 constexpr base::seconds save_again{30};
 
@@ -40,11 +40,8 @@
 // long.
 using weights_groups = std::map<std::int64_t, members, std::greater<>>;
 
-weights_groups by_weights(const members& all,
-                                                           const base::model_id& model,
-                                                           const weights_history& history,
-                                                           base::instant now,
-                                                           base::micros longest) {
+weights_groups by_weights(const members& all, const base::model_id& model,
+                          const weights_history& history, base::instant now, base::micros longest) {
     weights_groups groups;
     for (auto* one : all) {
         const std::int64_t version = fleet::weights_of(*one, model);
@@ -56,8 +53,8 @@
     return groups;
 }
 
-// Which weights to try first. As long as outdated ones cost nothing, they are: their engines hold the
-// prompts, while every prompt is read anew on the newest ones, few of which are ready yet.
+// Which weights to try first. As long as outdated ones cost nothing, they are: their engines hold
+// the prompts, while every prompt is read anew on the newest ones, few of which are ready yet.
 std::vector<std::int64_t> preference(const weights_groups& groups, const weights_history& history,
                                      base::instant now) {
     std::vector<std::int64_t> free;
@@ -90,17 +87,16 @@
     made.weights = weights;
     made.salt = kvcache::make_salt(request.prompt->model, weights, request.isolated_team);
     made.chain = kvcache::make_chain(made.salt, request.prompt->parts);
-    const std::string store = context.state.kv_store_down
-                                  ? std::string()
-                                  : routes::kv_store_of(*context.state.config);
+    const std::string store =
+        context.state.kv_store_down ? std::string() : routes::kv_store_of(*context.state.config);
     made.where = kvcache::place(group, pool_members(context.state.fleet, request.pool), made.chain,
                                 context.state.cache, store, context.now(),
                                 fleet_rules_of(context.settings), {});
     return made;
 }
 
-std::optional<prompt_placement> place_prompt(entry_context& context,
-                                             const choice_request& request, const members& all) {
+std::optional<prompt_placement> place_prompt(entry_context& context, const choice_request& request,
+                                             const members& all) {
     const base::instant now = context.now();
     const auto& history = context.state.weights[request.prompt->model];
     const auto groups = by_weights(all, request.prompt->model, history, now,
@@ -113,8 +109,8 @@
             break;
         }
         auto made = place_in(context, request, weights, groups.at(weights));
-        if (!best ||
-            waiting_ms(context, *made.where.target) < waiting_ms(context, *best->where.target) / 2) {
+        if (!best || waiting_ms(context, *made.where.target) <
+                         waiting_ms(context, *best->where.target) / 2) {
             best = std::move(made);
         }
     }
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -163,10 +163,10 @@
     this->busy = false;
     // An upstream may answer before it has read the whole call; what it then reads as the next call
     // would be the rest of this one.
-    const bool whole_sent = this->socket != nullptr &&
-                            evbuffer_get_length(bufferevent_get_output(this->socket)) == 0;
-    const bool nothing_more = this->socket != nullptr &&
-                              evbuffer_get_length(bufferevent_get_input(this->socket)) == 0;
+    const bool whole_sent =
+        this->socket != nullptr && evbuffer_get_length(bufferevent_get_output(this->socket)) == 0;
+    const bool nothing_more =
+        this->socket != nullptr && evbuffer_get_length(bufferevent_get_input(this->socket)) == 0;
     this->usable_again = whole_sent && nothing_more && this->reader.head().keep_alive &&
                          !this->reader.head().ends_with_close;
     if (!this->usable_again) {
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -48,8 +48,8 @@
     void pause_reading();
     void resume_reading();
 
-    // Whether it can take a further call: it stands, the last answer was whole, and nothing has come
-    // since.
+    // Whether it can take a further call: it stands, the last answer was whole, and nothing has
+    // come since.
     [[nodiscard]] bool reusable() const { return this->usable_again; }
     // Whether a byte of the call under way may have left.
     [[nodiscard]] bool may_have_sent() const { return this->sent; }
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -138,20 +138,19 @@
         .number("expected_orders", order.expected_orders)
         .number("in_flight", one.in_flight);
     this->context.metrics.count("camphorrail_load_orders_total");
-    adapters::http_fetch(this->context.loop.base(), one.listed.address,
-                         to_call(this->context.words.order_call(order, id)),
-                         {order_timeout, false}, max_answer_bytes,
-                         [this, id, version](base::result<adapters::http_answer> answer) {
-                             if (!answer.has_value()) {
-                                 this->context.log.line(importance::keep, "load_order_unanswered")
-                                     .text("upstream", id.value)
-                                     .number("version", version);
-                                 return;
-                             }
-                             this->note_answer(
-                                 id, version,
-                                 this->context.words.read_order_answer(answer.value().status));
-                         });
+    adapters::http_fetch(
+        this->context.loop.base(), one.listed.address,
+        to_call(this->context.words.order_call(order, id)), {order_timeout, false},
+        max_answer_bytes, [this, id, version](base::result<adapters::http_answer> answer) {
+            if (!answer.has_value()) {
+                this->context.log.line(importance::keep, "load_order_unanswered")
+                    .text("upstream", id.value)
+                    .number("version", version);
+                return;
+            }
+            this->note_answer(id, version,
+                              this->context.words.read_order_answer(answer.value().status));
+        });
 }
 
 void weights_loader::note_answer(const base::upstream_id& id, std::int64_t version,
--- a/src/weights/load_plan.h
+++ b/src/weights/load_plan.h
@@ -26,8 +26,8 @@
 };
 
 struct load_rules {
-    // Part of the sound upstreams that may be in change at once. Most of a change is the wait for running
-    // answers to end, which slows nobody; the loads themselves rarely coincide.
+    // Part of the sound upstreams that may be in change at once. Most of a change is the wait for
+    // running answers to end, which slows nobody; the loads themselves rarely coincide.
     double in_change = 0.5;
     // The part of the upstreams that gets a new version at once. Requests wait for these, and they
     // bear the load until the others follow.
