Test the request path over loopback against scripted engines

Twelve stories, each of a failure that callers or engines would see: calls that may not run twice, foreign and doubled answers, answers without a length, streams that break in the middle of an event, callers who leave. Real sockets on free ports, no timed asserts.

--- a/src/adapters/sockets.cpp
+++ b/src/adapters/sockets.cpp
@@ -4,6 +4,8 @@
 #include <event2/event.h>
 #include <event2/util.h>
 
+#include <arpa/inet.h>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -31,15 +33,33 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
 }
 
+std::optional<sockaddr_in> parse_address(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    std::uint16_t port = 0;
+    const char* begin = text.data() + colon + 1;
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(begin, end, port);
+    const bool whole = read.ec == std::errc{} && read.ptr == end && begin != end;
+    if (!whole || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    address.sin_port = htons(port);
+    return address;
+}
+
 bufferevent* start_connecting(event_base* base, const std::string& address) {
-    sockaddr_storage storage{};
-    int length = sizeof storage;
-    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&storage),
-                                   &length) != 0) {
+    auto parsed = parse_address(address);
+    if (!parsed) {
         return nullptr;
     }
     bufferevent* socket = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    if (bufferevent_socket_connect(socket, reinterpret_cast<sockaddr*>(&storage), length) != 0) {
+    if (bufferevent_socket_connect(socket, reinterpret_cast<sockaddr*>(&*parsed), sizeof *parsed) !=
+        0) {
         bufferevent_free(socket);
         return nullptr;
     }
--- a/src/adapters/sockets.h
+++ b/src/adapters/sockets.h
@@ -2,6 +2,8 @@
 
 #include "base/units.h"
 
+#include <netinet/in.h>
+#include <optional>
 #include <string>
 
 struct bufferevent;
@@ -24,6 +26,9 @@
 // over a link that drops everything hangs for minutes, and so does the request on it.
 void watch_for_silence(int descriptor, silence_limits limits);
 
+// Reads "IP:PORT"; port 0 stands for any free one. Nothing where the text makes no sense.
+std::optional<sockaddr_in> parse_address(const std::string& text);
+
 // Starts to connect to "IP:PORT". Null where the address makes no sense.
 bufferevent* start_connecting(event_base* base, const std::string& address);
 
--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -346,10 +346,8 @@
 }
 
 bool caller_server::listen(const std::string& address) {
-    sockaddr_storage storage{};
-    int length = sizeof storage;
-    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&storage),
-                                   &length) != 0) {
+    auto parsed = adapters::parse_address(address);
+    if (!parsed) {
         return false;
     }
     this->listener = evconnlistener_new_bind(
@@ -359,10 +357,21 @@
             self->connections.insert(std::make_shared<caller_connection>(*self, descriptor));
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
-        reinterpret_cast<sockaddr*>(&storage), length);
+        reinterpret_cast<sockaddr*>(&*parsed), sizeof *parsed);
     return this->listener != nullptr;
 }
 
+std::uint16_t caller_server::port() const {
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    if (this->listener == nullptr ||
+        getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr*>(&bound),
+                    &length) != 0) {
+        return 0;
+    }
+    return ntohs(bound.sin_port);
+}
+
 void caller_server::close_after_answers() {
     this->closing = true;
 }
--- a/src/proxy/caller_server.h
+++ b/src/proxy/caller_server.h
@@ -80,6 +80,8 @@
     caller_server& operator=(const caller_server&) = delete;
 
     bool listen(const std::string& address);
+    // The port that is listened on; 0 before `listen`.
+    [[nodiscard]] std::uint16_t port() const;
     // From now on each answer is the last on its connection.
     void close_after_answers();
     // Takes no more connections, and closes each as soon as it is idle.
--- /dev/null
+++ b/src/proxy/request_flow_tests.cpp
@@ -0,0 +1,269 @@
+#include "http/writers.h"
+#include "proxy/request_flow.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+using tests::engine_request;
+using tests::engine_script;
+using step = tests::engine_step;
+
+namespace {
+
+step send(std::string bytes) {
+    return {step::kind::send, std::move(bytes)};
+}
+
+const step close_it{step::kind::close, {}};
+const step reset_it{step::kind::reset, {}};
+const step hang{step::kind::hang, {}};
+
+engine_script echo(const engine_request& got) {
+    return {send(tests::answer(got.field("Request-Id"), "done:" + got.body))};
+}
+
+engine_script refuse(const engine_request& got) {
+    return {send(tests::answer(got.field("Request-Id"), "", 503, "Not-Executed: 1\r\n"))};
+}
+
+std::string events(int from, int to) {
+    std::string all;
+    for (int id = from; id <= to; ++id) {
+        all += tests::event(id);
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a request goes to an upstream and its answer comes back", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", echo);
+    const auto seen = world.call(tests::request("once", "r1", "slot 17"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.heads[0].status == 200);
+    CHECK(seen.bodies[0] == "done:slot 17");
+    CHECK(http::value_of(seen.heads[0].all, "Response-Stamp") == "s-r1");
+    REQUIRE(engine.requests.size() == 1);
+    CHECK(engine.requests[0].field("Expect-Instance") == "i-1");
+    CHECK(engine.requests[0].field("Tenant-Id") == "north");
+    CHECK(engine.requests[0].field("Authorization").empty());
+
+    SECTION("over a connection that serves the next one too") {
+        world.call(tests::request("once", "r2"));
+        CHECK(engine.requests.size() == 2);
+        CHECK(engine.connections == 1);
+    }
+    SECTION("and requests that were sent ahead are answered in their order") {
+        const auto two =
+            world.call(tests::request("safe", "r3", "a") + tests::request("safe", "r4", "b"), 2);
+        REQUIRE(two.bodies.size() == 2);
+        CHECK(two.bodies[0] == "done:a");
+        CHECK(two.bodies[1] == "done:b");
+    }
+}
+
+// A slot confirmation reaches its engine, which runs it and loses the answer. Were it sent to
+// another engine, two porters would come; were it refused as not run, the caller would send it
+// again. So it ends with a failure that promises nothing.
+TEST_CASE("a call that may not run twice is never sent again once it may have run",
+          "[proxy][flow]") {
+    tests::proxy_world world;
+    const step how = GENERATE(reset_it, close_it);
+    auto& first =
+        world.add_engine("i-1", [how](const engine_request&) { return engine_script{how}; });
+    auto& second =
+        world.add_engine("i-2", [how](const engine_request&) { return engine_script{how}; });
+    const std::string route = GENERATE(std::string("once"), std::string("stream"));
+    const auto seen = world.call(tests::request(route, "r1"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.heads[0].status == 502);
+    CHECK(first.requests.size() + second.requests.size() == 1);
+}
+
+TEST_CASE("an upstream's word that it did not run a call lets it go elsewhere", "[proxy][flow]") {
+    tests::proxy_world world;
+    int asked = 0;
+    const auto once_refused = [&asked](const engine_request& got) {
+        return ++asked == 1 ? refuse(got) : echo(got);
+    };
+    world.add_engine("i-1", once_refused);
+    world.add_engine("i-2", once_refused);
+    const auto seen = world.call(tests::request("once", "r1"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.heads[0].status == 200);
+    CHECK(asked == 2);
+
+    SECTION("and when all refuse, the caller learns that it has not run, and when to come back") {
+        asked = -100;
+        tests::proxy_world full;
+        full.add_engine("i-1", refuse);
+        const auto refused = full.call(tests::request("once", "r2"));
+        REQUIRE(refused.heads.size() == 1);
+        CHECK(refused.heads[0].status == 503);
+        CHECK_FALSE(http::value_of(refused.heads[0].all, "Retry-After").empty());
+    }
+}
+
+TEST_CASE("a call that may run twice goes to another upstream", "[proxy][flow]") {
+    tests::proxy_world world;
+    int asked = 0;
+    const auto breaks_first = [&asked](const engine_request& got) {
+        return ++asked == 1 ? engine_script{reset_it} : echo(got);
+    };
+    world.add_engine("i-1", breaks_first);
+    world.add_engine("i-2", breaks_first);
+    const auto seen = world.call(tests::request("safe", "r1"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.heads[0].status == 200);
+    CHECK(asked == 2);
+
+    SECTION("but to no more of them than its route allows") {
+        tests::proxy_world broken;
+        const auto breaks = [](const engine_request&) { return engine_script{reset_it}; };
+        auto& one = broken.add_engine("i-1", breaks);
+        auto& two = broken.add_engine("i-2", breaks);
+        auto& three = broken.add_engine("i-3", breaks);
+        const auto failed = broken.call(tests::request("safe", "r2"));
+        CHECK(failed.heads.at(0).status == 502);
+        CHECK(one.requests.size() + two.requests.size() + three.requests.size() == 2);
+    }
+    SECTION("and an upstream's own error is passed on when no other does better") {
+        tests::proxy_world failing;
+        failing.add_engine("i-1", [](const engine_request& got) {
+            return engine_script{send(tests::answer(got.field("Request-Id"), "no", 500))};
+        });
+        const auto seen_error = failing.call(tests::request("safe", "r3"));
+        CHECK(seen_error.heads.at(0).status == 500);
+        CHECK(seen_error.bodies.at(0) == "no");
+    }
+}
+
+// An engine that was thought lost sends a second answer to the request before, just where the next
+// one's answer is due. The caller must not get another caller's answer; its own still comes.
+TEST_CASE("an answer to an earlier request is dropped and the right one awaited", "[proxy][flow]") {
+    tests::proxy_world world;
+    int asked = 0;
+    world.add_engine("i-1", [&asked](const engine_request& got) {
+        ++asked;
+        if (asked == 1) {
+            return echo(got);
+        }
+        return engine_script{
+            send(tests::answer("r1", "another's") + tests::answer(got.field("Request-Id"), "own"))};
+    });
+    world.call(tests::request("once", "r1"));
+    const auto seen = world.call(tests::request("once", "r2"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.bodies[0] == "own");
+    CHECK(http::value_of(seen.heads[0].all, "Response-Stamp") == "s-r2");
+}
+
+// An engine sends a second answer after a whole one. The connection must not serve the next
+// request.
+TEST_CASE("a connection with bytes after its answer is not used again", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", [](const engine_request& got) {
+        const std::string own = tests::answer(got.field("Request-Id"), "own");
+        return engine_script{send(own + own)};
+    });
+    CHECK(world.call(tests::request("once", "r1")).bodies.at(0) == "own");
+    CHECK(world.call(tests::request("once", "r2")).bodies.at(0) == "own");
+    CHECK(engine.connections == 2);
+}
+
+TEST_CASE("an answer without a length is whole only on an orderly close", "[proxy][flow]") {
+    tests::proxy_world world;
+    step end = close_it;
+    world.add_engine("i-1", [&end](const engine_request& got) {
+        return engine_script{send("HTTP/1.1 200 OK\r\nRequest-Id: " + got.field("Request-Id") +
+                                  "\r\nResponse-Stamp: s\r\n\r\nwhole"),
+                             end};
+    });
+    const auto fine = world.call(tests::request("once", "r1"));
+    CHECK(fine.heads.at(0).status == 200);
+    CHECK(fine.bodies.at(0) == "whole");
+    end = reset_it;
+    CHECK(world.call(tests::request("once", "r2")).heads.at(0).status == 502);
+}
+
+// The engine crashes in the middle of an event. The stream may be resumed, so another engine goes
+// on after the last whole event, and the caller sees one stream with the first engine's head.
+TEST_CASE("a stream that may be resumed goes on at another upstream", "[proxy][flow]") {
+    tests::proxy_world world;
+    int asked = 0;
+    std::string resumed_after;
+    const auto script = [&](const engine_request& got) {
+        const std::string id = got.field("Request-Id");
+        if (++asked == 1) {
+            return engine_script{send(tests::stream_head(id)), send(tests::chunk(events(1, 3))),
+                                 send(tests::chunk("id: 4\nda")), close_it};
+        }
+        resumed_after = got.field("Last-Event-Id");
+        return engine_script{send(tests::stream_head(id)), send(tests::chunk(events(4, 6))),
+                             send(std::string(http::last_chunk))};
+    };
+    world.add_engine("i-1", script);
+    world.add_engine("i-2", script);
+    const auto seen = world.call(tests::request("resume", "r1"));
+    CHECK(resumed_after == "3");
+    CHECK(seen.bodies.at(0) == events(1, 6));
+    CHECK(seen.whole);
+}
+
+// The same for a stream that may not be resumed: what the caller has got must not look complete.
+TEST_CASE("a stream that can't go on is broken off, not ended", "[proxy][flow]") {
+    tests::proxy_world world;
+    world.add_engine("i-1", [](const engine_request& got) {
+        return engine_script{send(tests::stream_head(got.field("Request-Id"))),
+                             send(tests::chunk(events(1, 3))), close_it};
+    });
+    const auto seen = world.call(tests::request("stream", "r1"));
+    CHECK(seen.ended);
+    CHECK_FALSE(seen.whole);
+}
+
+// A caller gives up and closes its connection. The engine would work on for nobody; it stops when
+// its connection closes.
+TEST_CASE("a caller who leaves takes its request along", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine =
+        world.add_engine("i-1", [](const engine_request&) { return engine_script{hang}; });
+    world.call_until(tests::request("stream", "r1"), [&] { return engine.requests.size() == 1; });
+    world.leave();
+    CHECK(world.run_until([&] { return engine.closed_by_peer == 1; }));
+}
+
+// Connections to one engine can't be made. Nothing has left, so any kind of call may go elsewhere.
+TEST_CASE("an upstream that can't be reached costs the caller nothing", "[proxy][flow]") {
+    tests::proxy_world world;
+    world.add_engine("i-1", echo).stop_listening();
+    world.add_engine("i-2", echo);
+    for (int each = 0; each < 4; ++each) {
+        const auto seen = world.call(tests::request("once", "r" + std::to_string(each)));
+        CHECK(seen.heads.at(0).status == 200);
+    }
+}
+
+TEST_CASE("a request that is known to be unservable is refused at once", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", echo);
+
+    SECTION("since the configuration is not proved any more") {
+        world.move_clock(base::seconds(10));
+        const auto seen = world.call(tests::request("safe", "r1"));
+        CHECK(seen.heads.at(0).status == 503);
+        CHECK_FALSE(http::value_of(seen.heads.at(0).all, "Retry-After").empty());
+    }
+    SECTION("since no upstream is there") {
+        world.state.fleet.members.clear();
+        CHECK(world.call(tests::request("safe", "r1")).heads.at(0).status == 503);
+    }
+    SECTION("since its head could hide a second request") {
+        const auto seen = world.call("POST /safe/x HTTP/1.1\r\nHost: desk.example\r\n"
+                                     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n");
+        CHECK(seen.heads.at(0).status == 400);
+    }
+    CHECK(engine.requests.empty());
+}
--- /dev/null
+++ b/tests/proxy_world.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "platform/dialect.h"
+#include "proxy/caller_server.h"
+#include "proxy/request_flow.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace camphorrail::tests {
+
+// What a scripted engine does with one request, in order.
+struct engine_step {
+    enum class kind { send, close, reset, hang };
+    kind what = kind::hang;
+    std::string bytes;
+};
+
+using engine_script = std::vector<engine_step>;
+
+// A request as an engine got it.
+struct engine_request {
+    http::request_head head;
+    std::string body;
+
+    [[nodiscard]] std::string field(const std::string& name) const {
+        return std::string(http::value_of(this->head.all, name));
+    }
+};
+
+// An engine on loopback that does as each request's script says, and keeps what it got.
+class scripted_engine {
+public:
+    scripted_engine(event_base* base, std::function<engine_script(const engine_request&)> answer);
+    ~scripted_engine();
+    scripted_engine(const scripted_engine&) = delete;
+    scripted_engine& operator=(const scripted_engine&) = delete;
+
+    [[nodiscard]] std::string address() const;
+    // Refuses connections from now on.
+    void stop_listening();
+
+    std::vector<engine_request> requests;
+    int connections = 0;
+    int closed_by_peer = 0;
+
+private:
+    struct connection;
+    event_base* base;
+    std::function<engine_script(const engine_request&)> answer;
+    evconnlistener* listener = nullptr;
+    std::vector<std::shared_ptr<connection>> open;
+    std::string bound;
+};
+
+// What a caller has got on its connection.
+struct caller_view {
+    std::vector<http::response_head> heads;
+    std::vector<std::string> bodies;
+    // The end of the connection, and whether it was a reset.
+    bool ended = false;
+    bool reset = false;
+    // The answer under way is whole.
+    bool whole = true;
+};
+
+// An entry's request path in one process: real sockets on loopback, a clock that the test moves, a
+// configuration and engines that it sets. No store and no other entries.
+class proxy_world {
+public:
+    proxy_world();
+    ~proxy_world();
+    proxy_world(const proxy_world&) = delete;
+    proxy_world& operator=(const proxy_world&) = delete;
+
+    scripted_engine& add_engine(const std::string& id,
+                                std::function<engine_script(const engine_request&)> answer);
+    // Sends bytes on a connection of its own and runs until the answers are whole, the connection
+    // has ended, or `until` holds.
+    caller_view call(const std::string& bytes, std::size_t answers = 1);
+    caller_view call_until(const std::string& bytes, const std::function<bool()>& until);
+    // Closes all callers' connections.
+    void leave();
+    // Runs the loop until a condition holds; false when it does not within some seconds.
+    bool run_until(const std::function<bool()>& condition);
+    void move_clock(base::micros by) { this->moved += by; }
+    void prove_config();
+
+    routes::operators_config config;
+    proxy::entry_state state;
+    std::vector<std::string> log_lines();
+
+private:
+    struct caller;
+
+    adapters::event_loop loop;
+    settings::proxy_settings settings;
+    ports::dialect words;
+    std::array<int, 2> log_pipe{};
+    adapters::event_log log;
+    adapters::metrics metrics;
+    proxy::connection_pool connections;
+    proxy::entry_context context;
+    proxy::caller_server server;
+    std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
+    std::vector<std::unique_ptr<scripted_engine>> engines;
+    std::vector<std::shared_ptr<caller>> callers;
+    base::micros moved{0};
+};
+
+// A request of the kind that the name of its route says: "/once/", "/safe/", "/stream/",
+// "/resume/".
+std::string request(const std::string& route, const std::string& id, const std::string& body = "");
+
+// An engine's whole answer, and the head of one whose body comes in chunks.
+std::string answer(const std::string& id, const std::string& body, int status = 200,
+                   const std::string& more_fields = "");
+std::string stream_head(const std::string& id);
+std::string chunk(const std::string& bytes);
+std::string event(int id);
+
+} // namespace camphorrail::tests
