Leave a broken stream's events to its caller

Cause: breaking a stream off by a reset threw away events that the caller had not read yet, so it could not resume after them. Change: reset only answers that an orderly close would complete.

--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -98,8 +98,9 @@
     }
 
     void abort() {
-        if (this->socket != nullptr) {
-            // A reset, since an orderly close completes an answer without a length.
+        if (this->socket != nullptr && !this->chunked) {
+            // A reset, since an orderly close completes an answer without a length. Where chunks
+            // show that the end is missing, the caller keeps the events it has not read yet.
             const struct linger at_once { 1, 0 };
             setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &at_once,
                        sizeof at_once);
