Send what is left of a broken stream before its end

Cause: events that were still in our buffer when a stream broke off were dropped. Change: the connection ends in an orderly way after them, without the last chunk. The story 'a stream that can't go on is broken off' failed before and passes now.

--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -98,9 +98,14 @@
     }
 
     void abort() {
-        if (this->socket != nullptr && !this->chunked) {
-            // A reset, since an orderly close completes an answer without a length. Where chunks
-            // show that the end is missing, the caller keeps the events it has not read yet.
+        if (this->socket != nullptr && this->chunked) {
+            // The missing last chunk shows that the answer is not whole. What was sent before still
+            // leaves, so that the caller can go on after it.
+            this->end_exchange(false);
+            return;
+        }
+        if (this->socket != nullptr) {
+            // An orderly close would complete an answer without a length.
             const struct linger at_once { 1, 0 };
             setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &at_once,
                        sizeof at_once);
