--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -17,6 +17,7 @@
 int cmd_check(const arguments& args);
 int cmd_ctl(const arguments& args);
 int cmd_entry(const arguments& args);
+int cmd_explain(const arguments& args);
 int cmd_proxy(const arguments& args);
 int cmd_replay(const arguments& args);
 int cmd_timeline(const arguments& args);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -37,9 +37,9 @@
         return app::exit_ok;
     }
     static const std::map<std::string, int (*)(const app::arguments&)> commands{
-        {"agent", app::cmd_agent},      {"check", app::cmd_check}, {"ctl", app::cmd_ctl},
-        {"entry", app::cmd_entry},      {"proxy", app::cmd_proxy}, {"replay", app::cmd_replay},
-        {"timeline", app::cmd_timeline}};
+        {"agent", app::cmd_agent},   {"check", app::cmd_check},      {"ctl", app::cmd_ctl},
+        {"entry", app::cmd_entry},   {"explain", app::cmd_explain},  {"proxy", app::cmd_proxy},
+        {"replay", app::cmd_replay}, {"timeline", app::cmd_timeline}};
     const auto found = commands.find(args[0]);
     if (found == commands.end()) {
         std::cerr << "camphorrail: no command '" << args[0] << "'\n\n" << usage;
