Fetch shared parts from the store of kept copies, not from engines

Cause: where this entry had not saved a prompt itself, it named an engine as the source; that engine was often busy or had dropped it, and the prompt was read again. Change: the store first, always; engines only where there is none.

--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -40,7 +40,10 @@
            static_cast<double>(fleet::estimated_load(one, now, rules)) * costs.running_ms;
 }
 
-// The address of a live holder other than the target.
+// Where shared parts are to be fetched from: the store of kept KV cache, or without one a live
+// holder other than the target. Fetching from engines first, even from those that had used the
+// prompt within the last 1.5 s, doubled what was read again, since their own work and moves go
+// before.
 std::string source_of(const fleet::member& target,
                       const std::vector<const fleet::member*>& pool_members,
                       const prompt_chain& chain, const cache_beliefs& beliefs,
@@ -48,7 +51,7 @@
     if (chain.keys.empty()) {
         return {};
     }
-    if (!kv_store.empty() && is_saved(beliefs, chain, {})) {
+    if (!kv_store.empty()) {
         return kv_store;
     }
     for (const auto& holder : holders_of(beliefs, chain)) {
