Load at once what serves nobody, and leave slow upstreams their requests

Change: upstreams that get no requests any more are ordered at once; a live upstream keeps a request for six targets.

--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -14,6 +14,12 @@
     return std::max<base::milliseconds>(settings.bounds.revoke - margin, margin);
 }
 
+base::micros longest_outdated(const settings::proxy_settings& settings) {
+    // What is on its way may wait in an upstream's queue, and our view of what was named may lag.
+    constexpr base::milliseconds margin{2000};
+    return std::max<base::milliseconds>(settings.bounds.outdated_weights - margin, margin);
+}
+
 fleet::fleet_rules fleet_rules_of(const settings::proxy_settings& settings) {
     fleet::fleet_rules rules;
     // Two failures in a row are rare on a sound upstream, and a crashed one fails every call; with
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -60,6 +60,9 @@
 // The rules by which upstreams are judged, with the settings' figures.
 fleet::fleet_rules fleet_rules_of(const settings::proxy_settings& settings);
 
+// How long a request may still begin on weights after newer ones were named.
+base::micros longest_outdated(const settings::proxy_settings& settings);
+
 // Notes that an attempt at an upstream failed; may eject it, and then tells other entries.
 void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why);
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds least_time{15};
 // A request that has had no answer for this many targets goes elsewhere, if it may. By then it is
 // late, and what it has waited for so long it may go on waiting for.
-constexpr int silent_targets = 3;
+constexpr int silent_targets = 6;
 constexpr milliseconds shortest_silence{200};
 // An upstream that has sent nothing on any request for this part of the target, while one waits, is
 // dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt in it;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// A request must not begin on weights that were outdated for longer than the bound. What is on its
-// way may wait in an upstream's queue, and our view of what was named may be this late.
-constexpr base::milliseconds outdated_margin{2000};
 // From here on an answer made on outdated weights is worth less to its caller.
 constexpr base::milliseconds outdated_free{1300};
 // While upstreams change weights one after the other, the first ones would take the whole load.
@@ -101,8 +98,8 @@
                                              const members& all) {
     const base::instant now = context.now();
     const auto& history = context.state.weights[request.prompt->model];
-    const auto groups = by_weights(all, request.prompt->model, history, now,
-                                   context.settings.bounds.outdated_weights - outdated_margin);
+    const auto groups =
+        by_weights(all, request.prompt->model, history, now, longest_outdated(context.settings));
     const auto order = preference(groups, history, now);
     std::optional<prompt_placement> best;
     for (const std::int64_t weights : order) {
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -80,6 +80,9 @@
     made.version = fleet::weights_of(one, model);
     made.outdated_since = outdated_since(history, made.version);
     made.in_flight = one.in_flight;
+    made.unused =
+        made.outdated_since < this->context.now() &&
+        this->context.now() - made.outdated_since >= longest_outdated(this->context.settings);
     made.lane = one.short_lane ? 1 : 0;
     made.suspected = !membership::usable(one.health, this->context.now());
     const auto sent = this->orders.find(one.listed.id);
--- a/src/weights/load_plan.cpp
+++ b/src/weights/load_plan.cpp
@@ -44,11 +44,13 @@
     std::vector<const load_candidate*> open;
     lanes progress;
     std::size_t loading = 0;
+    std::size_t in_use_loading = 0;
     std::size_t done = 0;
     std::size_t suspected = 0;
     for (const auto& each : all) {
         const bool is_done = each.version >= version;
         loading += each.loading ? 1 : 0;
+        in_use_loading += each.loading && !each.unused ? 1 : 0;
         done += is_done ? 1 : 0;
         suspected += each.suspected ? 1 : 0;
         ++progress[each.lane].all;
@@ -63,7 +65,16 @@
     const double in_change = rules.pressed ? rules.in_change_pressed : rules.in_change;
     const auto at_once = std::max<std::size_t>(1, static_cast<std::size_t>(in_change * sound));
     std::vector<base::upstream_id> chosen;
-    while (!open.empty() && loading + chosen.size() < at_once) {
+    // Taking out what serves nobody costs nobody anything.
+    for (const auto* each : open) {
+        if (each->unused) {
+            chosen.push_back(each->id);
+            ++progress[each->lane].begun;
+        }
+    }
+    std::erase_if(open, [](const auto* each) { return each->unused; });
+    const std::size_t idle = chosen.size();
+    while (!open.empty() && in_use_loading + chosen.size() - idle < at_once) {
         const auto next = next_of(open, progress);
         const load_candidate& each = **next;
         const bool first = done + loading + chosen.size() < wanted_first;
--- a/src/weights/load_plan.h
+++ b/src/weights/load_plan.h
@@ -19,6 +19,8 @@
     std::int64_t in_flight = 0;
     // Upstreams of one lane serve one kind of request; each lane gets its part of the new ones.
     int lane = 0;
+    // No request goes there any more, since its weights are outdated for too long.
+    bool unused = false;
     // An order was sent and is not carried out yet.
     bool loading = false;
     // It can't be reached, or has failed lately.
