Run entries without agents as real processes, on ports that are free

The process stories took fixed ports, so two runs on one machine collided; each now claims a block, and a story runs two at once.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -107,6 +107,77 @@
     start "entry_$1" "$BIN/camphorrail" entry "$OUT/$1.yaml"
 }
 
+# The users' platform: a metadata store, engines that list themselves there, and entries without agents.
+STORE=127.0.0.1:$((PORT_BASE + 71))
+
+start_store() {
+    start store "$BIN/camphorrail_standin" metadata_store "--listen=$STORE"
+    wait_for http_get "$STORE/kv-range?prefix=op/"
+}
+
+# put_item KEY VALUE: writes as the operators do.
+put_item() {
+    value=$(printf %s "$2" | base64 | tr -d '\n')
+    curl -s -m 5 "http://$STORE/kv-txn" -o /dev/null \
+        -d "{\"expected\":[],\"puts\":[{\"key\":\"$1\",\"value\":\"$value\"}],\"deletes\":[]}"
+}
+
+# put_config VERSION: routes for plain calls, calls that must not run twice, and streams.
+put_config() {
+    route() {
+        printf '{"name":"%s","host":"desk.example","prefix":"/%s/","kind":"%s","timeoutMs":8000,' "$1" "$1" "$2"
+        printf '"targetLatencyMs":300,"gapTargetMs":250,"attempts":2,"resumable":%s,"service":"%s"}' "$3" "$4"
+    }
+    put_item op/config "{\"version\":$1,\"routes\":[$(route confirm unsafe false slots),\
+$(route status safe false slots),$(route stream stream true pool)],\
+\"services\":[{\"name\":\"slots\"},{\"name\":\"pool\"}],\"limits\":{},\
+\"tenants\":[{\"name\":\"desk\",\"keys\":[\"$TEAM_KEY\"]}]}"
+}
+
+# start_platform_engine ID NUMBER POOL [OPTION...]
+start_platform_engine() {
+    id=$1
+    number=$2
+    pool=$3
+    shift 3
+    start "engine_$id" "$BIN/camphorrail_standin" platform_engine "--id=$id" "--pool=$pool" \
+        "--listen=127.0.0.1:$((PORT_BASE + 100 + 10 * number + 3))" "--store=$STORE" "$@"
+}
+
+# start_proxy ID NUMBER: callers' port +0, operators' port +1, the balancer's +2 and the links' +3.
+start_proxy() {
+    base=$((PORT_BASE + 20 + 4 * $2))
+    cat >"$OUT/$1.yaml" <<YAML
+role: proxy
+id: $1
+availability_zone: a
+listen: 127.0.0.1:$base
+operators_listen: 127.0.0.1:$((base + 1))
+ready_listen: 127.0.0.1:$((base + 2))
+peer_listen: 127.0.0.1:$((base + 3))
+platform:
+  endpoint: $STORE
+  timeout_ms: 800
+bounds:
+  revoke_ms: 2500
+  grace_s: 5
+YAML
+    start "proxy_$1" "$BIN/camphorrail" proxy "$OUT/$1.yaml"
+}
+
+proxy_of() { echo "127.0.0.1:$((PORT_BASE + 20 + 4 * $1))"; }
+proxy_operators_of() { echo "127.0.0.1:$((PORT_BASE + 20 + 4 * $1 + 1))"; }
+
+# send PROXY PATH REQUEST-ID [CURL-OPTION...]: one request of a caller; prints answer and status.
+send() {
+    to=$1
+    path=$2
+    id=$3
+    shift 3
+    curl -sN -m 20 "http://$(proxy_of "$to")$path" -H "Host: desk.example" -d '{}' \
+        -H "Authorization: Bearer $TEAM_KEY" -H "Request-Id: $id" -w '\n%{http_code}\n' "$@" || true
+}
+
 link_of() { echo "127.0.0.1:$((PORT_BASE + 100 + 10 * $1 + 1))"; }
 upstream_of() { echo "127.0.0.1:$((PORT_BASE + 100 + 10 * $1 + 3))"; }
 agent_operators_of() { echo "127.0.0.1:$((PORT_BASE + 100 + 10 * $1 + 2))"; }
--- a/src/app/cmd_agent.cpp
+++ b/src/app/cmd_agent.cpp
@@ -12,7 +12,7 @@
   camphorrail agent SETTINGS
   camphorrail agent --help
 
-SETTINGS is a YAML file with `role: agent`; docs/OPERATING.md lists its keys.
+SETTINGS is a YAML file with `role: agent`; docs/OPERATIONS.md lists its keys.
 SIGTERM drains: orders under way are finished, new ones refused.
 )";
 
--- a/src/app/cmd_entry.cpp
+++ b/src/app/cmd_entry.cpp
@@ -12,7 +12,7 @@
   camphorrail entry SETTINGS
   camphorrail entry --help
 
-SETTINGS is a YAML file with `role: entry`; docs/OPERATING.md lists its keys.
+SETTINGS is a YAML file with `role: entry`; docs/OPERATIONS.md lists its keys.
 SIGTERM drains: requests under way are finished, new ones refused.
 )";
 
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -3,8 +3,28 @@
 # shellcheck shell=sh
 set -eu
 BIN=$1
-PORT_BASE=$2
 OUT=$(mktemp -d)
+
+# A block of 300 ports that no other story holds, in this run or another on the same machine. They lie
+# below the ports that the kernel gives to outgoing connections.
+claim_ports() {
+    for block in $(seq 0 39); do
+        PORT_LOCK=${TMPDIR:-/tmp}/camphorrail-ports-$block
+        owner=$(cat "$PORT_LOCK/pid" 2>/dev/null || true)
+        if [ -n "$owner" ] && ! kill -0 "$owner" 2>/dev/null; then
+            # Left by a run that was cut off. Moved first, so that only one run removes it.
+            mv "$PORT_LOCK" "$OUT/stale-$block" 2>/dev/null || true
+        fi
+        if mkdir "$PORT_LOCK" 2>/dev/null; then
+            echo $$ >"$PORT_LOCK/pid"
+            PORT_BASE=$((20000 + 300 * block))
+            return 0
+        fi
+    done
+    echo "no free block of ports" >&2
+    exit 1
+}
+claim_ports
 . "$(dirname "$0")/../../scripts/fleet.sh"
 
 finish() {
@@ -16,7 +36,7 @@
             tail -n 5 "$log"
         done
     fi
-    rm -rf "$OUT"
+    rm -rf "$OUT" "$PORT_LOCK"
 }
 trap finish EXIT
 
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -8,8 +8,10 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <array>
 #include <netinet/in.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -282,6 +284,19 @@
     }
 }
 
+std::vector<std::string> proxy_world::log_lines() {
+    this->log.flush();
+    std::array<char, 65536> piece{};
+    const auto got = read(this->log_pipe[0], piece.data(), piece.size());
+    std::istringstream text(
+        std::string(piece.data(), static_cast<std::size_t>(std::max<ssize_t>(got, 0))));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(text, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
 bool proxy_world::run_until(const std::function<bool()>& condition) {
     constexpr int most_turns = 5000;
     for (int turn = 0; turn < most_turns && !condition(); ++turn) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -95,6 +95,7 @@
 
     routes::operators_config config;
     proxy::entry_state state;
+    // What was logged since the last call; to be asked only after something was.
     std::vector<std::string> log_lines();
 
 private:
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -33,7 +33,8 @@
 
 } // namespace camphorrail::standins
 
-// Usage: camphorrail_standin key_value|engine|service|relay [--NAME=VALUE]...
+// Usage: camphorrail_standin key_value|engine|service|relay|metadata_store|platform_engine
+// [--NAME=VALUE]...
 int main(int argc, char** argv) {
     using namespace camphorrail;
     standins::options given;
@@ -58,6 +59,12 @@
     if (kind == "relay") {
         return standins::run_relay(loop, given);
     }
-    std::cerr << "key_value, engine, service or relay?\n";
+    if (kind == "metadata_store") {
+        return standins::run_metadata_store(loop, given);
+    }
+    if (kind == "platform_engine") {
+        return standins::run_platform_engine(loop, given);
+    }
+    std::cerr << "which stand-in?\n";
     return 2;
 }
--- /dev/null
+++ b/tests/standins/platform_engine.cpp
@@ -0,0 +1,136 @@
+#include "adapters/http_client.h"
+#include "base/base64.h"
+#include "standins/standins.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace camphorrail::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int accepted = 202;
+constexpr int conflict = 409;
+constexpr base::milliseconds store_timeout{1000};
+constexpr base::milliseconds event_pause{50};
+
+// An engine as the users' platform runs it: it lists itself in the metadata store, streams events
+// that may be resumed, answers plain calls, and takes orders to load weights.
+class platform_engine {
+public:
+    platform_engine(adapters::event_loop& loop, const options& given)
+        : loop(&loop), id(option(given, "id", "i-1")), pool(option(given, "pool", "pool")),
+          address(option(given, "listen", "")), store(option(given, "store", "")),
+          events(number(given, "events", 10)), loses_answers(option(given, "loses", "") == "yes") {
+        this->list();
+    }
+
+    void handle(const adapters::exchange_ptr& exchange) {
+        if (exchange->path() == "/report") {
+            reply_json(*exchange, json{{"models", this->models()},
+                                       {"busy", false},
+                                       {"seq", this->orders},
+                                       {"queued", 0},
+                                       {"running", 0}}
+                                      .dump());
+        } else if (exchange->path() == "/order") {
+            this->order(*exchange);
+        } else if (exchange->path().rfind("/stream/", 0) == 0) {
+            this->stream(exchange);
+        } else if (this->loses_answers) {
+            std::cout << "ran " << exchange->header("Request-Id") << std::endl;
+            exchange->abort();
+        } else {
+            std::cout << "ran " << exchange->header("Request-Id") << std::endl;
+            exchange->reply(200, this->fields(*exchange, "application/json"), R"({"done":true})");
+        }
+    }
+
+private:
+    [[nodiscard]] json models() const {
+        return json::array({{{"name", "m0"}, {"version", this->version}}});
+    }
+
+    [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
+                                        const std::string& type) const {
+        return {{"Request-Id", exchange.header("Request-Id")},
+                {"Response-Stamp", "stamp-" + this->id},
+                {"Content-Type", type},
+                {"Weight-Versions", std::to_string(this->version)},
+                {"Server-Load", "1,0,8"}};
+    }
+
+    void list() {
+        const json entry{{"service", this->pool}, {"address", this->address},
+                         {"zone", "a"},           {"slots", 8},
+                         {"state", "ready"},      {"models", this->models()}};
+        const json change{{"expected", json::array()},
+                          {"puts",
+                           {{{"key", "servers/" + this->id},
+                             {"value", base::to_base64(entry.dump())},
+                             {"lease", 0}}}},
+                          {"deletes", json::array()}};
+        adapters::http_fetch(this->loop->base(), this->store,
+                             {"POST", "/kv-txn", {}, change.dump()}, {store_timeout, false},
+                             1U << 20U, [this](const base::result<adapters::http_answer>& done) {
+                                 if (!done.has_value()) {
+                                     this->loop->after(event_pause, [this] { this->list(); });
+                                 }
+                             });
+    }
+
+    void order(adapters::http_exchange& exchange) {
+        const json wanted = json::parse(exchange.body(), nullptr, false);
+        if (wanted.value("expected", this->orders) != this->orders) {
+            reply_json(exchange, "{}", conflict);
+            return;
+        }
+        ++this->orders;
+        this->version = wanted.at("version").get<std::int64_t>();
+        reply_json(exchange, "{}", accepted);
+        this->list();
+    }
+
+    void stream(const adapters::exchange_ptr& exchange) {
+        const std::string after = exchange->header("Last-Event-Id");
+        exchange->start(200, this->fields(*exchange, "text/event-stream"));
+        this->send_event(exchange, after.empty() ? 1 : std::stoll(after) + 1);
+    }
+
+    void send_event(const adapters::exchange_ptr& exchange, std::int64_t next) {
+        if (!exchange->open()) {
+            return;
+        }
+        if (next > this->events) {
+            exchange->end();
+            return;
+        }
+        exchange->send("id: " + std::to_string(next) + "\ndata: word" + std::to_string(next) +
+                       "\n\n");
+        this->loop->after(event_pause,
+                          [this, exchange, next] { this->send_event(exchange, next + 1); });
+    }
+
+    adapters::event_loop* loop;
+    std::string id;
+    std::string pool;
+    std::string address;
+    std::string store;
+    std::int64_t events;
+    bool loses_answers;
+    std::int64_t version = 1;
+    std::int64_t orders = 0;
+};
+
+} // namespace
+
+int run_platform_engine(adapters::event_loop& loop, const options& given) {
+    platform_engine engine(loop, given);
+    return serve(loop, given,
+                 [&engine](const adapters::exchange_ptr& exchange) { engine.handle(exchange); });
+}
+
+} // namespace camphorrail::standins
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -24,6 +24,11 @@
 // but nothing passes on them any more; new ones work.
 int run_relay(adapters::event_loop& loop, const options& given);
 
+// The users' metadata store, and an engine of theirs that lists itself there. `--loses=yes`: the
+// engine runs plain calls and breaks the connection in place of an answer.
+int run_metadata_store(adapters::event_loop& loop, const options& given);
+int run_platform_engine(adapters::event_loop& loop, const options& given);
+
 std::string option(const options& given, const std::string& name, const std::string& fallback);
 std::int64_t number(const options& given, const std::string& name, std::int64_t fallback);
 void reply_json(adapters::http_exchange& exchange, const std::string& body, int status = 200);
