--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 demo: build
 	@./scripts/demo.sh $(BUILD)
+	@./scripts/demo_proxy.sh $(BUILD)
 
 check: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
--- a/src/explain/story.cpp
+++ b/src/explain/story.cpp
@@ -108,11 +108,16 @@
 
 std::string to_text(const std::vector<story_step>& story) {
     std::ostringstream out;
+    // A belief is printed at the first step that hangs on it, and again only once it has changed.
+    std::set<std::string> printed;
     for (const auto& step : story) {
         out << step.line.time_ms << "  " << step.line.process << "  " << step.line.event;
         print_fields(out, step.line);
         out << "\n";
         for (const auto& belief : step.beliefs) {
+            if (!printed.insert(belief.process + belief.fields.dump()).second) {
+                continue;
+            }
             out << "    " << step.line.time_ms - belief.time_ms << " ms before: " << belief.event;
             print_fields(out, belief);
             out << "\n";
