Share when upstreams were last heard, and save prompts in turn

Change: load reports between entries carry when each upstream was last heard, and go out less often with many entries; at any time three entries' worth of saves.

--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -23,7 +23,8 @@
 json to_json(const peer_load& message) {
     json items = json::array();
     for (const auto& item : message.items) {
-        items.push_back({item.upstream.value, item.in_flight, item.unread_tokens});
+        items.push_back(
+            {item.upstream.value, item.in_flight, item.unread_tokens, item.heard_ago.count()});
     }
     return {"load", items};
 }
@@ -62,7 +63,8 @@
     for (const auto& item : read.at(1)) {
         load.items.push_back({{item.at(0).get<std::string>()},
                               item.at(1).get<std::int64_t>(),
-                              item.at(2).get<std::int64_t>()});
+                              item.at(2).get<std::int64_t>(),
+                              base::milliseconds(item.at(3).get<std::int64_t>())});
     }
     return load;
 }
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -38,6 +38,8 @@
         base::upstream_id upstream;
         std::int64_t in_flight = 0;
         std::int64_t unread_tokens = 0;
+        // How long ago the upstream last sent the sender a byte.
+        base::milliseconds heard_ago{0};
     };
     std::vector<item> items;
 };
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -16,7 +16,8 @@
     REQUIRE(got.items.size() == 1);
     CHECK(got.items[0].value == view.items[0].value);
 
-    const auto load = proxy::decode(proxy::encode(proxy::peer_load{{{{"e1"}, 2, 900}}}));
+    const auto load =
+        proxy::decode(proxy::encode(proxy::peer_load{{{{"e1"}, 2, 900, base::milliseconds(40)}}}));
     CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).unread_tokens == 900);
     const auto suspicion = proxy::decode(
         proxy::encode(proxy::peer_suspicion{{"e1"}, base::milliseconds(250), "silent"}));
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -18,6 +18,9 @@
 constexpr base::milliseconds ask_period{300};
 // An entry that answers no ask for this long is cut off too, or its link has fallen silent.
 constexpr base::milliseconds ask_patience{900};
+// Each tick with up to five other entries; at most what a load report is believed for, less a tick.
+constexpr base::milliseconds load_period{20};
+constexpr base::milliseconds longest_load_period{350};
 // A configuration of 350 routes beside a list of 2,000 upstreams is below 1 MB.
 constexpr std::size_t max_message_bytes = 8U << 20U;
 
@@ -174,10 +177,18 @@
 // Entries that send prompts to the same homes would each see only their part of what waits there,
 // and all overload the same engine at once.
 void peers::tell_load() {
+    const base::instant now = this->context.now();
+    if (now < this->next_load) {
+        return;
+    }
+    // With many entries, less often: what an entry sends and reads grows with their number.
+    const auto entries = static_cast<std::int64_t>(this->links.size());
+    this->next_load = now + std::min<base::micros>(load_period * entries, longest_load_period);
     peer_load load;
     for (const auto& [id, one] : this->context.state.fleet.members) {
         if (one.in_flight > 0) {
-            load.items.push_back({id, one.in_flight, one.unread_tokens});
+            const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
+            load.items.push_back({id, one.in_flight, one.unread_tokens, heard});
         }
     }
     // One last message says that nothing is left.
@@ -258,7 +269,11 @@
     for (const auto& item : message.items) {
         const auto found = this->context.state.fleet.members.find(item.upstream);
         if (found != this->context.state.fleet.members.end()) {
-            found->second.elsewhere[entry] = {item.in_flight, item.unread_tokens, now};
+            auto& one = found->second;
+            one.elsewhere[entry] = {item.in_flight, item.unread_tokens, now};
+            // With many entries each hears little of an upstream; together they know whether it
+            // lives.
+            one.heard_at = std::max<base::instant>(one.heard_at, now - item.heard_ago);
         }
     }
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -75,6 +75,7 @@
     std::int64_t last_ask = 0;
     std::int64_t last_count = 0;
     bool load_told = false;
+    base::instant next_load{};
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -114,6 +114,7 @@
         this->limit = std::min(this->limit, *this->facts.deadline);
     }
     this->wanted.number = number_of(this->facts);
+    this->wanted.draw = base::stable_hash(this->facts.request_id);
     this->wanted.pool = routes::choose_pool(route, this->wanted.number);
     this->wanted.target = route.target;
     this->wanted.prompt = route.shares_prompts ? &this->facts : nullptr;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -1,5 +1,6 @@
 #include "proxy/upstream_choice.h"
 
+#include "base/hash.h"
 #include "kvcache/overload.h"
 
 #include <algorithm>
@@ -18,9 +19,25 @@
 
 // A save takes the request's own part along, which nobody asks for again; so short prefixes are not
 // worth one, and a prefix is saved again only when the store has probably dropped it. Over a calm
-// day this halves the tokens that are read again compared with saving at every request.
+// day this halves the tokens that are read again compared with saving at every request. All entries
+// together save a prefix about once in ten seconds, however many they are: with each doing so by
+// itself, twenty entries filled the store and its link with copies.
 constexpr std::int64_t least_saved_tokens = 500;
-constexpr base::seconds save_again{30};
+constexpr base::seconds save_again_an_entry{10};
+constexpr std::int64_t savers = 3;
+
+bool wants_save(const entry_context& context, const kvcache::prompt_chain& chain,
+                std::uint64_t number) {
+    if (context.state.kv_store_down || chain.shared_tokens() < least_saved_tokens) {
+        return false;
+    }
+    const std::int64_t entries = std::max(context.state.entries, std::int64_t{1});
+    const auto turn =
+        static_cast<std::int64_t>(base::mix(number, base::stable_hash(context.settings.id.value)) %
+                                  static_cast<std::uint64_t>(entries));
+    return turn < savers && !kvcache::is_saved(context.state.cache, chain,
+                                               context.now() - save_again_an_entry * entries);
+}
 
 using members = std::vector<fleet::member*>;
 
@@ -117,8 +134,7 @@
 }
 
 upstream_choice of_prompt(const entry_context& context, prompt_placement&& made,
-                          base::milliseconds target) {
-    const base::instant now = context.now();
+                          const choice_request& request) {
     upstream_choice choice;
     choice.id = made.where.target->listed.id;
     choice.address = made.where.target->listed.address;
@@ -127,12 +143,10 @@
     choice.fetch_from = std::move(made.where.fetch_from);
     choice.to_read = made.where.to_read;
     choice.why = made.where.is_home ? "home" : "least_cost";
-    const bool worth_keeping = made.chain.shared_tokens() >= least_saved_tokens;
-    if (worth_keeping && !context.state.kv_store_down &&
-        !kvcache::is_saved(context.state.cache, made.chain, now - save_again)) {
+    if (wants_save(context, made.chain, request.draw)) {
         choice.save_to = routes::kv_store_of(*context.state.config);
     }
-    choice.behind = kvcache::gives_way(waiting_ms(context, *made.where.target), target);
+    choice.behind = kvcache::gives_way(waiting_ms(context, *made.where.target), request.target);
     choice.chain = std::move(made.chain);
     return choice;
 }
@@ -150,8 +164,7 @@
     }
     if (request.prompt != nullptr && !request.prompt->model.empty()) {
         auto made = place_prompt(context, request, all);
-        return made ? std::optional(of_prompt(context, std::move(*made), request.target))
-                    : std::nullopt;
+        return made ? std::optional(of_prompt(context, std::move(*made), request)) : std::nullopt;
     }
     const auto* target =
         fleet::least_loaded(all, context.settings.zone, request.number, now, rules);
