--- a/src/explain/story.cpp
+++ b/src/explain/story.cpp
@@ -36,6 +36,10 @@
 using beliefs_by_thing = std::map<std::string, log_line>;
 
 void note(std::map<std::string, beliefs_by_thing>& all, const log_line& line) {
+    if (line.event == "start") {
+        // A new life of the process knows nothing of what the one before believed.
+        all[line.process].clear();
+    }
     if (process_beliefs.count(line.event) > 0) {
         all[line.process][group_of(line.event)] = line;
     } else if (upstream_beliefs.count(line.event) > 0) {
--- a/src/explain/story_tests.cpp
+++ b/src/explain/story_tests.cpp
@@ -47,6 +47,17 @@
         CHECK(text.find("100 ms before: config_in_force  version=3") != std::string::npos);
         CHECK(text.find("refused  code=upstream_failed") != std::string::npos);
     }
+    // The process has restarted in between. On-call would look for the cause in beliefs that died
+    // with the life before.
+    SECTION("without what an earlier life of the process believed") {
+        std::istringstream later(R"({"time_ms":300,"process":"e1","event":"start"}
+{"time_ms":310,"process":"e1","event":"refused","request":"r5","code":"not_ready"})");
+        explain::read_log(later, records);
+        const auto restarted = explain::tell_story(records, "r5");
+        REQUIRE(restarted.size() == 1);
+        REQUIRE(restarted[0].beliefs.size() == 1);
+        CHECK(restarted[0].beliefs[0].event == "start");
+    }
     SECTION("and is empty for a request that no line names") {
         CHECK(explain::tell_story(records, "r9").empty());
     }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -632,6 +632,7 @@
         return;
     }
     const int status = base::describe(number).http_status;
+    const auto upstreams = count_pool(this->context, this->wanted.pool);
     this->context.log.line(importance::keep, "refused")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
@@ -644,7 +645,11 @@
             "config_age_ms",
             mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)))
         .number("sent_again", this->sent_again)
-        .number("unreachable", this->unreachable);
+        .number("unreachable", this->unreachable)
+        .number("pool_listed", upstreams.listed)
+        .number("pool_fit", upstreams.fit)
+        .number("pool_busy", upstreams.busy)
+        .number("pool_ejected", upstreams.ejected);
     this->context.metrics.count("camphorrail_refusals_total",
                                 {{"code", std::string(base::describe(number).name)},
                                  {"ran", std::string(base::to_string(ran))}});
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -175,9 +175,25 @@
     return choice;
 }
 
+pool_count count_pool(const entry_context& context, const base::pool_id& pool) {
+    const base::instant now = context.now();
+    pool_count count;
+    for (const auto& [id, one] : context.state.fleet.members) {
+        if (one.listed.pool != pool || !fleet::is_listed(one)) {
+            continue;
+        }
+        ++count.listed;
+        count.fit += fleet::is_fit(one, now) ? 1 : 0;
+        count.busy += now < one.busy_until ? 1 : 0;
+        count.ejected += membership::usable(one.health, now) ? 0 : 1;
+    }
+    return count;
+}
+
 base::milliseconds when_free(const entry_context& context, const base::pool_id& pool) {
     constexpr base::milliseconds unknown{250};
-    constexpr base::milliseconds soonest{20};
+    // Callers come back once or twice at most; an upstream in change takes at least this long.
+    constexpr base::milliseconds soonest{150};
     const base::instant now = context.now();
     base::milliseconds wait = unknown;
     for (const auto& [id, one] : context.state.fleet.members) {
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -42,6 +42,16 @@
 std::optional<upstream_choice> choose_upstream(entry_context& context,
                                                const choice_request& request);
 
+// How the upstreams of a pool stand, for the log of a refusal.
+struct pool_count {
+    std::int64_t listed = 0;
+    std::int64_t fit = 0;
+    std::int64_t busy = 0;
+    std::int64_t ejected = 0;
+};
+
+pool_count count_pool(const entry_context& context, const base::pool_id& pool);
+
 // When an upstream of the pool may be free again, counted from now; a short default where that is
 // not known.
 base::milliseconds when_free(const entry_context& context, const base::pool_id& pool);
