--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -16,7 +16,7 @@
 
 base::micros longest_outdated(const settings::proxy_settings& settings) {
     // What is on its way may wait in an upstream's queue, and our view of what was named may lag.
-    constexpr base::milliseconds margin{2000};
+    constexpr base::milliseconds margin{1500};
     return std::max<base::milliseconds>(settings.bounds.outdated_weights - margin, margin);
 }
 
--- a/src/weights/term.cpp
+++ b/src/weights/term.cpp
@@ -12,7 +12,7 @@
     begun.from = won;
     if (before.other) {
         const base::instant ended = before.seen_ended.value_or(won);
-        begun.from = std::max(won, ended + rules.apart + rules.margin);
+        begun.from = std::max(won, ended + rules.apart);
     }
     begun.until = asked + rules.lease - rules.margin;
     return begun;
--- a/src/weights/term.h
+++ b/src/weights/term.h
@@ -24,7 +24,8 @@
     base::micros lease = base::seconds(3);
     // What an order takes to its upstream, and how far clocks may run apart.
     base::micros margin = base::milliseconds(400);
-    // Least time between the last order of one holder and the first of the next.
+    // Least time between the last order of one holder and the first of the next. Counted from when
+    // the lease was seen to end, which is at least `margin` after that last order.
     base::micros apart = base::seconds(3);
 };
 
