--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -210,6 +210,10 @@
         .span("config_age_ms",
               mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(0)))
         .number("time_left_ms", terms.time_left.count())
+        .number("rank", terms.priority)
+        .flag("gives_way", choice.behind)
+        .number("to_read", choice.to_read)
+        .number("unread_there", choice.unread_there)
         .number("tries", this->begun + this->sent_again + this->unreachable);
 
     this->current = attempt{};
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -146,6 +146,8 @@
     if (wants_save(context, made.chain, request.draw)) {
         choice.save_to = routes::kv_store_of(*context.state.config);
     }
+    choice.unread_there = fleet::all_unread_tokens(*made.where.target, context.now(),
+                                                   fleet_rules_of(context.settings));
     choice.behind = kvcache::gives_way(waiting_ms(context, *made.where.target), request.target);
     choice.chain = std::move(made.chain);
     return choice;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -32,6 +32,8 @@
     std::string fetch_from;
     std::string save_to;
     std::int64_t to_read = 0;
+    // Tokens that waited there already, over all entries.
+    std::int64_t unread_there = 0;
     // It can't be on time any more, so it is to give way to those that can.
     bool behind = false;
     // What decided it, for the log.
