Look whether the store of kept copies is there

Cause: entries named it as a source while it was down, and each engine waited for it with every prompt. Change: one connection a second; while it fails, engines fetch from each other, and what was saved before is saved anew. Settings and fields that nothing reads are gone.

--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -111,8 +111,6 @@
     std::int64_t orders = 0;
     // An order is being carried out.
     bool busy = false;
-    std::int64_t running = 0;
-    std::int64_t queued = 0;
 };
 
 // How an order was met.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -67,7 +67,8 @@
       store_calls(this->platform.make_store(this->loop.base(), this->settings.platform.endpoint,
                                             this->settings.platform.timeout, this->platform_calls)),
       store(this->context, this->store_calls), leader(this->context, this->store_calls),
-      loader(this->context, this->leader), others(this->context, this->store_calls) {}
+      loader(this->context, this->leader), others(this->context, this->store_calls),
+      kv_store(this->context) {}
 
 bool proxy::listen() {
     this->callers = std::make_unique<caller_server>(
@@ -312,6 +313,7 @@
     this->note_readiness();
     this->connections.sweep();
     this->others.tick();
+    this->kv_store.tick();
     this->leader.tick();
     this->loader.tick();
     for (const auto& id : fleet::drop_missing(this->state.fleet, this->context.now(),
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -100,7 +100,6 @@
     parsed.retry_slack = reader.fraction("retry_slack", parsed.retry_slack, most_slack);
     parsed.lease = read_span(reader, "lease_ms", parsed.lease);
     parsed.outdated_weights = read_span(reader, "outdated_weights_ms", parsed.outdated_weights);
-    parsed.loads_at_once = reader.number("loads_at_once", parsed.loads_at_once, slots_range);
     reader.finish();
     return parsed;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -85,8 +85,6 @@
     base::milliseconds lease{3000};
     // A request may begin on outdated weights for this long.
     base::milliseconds outdated_weights{8000};
-    // Upstreams that load weights at once without slowing each other.
-    std::int64_t loads_at_once = 3;
 };
 
 // Settings of `camphorrail proxy`: an entry whose upstreams have no agents.
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -92,6 +92,7 @@
     bool run_until(const std::function<bool()>& condition);
     void move_clock(base::micros by) { this->moved += by; }
     void prove_config();
+    proxy::entry_context& entry() { return this->context; }
 
     routes::operators_config config;
     proxy::entry_state state;
