Split the two request flows, drop fields that nothing reads

An order's agent_incarnation, which no entry set, a load report's backlog, which nobody read, and a second base64 are gone.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -137,7 +137,7 @@
         print("order, coded and read", std::to_string(body) + " bytes of body",
               microseconds_each(2000, [&](int) { (void)wire::decode(wire::encode(order)); }), "us");
     }
-    const wire::heartbeat beat{123456, {1796236207773, 3, 2, 9000, 120000, 98.5, false}};
+    const wire::heartbeat beat{123456, {1796236207773, 3, 2, 120000, 98.5, false}};
     print("heartbeat", "one", static_cast<double>(wire::encode(beat).size()), "bytes");
     print("heartbeat, coded and read", "one",
           microseconds_each(20000, [&](int) { (void)wire::decode(wire::encode(beat)); }), "us");
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -191,15 +191,6 @@
         }
         held->link->send(answer);
     };
-    if (message.agent_incarnation != 0 && message.agent_incarnation != this->incarnation) {
-        send(wire::refused{attempt,
-                           static_cast<int>(base::code::once_wrong_incarnation),
-                           static_cast<int>(base::ran::unknown),
-                           0,
-                           this->orders.load(),
-                           {}});
-        return;
-    }
     if (message.idempotency_key.empty()) {
         from->attempts.insert(attempt);
         this->orders.submit(message, send);
--- a/src/agent/order_runner.cpp
+++ b/src/agent/order_runner.cpp
@@ -307,8 +307,6 @@
     const base::micros wait = admission::predicted_wait(this->queue, 0, this->engine_wait());
     report.wait_us = wait.count();
     report.prefill_us_per_token = this->cache.prefill_us_per_token;
-    report.backlog_tokens = static_cast<std::int64_t>(static_cast<double>(wait.count()) /
-                                                      this->cache.prefill_us_per_token);
     report.leaving = this->leaving;
     return report;
 }
--- a/src/entry/request_flow.cpp
+++ b/src/entry/request_flow.cpp
@@ -10,19 +10,7 @@
 
 constexpr int most_attempts = 4;
 constexpr int most_owner_resends = 2;
-constexpr std::size_t most_owner_ranks = 3;
-constexpr base::milliseconds soon{1000};
-constexpr base::micros handover_pause = base::milliseconds(250);
-// How long a key's handover between owners is waited out before its caller is told to come back.
-constexpr base::micros handover_patience = base::seconds(3);
 constexpr base::micros tombstone_wait = base::milliseconds(250);
-constexpr base::micros keep_alive_after = base::seconds(15);
-constexpr std::size_t max_buffered_answer = 32U << 20U;
-
-double to_seconds(base::micros span) {
-    return static_cast<double>(span.count()) / 1e6;
-}
-
 // Refusals after which another upstream may still take the request.
 bool worth_another(base::code number) {
     switch (number) {
@@ -38,7 +26,6 @@
         return false;
     }
 }
-
 bool is_fault(base::code number) {
     return number == base::code::upstream_unreachable || number == base::code::upstream_failed ||
            number == base::code::stream_cut || number == base::code::link_silent;
@@ -147,16 +134,6 @@
     this->attempt_next();
 }
 
-void request_flow::attempt_owner() {
-    if (this->owner_rank >= std::min(this->owners.size(), most_owner_ranks)) {
-        const bool never_sent = this->attempts == 0 && this->request.key_is_ours;
-        this->give_up({never_sent ? base::code::no_upstream : base::code::once_outcome_unknown,
-                       never_sent ? base::ran::not_run : base::ran::unknown, soon});
-        return;
-    }
-    this->send_order(this->owners[this->owner_rank]);
-}
-
 void request_flow::send_order(const base::upstream_id& to) {
     this->attempt = this->around->next_attempt();
     this->upstream = to;
@@ -204,102 +181,6 @@
     std::visit([this](const auto& one) { this->handle_one(one); }, message);
 }
 
-void request_flow::handle_one(const wire::started& message) {
-    this->status = message.status;
-    this->content_type = message.content_type;
-}
-
-// Whether a frame counts; one that shows that others were lost fails the attempt.
-bool request_flow::accepted(stream::verdict verdict) {
-    if (verdict == stream::verdict::cut) {
-        this->attempt_failed(base::code::stream_cut, base::ran::unknown);
-    }
-    return verdict == stream::verdict::deliver;
-}
-
-void request_flow::handle_one(const wire::chunk& message) {
-    if (!this->accepted(
-            stream::accept_piece(this->assembler, {message.attempt}, message.sequence))) {
-        return;
-    }
-    if (this->request.stream) {
-        this->deliver(message.bytes);
-        return;
-    }
-    this->body += message.bytes;
-    if (this->body.size() > max_buffered_answer) {
-        this->give_up({base::code::upstream_answer_malformed, base::ran::unknown});
-        return;
-    }
-    this->owed_credit += static_cast<std::int64_t>(message.bytes.size());
-    this->grant_credit();
-}
-
-void request_flow::deliver(const std::string& bytes) {
-    const base::instant now = this->now();
-    if (!this->answer_started) {
-        this->answer_started = true;
-        this->around->metrics->observe_seconds("camphorrail_first_token_seconds",
-                                               to_seconds(now - this->arrived_at),
-                                               {{"pool", this->request.pool.value}});
-        this->around->timeline->mark("first_token", this->trace);
-        this->exchange->start(this->status, {{"Content-Type", this->content_type},
-                                             {"Cache-Control", "no-cache"},
-                                             {"X-Request-Id", this->trace}});
-    } else {
-        this->around->metrics->observe_seconds("camphorrail_token_gap_seconds",
-                                               to_seconds(now - this->last_piece_at));
-    }
-    this->last_piece_at = now;
-    this->exchange->send(bytes);
-    this->owed_credit += static_cast<std::int64_t>(bytes.size());
-    this->grant_credit();
-}
-
-void request_flow::grant_credit() {
-    // A caller that does not read gets no more credit, so its upstream is paused and what is held
-    // for it here and at the agent stays bounded.
-    const auto unread = static_cast<std::int64_t>(this->exchange->unread_bytes());
-    if (this->is_over || this->owed_credit == 0 ||
-        unread > this->around->limits->caller_buffer_bytes / 2) {
-        return;
-    }
-    this->around->links->send(this->upstream, wire::credit{this->attempt.value, this->owed_credit});
-    this->owed_credit = 0;
-}
-
-void request_flow::handle_one(const wire::finished& message) {
-    if (!this->accepted(stream::accept_end(this->assembler, {message.attempt}, message.sequence))) {
-        return;
-    }
-    auto& pool = this->around->router->pools[this->request.pool];
-    if (!this->once()) {
-        routing::note_served(pool, this->around->router->affinity, this->upstream,
-                             this->request.chain, this->made.basis, {message.cached_tokens},
-                             this->now(), this->around->router->rules);
-        if (auto* view = routing::find(pool, this->upstream)) {
-            membership::note_success(view->health);
-        }
-    }
-    const adapters::metric_labels labels{{"pool", this->request.pool.value}};
-    this->around->metrics->count("camphorrail_answers_total", labels);
-    this->around->metrics->count("camphorrail_prompt_tokens_total", labels,
-                                 static_cast<double>(message.prompt_tokens));
-    this->around->metrics->count("camphorrail_cached_tokens_total", labels,
-                                 static_cast<double>(message.cached_tokens));
-    this->around->timeline->mark(
-        "answer_whole", this->trace,
-        {{"attempts", this->attempts}, {"cached_tokens", message.cached_tokens}});
-    if (this->answer_started) {
-        this->exchange->end();
-    } else {
-        this->exchange->reply(this->status,
-                              {{"Content-Type", this->content_type}, {"X-Request-Id", this->trace}},
-                              this->body);
-    }
-    this->finish();
-}
-
 void request_flow::handle_one(const wire::refused& message) {
     if (message.attempt != this->attempt.value || this->awaiting_tombstone) {
         return;
@@ -360,45 +241,6 @@
     this->attempt_next();
 }
 
-void request_flow::owner_refused(const wire::refused& message) {
-    const auto number = static_cast<base::code>(message.code);
-    const bool not_decided = number == base::code::once_not_owner ||
-                             number == base::code::once_handover ||
-                             number == base::code::once_wrong_incarnation;
-    this->end_attempt();
-    if (!not_decided) {
-        this->give_up({number, static_cast<base::ran>(message.ran),
-                       base::milliseconds(message.retry_after_ms)});
-        return;
-    }
-    this->next_owner(number != base::code::once_not_owner);
-}
-
-// Goes on to the key's next owner, or after a pause begins with the first again: while a key is
-// handed over, none of them takes it for a moment.
-void request_flow::next_owner(bool wait_first) {
-    const std::size_t ranks = std::min(this->owners.size(), most_owner_ranks);
-    if (!wait_first && this->owner_rank + 1 < ranks) {
-        ++this->owner_rank;
-        this->attempt_next();
-        return;
-    }
-    if (this->now() + handover_pause > this->arrived_at + handover_patience) {
-        this->owner_rank = ranks;
-        this->attempt_next();
-        return;
-    }
-    this->owner_rank = 0;
-    this->owners = once::ranked_owners(
-        this->request.key, config::members(this->around->config->current(), this->request.pool));
-    const std::weak_ptr<request_flow> weak = this->weak_from_this();
-    this->around->loop->after(handover_pause, [weak] {
-        if (const auto held = weak.lock()) {
-            held->attempt_next();
-        }
-    });
-}
-
 void request_flow::handle_lost(const base::upstream_id& from) {
     if (this->is_over || from != this->upstream || this->attempt.empty()) {
         return;
@@ -453,21 +295,6 @@
     });
 }
 
-void request_flow::handle_one(const wire::tombstoned& message) {
-    if (message.attempt != this->attempt.value || !this->awaiting_tombstone) {
-        return;
-    }
-    this->give_up({base::code::timed_out, static_cast<base::ran>(message.ran), soon});
-}
-
-void request_flow::keep_alive() {
-    const base::instant now = this->now();
-    if (this->answer_started && !this->is_over && now - this->last_piece_at > keep_alive_after) {
-        this->last_piece_at = now;
-        this->exchange->send(": keep-alive\n\n");
-    }
-}
-
 void request_flow::on_caller_gone() {
     if (this->is_over) {
         return;
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -15,6 +15,11 @@
 
 namespace camphorrail::entry {
 
+// When a caller may come back after a refusal that gives no better hint.
+inline constexpr base::milliseconds soon{1000};
+// Between two questions to a key's owners while the key changes hands.
+inline constexpr base::micros handover_pause = base::milliseconds(250);
+
 // What all requests of an entry share.
 struct flow_surroundings {
     adapters::event_loop* loop = nullptr;
--- /dev/null
+++ b/src/proxy/request_answers.cpp
@@ -0,0 +1,202 @@
+#include "proxy/request_flow.h"
+#include "proxy/request_limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+using base::milliseconds;
+
+// Bytes that a caller may lag behind before its upstream is read no further, and bytes of an answer
+// that is held whole.
+constexpr std::size_t unsent_pause_bytes = 256U << 10U;
+constexpr std::size_t most_whole_bytes = 8U << 20U;
+constexpr int first_error_status = 500;
+constexpr int first_refusal_status = 300;
+// An upstream that is full, or is just changing weights, is asked again after this long.
+constexpr milliseconds full_pause{40};
+constexpr milliseconds loading_pause{250};
+
+} // namespace
+
+bool request_flow::started(const http::response_head& head) {
+    const auto answer = this->context.words.read_answer(head);
+    if (answer.request_id != this->facts.request_id) {
+        // An upstream may send a second answer to an earlier request; ours is still to come.
+        this->context.log.line(importance::keep, "foreign_answer_dropped")
+            .text("request", this->facts.request_id)
+            .text("upstream", this->current->choice.id.value)
+            .text("answers", answer.request_id)
+            .number("status", head.status);
+        return false;
+    }
+    this->note_heard();
+    this->current->answering = true;
+    this->current->head = head;
+    this->current->facts = answer;
+    if (auto* one = this->member_of_attempt(); one != nullptr && answer.load) {
+        one->load = answer.load;
+        one->load_at = this->context.now();
+    }
+    return true;
+}
+
+void request_flow::note_heard() {
+    this->last_progress = this->context.now();
+    if (auto* one = this->member_of_attempt()) {
+        one->heard_at = this->last_progress;
+    }
+}
+
+void request_flow::received(std::string bytes) {
+    this->note_heard();
+    const bool success = this->current->head.status < first_refusal_status;
+    if (success && this->request.route->kind == routes::request_kind::stream) {
+        this->pass_on(bytes);
+        return;
+    }
+    this->whole_body += bytes;
+    if (this->whole_body.size() > most_whole_bytes) {
+        this->failed(call_failure::malformed);
+    }
+}
+
+void request_flow::pass_on(const std::string& bytes) {
+    const std::string whole_events = relay(this->events, bytes);
+    if (whole_events.empty()) {
+        return;
+    }
+    this->count_first_byte();
+    if (this->state == answer_state::none) {
+        this->state = answer_state::streaming;
+        this->exchange->start(this->current->head.status, caller_fields(this->current->head));
+    }
+    this->exchange->send(whole_events);
+    this->watch_for_silence();
+    if (this->exchange->unsent() > unsent_pause_bytes) {
+        this->paused = true;
+        this->current->connection->pause_reading();
+    }
+}
+
+// The first byte shows that the upstream has read the prompt and holds it from now on.
+void request_flow::count_first_byte() {
+    if (!this->current->unread) {
+        return;
+    }
+    this->current->unread = false;
+    const auto& choice = this->current->choice;
+    if (auto* one = this->member_of_attempt()) {
+        one->unread_tokens -= choice.behind ? 0 : choice.to_read;
+    }
+    kvcache::note_read(this->context.state.cache, choice.chain, choice.id, !choice.save_to.empty(),
+                       this->context.now());
+    if (!this->first_byte) {
+        this->first_byte = this->age();
+        this->context.metrics.observe_seconds(
+            "camphorrail_first_byte_seconds",
+            std::chrono::duration<double>(*this->first_byte).count(),
+            {{"kind", this->kind_name()}});
+    }
+}
+
+void request_flow::ended() {
+    const auto held = this->shared_from_this();
+    if (this->current->facts.not_run) {
+        this->refused_by_upstream();
+        return;
+    }
+    this->note_begun();
+    if (this->state == answer_state::streaming) {
+        const int status = this->current->head.status;
+        note_upstream_success(this->context, this->current->choice.id);
+        this->leave_attempt();
+        this->exchange->finish();
+        this->finish("ok", status);
+        return;
+    }
+    this->answered_whole();
+}
+
+void request_flow::note_begun() {
+    ++this->begun;
+}
+
+void request_flow::answered_whole() {
+    this->count_first_byte();
+    const http::response_head head = std::move(this->current->head);
+    const bool error = head.status >= first_error_status;
+    const auto id = this->current->choice.id;
+    const bool in_time = this->time_left() > least_time;
+    if (error && in_time) {
+        note_upstream_error(this->context, id);
+    } else if (!error) {
+        note_upstream_success(this->context, id);
+    }
+    if (error && this->request.route->kind == routes::request_kind::idempotent &&
+        this->may_send_again() && this->take_retry()) {
+        this->leave_attempt();
+        this->wanted.tried.push_back(id);
+        this->error_answer = whole_answer{head, std::exchange(this->whole_body, {})};
+        this->send_attempt();
+        return;
+    }
+    this->leave_attempt();
+    this->exchange->answer(head.status, caller_fields(head), this->whole_body);
+    this->finish(error ? "upstream_error" : "ok", head.status);
+}
+
+// The upstream states that it has not run the request, so it may go to another one, whatever its
+// kind: a refusal counts as no run.
+void request_flow::refused_by_upstream() {
+    const upstream_choice choice = this->current->choice;
+    auto* one = this->member_of_attempt();
+    const auto load = this->current->facts.load;
+    const bool has_room = load && load->waiting == 0 && load->running < load->slots;
+    const bool outdated = this->wanted.prompt != nullptr &&
+                          choice.weights < newest(this->context.state.weights[this->facts.model]);
+    if (one != nullptr) {
+        const bool changing = outdated || this->current->facts.wrong_instance;
+        one->busy_until = std::max(one->busy_until,
+                                   this->context.now() + (changing ? loading_pause : full_pause));
+    }
+    if (has_room && !outdated) {
+        note_upstream_failure(this->context, choice.id, "refuses_with_room");
+    }
+    this->context.log.line(importance::keep, "refused_by_upstream")
+        .text("request", this->facts.request_id)
+        .text("upstream", choice.id.value)
+        .number("status", this->current->head.status)
+        .number("weights_expected", choice.weights)
+        .number("weights_there", this->current->facts.weights.value_or(0))
+        .number("running", load ? load->running : -1)
+        .number("waiting", load ? load->waiting : -1);
+    this->wanted.tried.push_back(choice.id);
+    this->leave_attempt();
+    this->whole_body.clear();
+    const bool again =
+        this->sent_again<most_sent_again&& this->time_left()> least_time && this->take_retry();
+    if (again) {
+        this->send_attempt();
+    } else if (this->state == answer_state::streaming) {
+        this->end_without_answer("refused_by_upstream");
+    } else if (this->begun == 0) {
+        this->refuse(base::code::overloaded, base::ran::not_run,
+                     when_free(this->context, this->wanted.pool));
+    } else {
+        this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
+    }
+}
+
+void request_flow::caller_caught_up() {
+    if (this->paused && this->current) {
+        this->paused = false;
+        this->current->connection->resume_reading();
+    }
+}
+
+} // namespace camphorrail::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "http/writers.h"
 #include "process/problem.h"
+#include "proxy/request_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,35 +19,6 @@
 constexpr milliseconds default_limit{60000};
 // What a request's way to an upstream and back takes at least.
 constexpr milliseconds hop{4};
-// With less time than this no upstream can answer.
-constexpr milliseconds least_time{15};
-// A request that has had no answer for this many targets goes elsewhere, if it may. By then it is
-// late, and what it has waited for so long it may go on waiting for.
-constexpr int silent_targets = 6;
-constexpr milliseconds shortest_silence{200};
-// An upstream that has sent nothing on any request for this part of the target, while one waits, is
-// dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt in it;
-// the longest prompts alone on an engine take 200 ms to read.
-constexpr milliseconds shortest_dead{120};
-base::micros dead_after(milliseconds target) {
-    return std::max<base::micros>(target * 5 / 4, shortest_dead);
-}
-// A stream's first event may wait behind other prompts; a pause in mid-stream is held to the gap
-// target, and upstreams that preempt a stream read its prompt again.
-constexpr int silent_gaps = 4;
-constexpr milliseconds shortest_gap{800};
-// Upstreams that refuse are free to ask, but each costs a round trip and a retry.
-constexpr int most_sent_again = 3;
-constexpr int most_unreachable = 4;
-// When no other entry is known to be better off, a caller that comes back meets another entry.
-constexpr milliseconds other_entry{60};
-constexpr std::size_t unsent_pause_bytes = 256U << 10U;
-constexpr std::size_t most_whole_bytes = 8U << 20U;
-constexpr int first_error_status = 500;
-constexpr int first_refusal_status = 300;
-// An upstream that is full, or is just changing weights, is asked again after this long.
-constexpr milliseconds full_pause{40};
-constexpr milliseconds loading_pause{250};
 // An upstream that says how long it keeps idle connections is taken at its word, less a quarter.
 // One that says nothing is trusted for this long.
 constexpr milliseconds unknown_keep{2000};
@@ -55,6 +27,13 @@
 constexpr milliseconds once_longest_idle{700};
 constexpr base::seconds any_longest_idle{60};
 
+std::uint64_t number_of(const ports::caller_request& facts) {
+    const bool shares = facts.parts.size() > 1;
+    return base::stable_hash(shares ? facts.parts[facts.parts.size() - 2].id : facts.request_id);
+}
+
+} // namespace
+
 http::fields caller_fields(const http::response_head& head) {
     http::fields sent;
     for (const auto& one : head.all) {
@@ -66,13 +45,6 @@
     return sent;
 }
 
-std::uint64_t number_of(const ports::caller_request& facts) {
-    const bool shares = facts.parts.size() > 1;
-    return base::stable_hash(shares ? facts.parts[facts.parts.size() - 2].id : facts.request_id);
-}
-
-} // namespace
-
 request_flow::request_flow(entry_context& context, exchange_ptr exchange)
     : context(context), exchange(std::move(exchange)),
       overall(context.loop.base(), [this] { this->out_of_time(); }),
@@ -253,357 +225,6 @@
                                                        }});
 }
 
-// How long an upstream may say nothing on this request before it is looked into.
-milliseconds request_flow::silence_limit() const {
-    const auto& route = *this->request.route;
-    if (this->state == answer_state::streaming) {
-        return std::max(route.gap_target * silent_gaps, shortest_gap);
-    }
-    return std::max(route.target * silent_targets, shortest_silence);
-}
-
-void request_flow::watch_for_silence() {
-    const auto& route = *this->request.route;
-    if (this->state == answer_state::streaming && !route.resumable) {
-        this->silence.clear();
-        return;
-    }
-    this->silence.set(std::min<base::micros>(this->silence_limit(), dead_after(route.target)));
-}
-
-// Whether nothing at all has come from the upstream lately. One that is only slow still says
-// something on its other requests; taking its work away then would only move the load.
-bool request_flow::upstream_is_dead() const {
-    const auto* one = this->member_of_attempt();
-    const auto heard =
-        one == nullptr ? this->current->sent_at : std::max(one->heard_at, this->current->sent_at);
-    return this->context.now() - heard >= dead_after(this->request.route->target);
-}
-
-bool request_flow::started(const http::response_head& head) {
-    const auto answer = this->context.words.read_answer(head);
-    if (answer.request_id != this->facts.request_id) {
-        // An upstream may send a second answer to an earlier request; ours is still to come.
-        this->context.log.line(importance::keep, "foreign_answer_dropped")
-            .text("request", this->facts.request_id)
-            .text("upstream", this->current->choice.id.value)
-            .text("answers", answer.request_id)
-            .number("status", head.status);
-        return false;
-    }
-    this->note_heard();
-    this->current->answering = true;
-    this->current->head = head;
-    this->current->facts = answer;
-    if (auto* one = this->member_of_attempt(); one != nullptr && answer.load) {
-        one->load = answer.load;
-        one->load_at = this->context.now();
-    }
-    return true;
-}
-
-void request_flow::note_heard() {
-    this->last_progress = this->context.now();
-    if (auto* one = this->member_of_attempt()) {
-        one->heard_at = this->last_progress;
-    }
-}
-
-void request_flow::received(std::string bytes) {
-    this->note_heard();
-    const bool success = this->current->head.status < first_refusal_status;
-    if (success && this->request.route->kind == routes::request_kind::stream) {
-        this->pass_on(bytes);
-        return;
-    }
-    this->whole_body += bytes;
-    if (this->whole_body.size() > most_whole_bytes) {
-        this->failed(call_failure::malformed);
-    }
-}
-
-void request_flow::pass_on(const std::string& bytes) {
-    const std::string whole_events = relay(this->events, bytes);
-    if (whole_events.empty()) {
-        return;
-    }
-    this->count_first_byte();
-    if (this->state == answer_state::none) {
-        this->state = answer_state::streaming;
-        this->exchange->start(this->current->head.status, caller_fields(this->current->head));
-    }
-    this->exchange->send(whole_events);
-    this->watch_for_silence();
-    if (this->exchange->unsent() > unsent_pause_bytes) {
-        this->paused = true;
-        this->current->connection->pause_reading();
-    }
-}
-
-// The first byte shows that the upstream has read the prompt and holds it from now on.
-void request_flow::count_first_byte() {
-    if (!this->current->unread) {
-        return;
-    }
-    this->current->unread = false;
-    const auto& choice = this->current->choice;
-    if (auto* one = this->member_of_attempt()) {
-        one->unread_tokens -= choice.behind ? 0 : choice.to_read;
-    }
-    kvcache::note_read(this->context.state.cache, choice.chain, choice.id, !choice.save_to.empty(),
-                       this->context.now());
-    if (!this->first_byte) {
-        this->first_byte = this->age();
-        this->context.metrics.observe_seconds(
-            "camphorrail_first_byte_seconds",
-            std::chrono::duration<double>(*this->first_byte).count(),
-            {{"kind", this->kind_name()}});
-    }
-}
-
-void request_flow::ended() {
-    const auto held = this->shared_from_this();
-    if (this->current->facts.not_run) {
-        this->refused_by_upstream();
-        return;
-    }
-    this->note_begun();
-    if (this->state == answer_state::streaming) {
-        const int status = this->current->head.status;
-        note_upstream_success(this->context, this->current->choice.id);
-        this->leave_attempt();
-        this->exchange->finish();
-        this->finish("ok", status);
-        return;
-    }
-    this->answered_whole();
-}
-
-void request_flow::note_begun() {
-    ++this->begun;
-}
-
-void request_flow::answered_whole() {
-    this->count_first_byte();
-    const http::response_head head = std::move(this->current->head);
-    const bool error = head.status >= first_error_status;
-    const auto id = this->current->choice.id;
-    const bool in_time = this->time_left() > least_time;
-    if (error && in_time) {
-        note_upstream_error(this->context, id);
-    } else if (!error) {
-        note_upstream_success(this->context, id);
-    }
-    if (error && this->request.route->kind == routes::request_kind::idempotent &&
-        this->may_send_again() && this->take_retry()) {
-        this->leave_attempt();
-        this->wanted.tried.push_back(id);
-        this->error_answer = whole_answer{head, std::exchange(this->whole_body, {})};
-        this->send_attempt();
-        return;
-    }
-    this->leave_attempt();
-    this->exchange->answer(head.status, caller_fields(head), this->whole_body);
-    this->finish(error ? "upstream_error" : "ok", head.status);
-}
-
-// The upstream states that it has not run the request, so it may go to another one, whatever its
-// kind: a refusal counts as no run.
-void request_flow::refused_by_upstream() {
-    const upstream_choice choice = this->current->choice;
-    auto* one = this->member_of_attempt();
-    const auto load = this->current->facts.load;
-    const bool has_room = load && load->waiting == 0 && load->running < load->slots;
-    const bool outdated = this->wanted.prompt != nullptr &&
-                          choice.weights < newest(this->context.state.weights[this->facts.model]);
-    if (one != nullptr) {
-        const bool changing = outdated || this->current->facts.wrong_instance;
-        one->busy_until = std::max(one->busy_until,
-                                   this->context.now() + (changing ? loading_pause : full_pause));
-    }
-    if (has_room && !outdated) {
-        note_upstream_failure(this->context, choice.id, "refuses_with_room");
-    }
-    this->context.log.line(importance::keep, "refused_by_upstream")
-        .text("request", this->facts.request_id)
-        .text("upstream", choice.id.value)
-        .number("status", this->current->head.status)
-        .number("weights_expected", choice.weights)
-        .number("weights_there", this->current->facts.weights.value_or(0))
-        .number("running", load ? load->running : -1)
-        .number("waiting", load ? load->waiting : -1);
-    this->wanted.tried.push_back(choice.id);
-    this->leave_attempt();
-    this->whole_body.clear();
-    const bool again =
-        this->sent_again<most_sent_again&& this->time_left()> least_time && this->take_retry();
-    if (again) {
-        this->send_attempt();
-    } else if (this->state == answer_state::streaming) {
-        this->end_without_answer("refused_by_upstream");
-    } else if (this->begun == 0) {
-        this->refuse(base::code::overloaded, base::ran::not_run,
-                     when_free(this->context, this->wanted.pool));
-    } else {
-        this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
-    }
-}
-
-void request_flow::failed(call_failure why) {
-    const auto held = this->shared_from_this();
-    const auto id = this->current->choice.id;
-    const char* name = why == call_failure::never_sent  ? "unreachable"
-                       : why == call_failure::malformed ? "malformed_answer"
-                                                        : "connection_broke";
-    this->context.log.line(importance::keep, "attempt_failed")
-        .text("request", this->facts.request_id)
-        .text("kind", this->kind_name())
-        .text("upstream", id.value)
-        .text("why", name)
-        .flag("answer_begun", this->current->answering)
-        .text("last_event", this->events.last_event)
-        .span("after_ms", this->context.now() - this->current->sent_at);
-    note_upstream_failure(this->context, id, name);
-    this->cancel_attempt();
-    this->wanted.tried.push_back(id);
-    if (why != call_failure::never_sent) {
-        this->note_begun();
-        this->send_again_or_end(name);
-        return;
-    }
-    // Nothing has left, so nothing is repeated.
-    ++this->unreachable;
-    // A connection that can't be made says more than an answer that fails.
-    note_upstream_failure(this->context, id, name);
-    if (this->unreachable < most_unreachable) {
-        this->send_attempt();
-    } else {
-        this->send_again_or_end(name);
-    }
-}
-
-bool request_flow::may_send_again() const {
-    return may_repeat(*this->request.route) && this->begun < this->request.route->attempts &&
-           this->sent_again<most_sent_again&& this->time_left()> least_time;
-}
-
-bool request_flow::take_retry() {
-    if (!admission::take_retry(this->context.state.retries[this->wanted.pool])) {
-        this->context.metrics.count("camphorrail_retries_denied_total");
-        return false;
-    }
-    ++this->sent_again;
-    this->context.metrics.count("camphorrail_retries_total");
-    return true;
-}
-
-void request_flow::send_again_or_end(const char* why) {
-    if (this->may_send_again() && this->take_retry()) {
-        this->whole_body.clear();
-        resume_relay(this->events);
-        this->send_attempt();
-        return;
-    }
-    if (this->state == answer_state::streaming) {
-        this->end_without_answer(why);
-        return;
-    }
-    if (this->begun == 0) {
-        this->refuse(base::code::no_upstream, base::ran::not_run,
-                     when_free(this->context, this->wanted.pool));
-        return;
-    }
-    this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
-}
-
-void request_flow::silent() {
-    const auto held = this->shared_from_this();
-    if (!this->current || this->paused) {
-        return;
-    }
-    const bool dead = this->upstream_is_dead();
-    const base::micros waited = this->context.now() - this->last_progress;
-    if (dead && !this->current->suspected) {
-        this->current->suspected = true;
-        note_upstream_failure(this->context, this->current->choice.id, "silent");
-    }
-    const bool last_attempt = this->begun + 1 >= this->request.route->attempts;
-    const bool waited_out = dead || waited >= this->silence_limit();
-    if (last_attempt || !this->may_send_again()) {
-        if (!this->current->suspected) {
-            this->silence.set(dead_after(this->request.route->target));
-        }
-        return;
-    }
-    if (!waited_out) {
-        this->silence.set(std::min<base::micros>(this->silence_limit() - waited,
-                                                 dead_after(this->request.route->target)));
-        return;
-    }
-    this->context.log.line(importance::keep, "attempt_silent")
-        .text("request", this->facts.request_id)
-        .text("upstream", this->current->choice.id.value)
-        .flag("upstream_dead", dead)
-        .text("last_event", this->events.last_event)
-        .span("after_ms", this->context.now() - this->current->sent_at);
-    this->wanted.tried.push_back(this->current->choice.id);
-    this->cancel_attempt();
-    this->note_begun();
-    this->send_again_or_end("silent");
-}
-
-void request_flow::out_of_time() {
-    const auto held = this->shared_from_this();
-    if (this->current) {
-        if (this->current->connection->may_have_sent()) {
-            this->note_begun();
-        }
-        this->cancel_attempt();
-    }
-    if (this->state == answer_state::streaming) {
-        this->end_without_answer("timed_out");
-    } else if (this->begun == 0) {
-        this->refuse(base::code::no_upstream, base::ran::not_run, other_entry);
-    } else {
-        this->refuse(base::code::timed_out, base::ran::unknown, milliseconds(0));
-    }
-}
-
-void request_flow::caller_caught_up() {
-    if (this->paused && this->current) {
-        this->paused = false;
-        this->current->connection->resume_reading();
-    }
-}
-
-void request_flow::caller_gone() {
-    if (this->state == answer_state::ended) {
-        return;
-    }
-    const auto held = this->shared_from_this();
-    if (this->current) {
-        this->cancel_attempt();
-    }
-    this->finish("caller_gone", 0);
-}
-
-void request_flow::break_off() {
-    const auto held = this->shared_from_this();
-    if (this->current) {
-        if (this->current->connection->may_have_sent()) {
-            this->note_begun();
-        }
-        this->cancel_attempt();
-    }
-    if (this->state == answer_state::streaming) {
-        this->end_without_answer("shutting_down");
-    } else if (this->begun == 0) {
-        this->refuse(base::code::shutting_down, base::ran::not_run, other_entry);
-    } else {
-        this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
-    }
-}
-
 // The attempt is over and its connection may serve another call.
 void request_flow::leave_attempt() {
     this->silence.clear();
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -11,16 +11,16 @@
 
 // The library's macro writes the field-by-field conversions, so that no field is forgotten.
 // NOLINTBEGIN
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(load_report, engine_incarnation, running, waiting,
-                                   backlog_tokens, wait_us, prefill_us_per_token, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(load_report, engine_incarnation, running, waiting, wait_us,
+                                   prefill_us_per_token, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, from, incarnation, config_version, load)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, config_version, load)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_request, have)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_reply, version, document, deltas)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order, attempt, pool, idempotency_key, fingerprint,
-                                   agent_incarnation, config_version, team, priority, share,
-                                   deadline_us, target_us, method, path, content_type, traceparent,
-                                   resume_from, level_keys, level_tokens, stream, probe, hide_usage)
+                                   config_version, team, priority, share, deadline_us, target_us,
+                                   method, path, content_type, traceparent, resume_from, level_keys,
+                                   level_tokens, stream, probe, hide_usage)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(started, attempt, status, content_type)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(chunk, attempt, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(finished, attempt, sequence, prompt_tokens, cached_tokens, load)
@@ -86,7 +86,7 @@
 
 bool sane(const load_report& load) {
     return std::isfinite(load.prefill_us_per_token) && load.prefill_us_per_token >= 0 &&
-           load.running >= 0 && load.waiting >= 0 && load.backlog_tokens >= 0 && load.wait_us >= 0;
+           load.running >= 0 && load.waiting >= 0 && load.wait_us >= 0;
 }
 
 bool sane(const order& value) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -21,8 +21,6 @@
     std::int64_t engine_incarnation = 0;
     std::int64_t running = 0;
     std::int64_t waiting = 0;
-    // Prompt tokens not yet computed, over all requests waiting and running.
-    std::int64_t backlog_tokens = 0;
     // How long an order of middle priority that arrived now would wait for its prefill to begin.
     std::int64_t wait_us = 0;
     // What one token not in the cache costs, as measured by the agent.
@@ -64,7 +62,6 @@
     std::string idempotency_key;
     // Hash of the request, so that a key used for another request is noticed.
     std::string fingerprint;
-    std::int64_t agent_incarnation = 0;
     std::int64_t config_version = 0;
     std::string team;
     int priority = 0;
--- a/tests/standins/key_value.cpp
+++ b/tests/standins/key_value.cpp
@@ -1,7 +1,7 @@
+#include "base/base64.h"
 #include "standins/standins.h"
 
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <map>
 
@@ -11,24 +11,6 @@
 
 using nlohmann::json;
 
-std::string to_base64(const std::string& bytes) {
-    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(),
-                      reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-                      sodium_base64_VARIANT_ORIGINAL);
-    text.pop_back();
-    return text;
-}
-
-std::string from_base64(const std::string& text) {
-    std::string bytes(text.size(), '\0');
-    std::size_t length = 0;
-    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
-                      text.size(), nullptr, &length, nullptr, sodium_base64_VARIANT_ORIGINAL);
-    bytes.resize(length);
-    return bytes;
-}
-
 std::int64_t whole(const json& fields, const char* name) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -37,6 +19,10 @@
     return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
 }
 
+std::string decoded(const std::string& text) {
+    return base::from_base64(text).value_or("");
+}
+
 struct value {
     std::string text;
     std::int64_t revision = 0;
@@ -73,14 +59,14 @@
     [[nodiscard]] json header() const { return {{"revision", std::to_string(this->revision)}}; }
 
     [[nodiscard]] json range(const json& ask) const {
-        const std::string from = from_base64(ask.at("key").get<std::string>());
-        const std::string to = from_base64(ask.value("range_end", ""));
+        const std::string from = decoded(ask.at("key").get<std::string>());
+        const std::string to = decoded(ask.value("range_end", ""));
         json found = json::array();
         for (auto item = this->values.lower_bound(from);
              item != this->values.end() && (item->first == from || item->first < to); ++item) {
             const bool keys_only = ask.value("keys_only", false);
-            found.push_back({{"key", to_base64(item->first)},
-                             {"value", keys_only ? "" : to_base64(item->second.text)},
+            found.push_back({{"key", base::to_base64(item->first)},
+                             {"value", keys_only ? "" : base::to_base64(item->second.text)},
                              {"mod_revision", std::to_string(item->second.revision)}});
         }
         return {{"header", this->header()}, {"kvs", found}};
@@ -88,7 +74,7 @@
 
     json commit(const json& ask) {
         for (const auto& compare : ask.value("compare", json::array())) {
-            const auto found = this->values.find(from_base64(compare.at("key").get<std::string>()));
+            const auto found = this->values.find(decoded(compare.at("key").get<std::string>()));
             const std::int64_t present = found == this->values.end() ? 0 : found->second.revision;
             if (present != whole(compare, "mod_revision")) {
                 return {{"header", this->header()}};
@@ -98,11 +84,11 @@
         for (const auto& change : ask.value("success", json::array())) {
             if (change.contains("requestPut")) {
                 const auto& put = change["requestPut"];
-                this->values[from_base64(put.at("key").get<std::string>())] = {
-                    from_base64(put.value("value", "")), this->revision, whole(put, "lease")};
+                this->values[decoded(put.at("key").get<std::string>())] = {
+                    decoded(put.value("value", "")), this->revision, whole(put, "lease")};
             } else {
                 this->values.erase(
-                    from_base64(change.at("requestDeleteRange").at("key").get<std::string>()));
+                    decoded(change.at("requestDeleteRange").at("key").get<std::string>()));
             }
         }
         return {{"header", this->header()}, {"succeeded", true}};
