--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -19,7 +19,6 @@
 constexpr base::milliseconds vm_list_timeout{1000};
 constexpr std::size_t most_vm_list_bytes = 4U << 20U;
 constexpr int http_ok = 200;
-constexpr base::milliseconds soon{1000};
 
 adapters::http_limits to_http_limits(const settings::limit_settings& limits) {
     return {limits.max_header_bytes, limits.max_body_bytes,
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("entries' messages survive the way between them", "[proxy]") {
     const proxy::peer_store_view view{
-        7, true, base::micros(1500), 42, {{"config", "\xff\x00x", 9}}};
+        7, true, base::micros(1500), 42, {{"config", std::string("\xff\0x", 3), 9}}};
     const auto read = proxy::decode(proxy::encode(view));
     REQUIRE(read.has_value());
     const auto& got = std::get<proxy::peer_store_view>(read.value());
