--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -26,8 +26,7 @@
 
 TEST_CASE("bytes that are no message are refused", "[proxy]") {
     const std::vector<std::string> broken{"", "\x81", "hello", "\x81\x64nope",
-                                          "\x82\x63"
-                                          "ask\x01"};
+                                          std::string("\x82\x63") + "ask\x01"};
     for (const auto& bytes : broken) {
         CHECK(proxy::decode(bytes).error() == base::code::frame_malformed);
     }
