--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -161,20 +161,7 @@
 }
 
 void request_flow::out_of_time() {
-    const auto held = this->shared_from_this();
-    if (this->current) {
-        if (this->current->connection->may_have_sent()) {
-            this->note_begun();
-        }
-        this->cancel_attempt();
-    }
-    if (this->state == answer_state::streaming) {
-        this->end_without_answer("timed_out");
-    } else if (this->begun == 0) {
-        this->refuse(base::code::no_upstream, base::ran::not_run, other_entry);
-    } else {
-        this->refuse(base::code::timed_out, base::ran::unknown, milliseconds(0));
-    }
+    this->end_early("timed_out", base::code::no_upstream, base::code::timed_out);
 }
 
 void request_flow::caller_gone() {
@@ -189,6 +176,11 @@
 }
 
 void request_flow::break_off() {
+    this->end_early("shutting_down", base::code::shutting_down, base::code::upstream_failed);
+}
+
+// The final answer goes out now: `unrun` where no upstream can have begun, else `begun_code`.
+void request_flow::end_early(const char* why, base::code unrun, base::code begun_code) {
     const auto held = this->shared_from_this();
     if (this->current) {
         if (this->current->connection->may_have_sent()) {
@@ -197,11 +189,11 @@
         this->cancel_attempt();
     }
     if (this->state == answer_state::streaming) {
-        this->end_without_answer("shutting_down");
+        this->end_without_answer(why);
     } else if (this->begun == 0) {
-        this->refuse(base::code::shutting_down, base::ran::not_run, other_entry);
+        this->refuse(unrun, base::ran::not_run, other_entry);
     } else {
-        this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
+        this->refuse(begun_code, base::ran::unknown, milliseconds(0));
     }
 }
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -62,6 +62,7 @@
     void pass_on(const std::string& bytes);
     void silent();
     void out_of_time();
+    void end_early(const char* why, base::code unrun, base::code begun_code);
     void caller_caught_up();
     void caller_gone();
 
