--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -399,6 +399,20 @@
             {"upstreams", upstreams}};
 }
 
+void proxy::refresh_weights_metric() {
+    double holding_newest = 0;
+    double holding_older = 0;
+    for (const auto& [model, history] : this->state.weights) {
+        for (const auto& [id, one] : this->state.fleet.members) {
+            const std::int64_t held = fleet::weights_of(one, model);
+            holding_newest += held > 0 && held >= newest(history) ? 1 : 0;
+            holding_older += held > 0 && held < newest(history) ? 1 : 0;
+        }
+    }
+    this->metrics.set("camphorrail_upstream_weights", holding_newest, {{"version", "newest"}});
+    this->metrics.set("camphorrail_upstream_weights", holding_older, {{"version", "older"}});
+}
+
 void proxy::refresh_metrics() {
     const auto age = mirror::age(this->state.store, this->context.now());
     this->metrics.set("camphorrail_config_age_seconds",
@@ -416,6 +430,10 @@
     this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
     this->metrics.set("camphorrail_connections_opened",
                       static_cast<double>(this->connections.opened()));
+    for (const auto& [pool, budget] : this->state.retries) {
+        this->metrics.set("camphorrail_retry_tokens", budget.tokens, {{"pool", pool.value}});
+    }
+    this->refresh_weights_metric();
     std::int64_t fit = 0;
     for (const auto& [id, one] : this->state.fleet.members) {
         fit += fleet::is_fit(one, this->context.now()) ? 1 : 0;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -58,6 +58,7 @@
     void note_readiness();
     [[nodiscard]] nlohmann::json status() const;
     void refresh_metrics();
+    void refresh_weights_metric();
     void serve_operators_and_balancer();
 
     settings::proxy_settings settings;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -201,6 +201,14 @@
         one->unread_tokens += sent.behind ? 0 : sent.to_read;
         this->current->unread = true;
     }
+    const auto all_tokens = sent.chain.shared_tokens() + sent.chain.own_tokens;
+    if (all_tokens > 0) {
+        this->context.metrics.count("camphorrail_prompt_tokens_placed_total",
+                                    {{"expected", "held"}},
+                                    static_cast<double>(all_tokens - sent.to_read));
+        this->context.metrics.count("camphorrail_prompt_tokens_placed_total",
+                                    {{"expected", "read"}}, static_cast<double>(sent.to_read));
+    }
     this->watch_for_silence();
     const std::weak_ptr<request_flow> weak = this->weak_from_this();
     this->current->connection->call(std::move(bytes), {[weak](const http::response_head& answer) {
