Leave nothing behind for models that callers make up

Cause: looking up a model's named versions inserted it, so a caller could fill an entry's memory with names.

--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -2,6 +2,12 @@
 
 namespace camphorrail::proxy {
 
+const weights_history& history_of(const entry_state& state, const base::model_id& model) {
+    static const weights_history none;
+    const auto found = state.weights.find(model);
+    return found == state.weights.end() ? none : found->second;
+}
+
 bool is_fresh(const entry_context& context) {
     const auto age = mirror::age(context.state.store, context.now());
     return context.state.config != nullptr && age && *age <= longest_config_age(context.settings);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -51,6 +51,10 @@
         tell_weights;
 };
 
+// The versions named for a model; none for a model that operators have not named. Callers name
+// models, so a look-up must not leave an entry behind for each name that they invent.
+const weights_history& history_of(const entry_state& state, const base::model_id& model);
+
 // Whether the configuration is proved recently enough to serve by.
 bool is_fresh(const entry_context& context);
 
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -157,8 +157,9 @@
     auto* one = this->member_of_attempt();
     const auto load = this->current->facts.load;
     const bool has_room = load && load->waiting == 0 && load->running < load->slots;
-    const bool outdated = this->wanted.prompt != nullptr &&
-                          choice.weights < newest(this->context.state.weights[this->facts.model]);
+    const bool outdated =
+        this->wanted.prompt != nullptr &&
+        choice.weights < newest(history_of(this->context.state, this->facts.model));
     if (one != nullptr) {
         const bool changing = outdated || this->current->facts.wrong_instance;
         one->busy_until = std::max(one->busy_until,
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -246,6 +246,23 @@
     }
 }
 
+// Callers may name any model. Each made-up name is refused, and must leave nothing behind: else a
+// caller could fill the memory of the entry.
+TEST_CASE("made-up models leave nothing behind", "[proxy][flow]") {
+    tests::proxy_world world;
+    world.config.routes.front().shares_prompts = true;
+    world.prove_config();
+    world.add_engine("i-1", echo);
+    for (int each = 0; each < 5; ++each) {
+        const std::string id = "r" + std::to_string(each);
+        const auto seen = world.call("POST /once/x HTTP/1.1\r\nHost: desk.example\r\n"
+                                     "Authorization: Bearer k1\r\nRequest-Id: " +
+                                     id + "\r\nModel-Name: no-" + id + "\r\n\r\n");
+        CHECK(seen.heads.at(0).status == 503);
+    }
+    CHECK(world.state.weights.empty());
+}
+
 TEST_CASE("a request that is known to be unservable is refused at once", "[proxy][flow]") {
     tests::proxy_world world;
     auto& engine = world.add_engine("i-1", echo);
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -114,7 +114,7 @@
 std::optional<prompt_placement> place_prompt(entry_context& context, const choice_request& request,
                                              const members& all) {
     const base::instant now = context.now();
-    const auto& history = context.state.weights[request.prompt->model];
+    const auto& history = history_of(context.state, request.prompt->model);
     const auto groups =
         by_weights(all, request.prompt->model, history, now, longest_outdated(context.settings));
     const auto order = preference(groups, history, now);
