--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -255,9 +255,13 @@
     world.add_engine("i-1", echo);
     for (int each = 0; each < 5; ++each) {
         const std::string id = "r" + std::to_string(each);
-        const auto seen = world.call("POST /once/x HTTP/1.1\r\nHost: desk.example\r\n"
-                                     "Authorization: Bearer k1\r\nRequest-Id: " +
-                                     id + "\r\nModel-Name: no-" + id + "\r\n\r\n");
+        std::string bytes = "POST /once/x HTTP/1.1\r\nHost: desk.example\r\n"
+                            "Authorization: Bearer k1\r\nModel-Name: no-";
+        bytes += id;
+        bytes += "\r\nRequest-Id: ";
+        bytes += id;
+        bytes += "\r\n\r\n";
+        const auto seen = world.call(bytes);
         CHECK(seen.heads.at(0).status == 503);
     }
     CHECK(world.state.weights.empty());
