--- a/scripts/demo_proxy.sh
+++ b/scripts/demo_proxy.sh
@@ -7,14 +7,8 @@
 . "$(dirname "$0")/fleet.sh"
 trap stop_fleet EXIT
 
-start_store
-put_config 3
-start_platform_engine slots-1 1 slots --loses=yes
-start_platform_engine pool-1 2 pool --events=30
-start_platform_engine pool-2 3 pool --events=30
-start_proxy entry-1 0
-wait_for ready "$(proxy_operators_of 0)"
-sleep 0.5
+start_proxy_fleet
+wait_for proxy_lists 0 slots-1 pool-1 pool-2
 
 echo "--- a confirmation whose answer is lost: it ran once, and nobody may send it again"
 send 0 /confirm/x lost-1
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -165,6 +165,26 @@
     start "proxy_$1" "$BIN/camphorrail" proxy "$OUT/$1.yaml"
 }
 
+# start_proxy_fleet: a store, a plain service that loses its answers, two engines, and one entry.
+start_proxy_fleet() {
+    start_store
+    put_config 3
+    start_platform_engine slots-1 1 slots --loses=yes
+    start_platform_engine pool-1 2 pool --events=30
+    start_platform_engine pool-2 3 pool --events=30
+    start_proxy entry-1 0
+    wait_for ready "$(proxy_operators_of 0)"
+}
+
+# proxy_lists PROXY UPSTREAM...: whether an entry knows all of these.
+proxy_lists() {
+    status=$(http_get "$(proxy_operators_of "$1")/status")
+    shift
+    for upstream in "$@"; do
+        case "$status" in *"$upstream"*) ;; *) return 1 ;; esac
+    done
+}
+
 proxy_of() { echo "127.0.0.1:$((PORT_BASE + 20 + 4 * $1))"; }
 proxy_operators_of() { echo "127.0.0.1:$((PORT_BASE + 20 + 4 * $1 + 1))"; }
 
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "adapters/event_loop.h"
 
+#include "adapters/sockets.h"
+
 #include <event2/event.h>
 
 #include <csignal>
@@ -11,12 +13,6 @@
 
 using action = std::function<void()>;
 
-timeval to_timeval(base::micros span) {
-    constexpr std::int64_t second = 1000000;
-    return {static_cast<time_t>(span.count() / second),
-            static_cast<suseconds_t>(span.count() % second)};
-}
-
 void run_once(evutil_socket_t /*fd*/, short /*what*/, void* owned) {
     const std::unique_ptr<action> call(static_cast<action*>(owned));
     (*call)();
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_client.h"
 
+#include "adapters/sockets.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -15,11 +17,6 @@
 
 constexpr base::milliseconds connect_timeout{2000};
 
-timeval to_timeval(base::milliseconds span) {
-    return {static_cast<time_t>(span.count() / 1000),
-            static_cast<suseconds_t>((span.count() % 1000) * 1000)};
-}
-
 evhttp_cmd_type to_command(const std::string& method) {
     if (method == "GET") {
         return EVHTTP_REQ_GET;
--- a/src/adapters/timer.cpp
+++ b/src/adapters/timer.cpp
@@ -1,5 +1,7 @@
 #include "adapters/timer.h"
 
+#include "adapters/sockets.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -17,9 +19,7 @@
 }
 
 void timer::set(base::micros delay) {
-    constexpr std::int64_t second = 1000000;
-    const std::int64_t span = std::max<std::int64_t>(delay.count(), 0);
-    const timeval wait{static_cast<time_t>(span / second), static_cast<suseconds_t>(span % second)};
+    const timeval wait = to_timeval(std::max(delay, base::micros(0)));
     event_add(this->handle, &wait);
 }
 
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -41,18 +41,22 @@
                        [&](const field& one) { return same_name(one.name, name); });
 }
 
+std::string_view trim(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 std::vector<std::string_view> items_of(std::string_view value) {
     std::vector<std::string_view> items;
     while (!value.empty()) {
         const auto comma = value.find(',');
-        std::string_view item = value.substr(0, comma);
+        const std::string_view item = trim(value.substr(0, comma));
         value.remove_prefix(comma == std::string_view::npos ? value.size() : comma + 1);
-        while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
-            item.remove_prefix(1);
-        }
-        while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
-            item.remove_suffix(1);
-        }
         if (!item.empty()) {
             items.push_back(item);
         }
--- a/src/http/fields.h
+++ b/src/http/fields.h
@@ -22,6 +22,9 @@
 
 bool has(const fields& all, std::string_view name);
 
+// The text without the spaces and tabs around it.
+std::string_view trim(std::string_view text);
+
 // The items of a comma-separated value, without the spaces around them.
 std::vector<std::string_view> items_of(std::string_view value);
 
--- a/src/http/head_check.cpp
+++ b/src/http/head_check.cpp
@@ -14,16 +14,6 @@
     return (byte < first_printable && letter != '\t') || byte == delete_character;
 }
 
-std::string_view trim(std::string_view text) {
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 struct framing_seen {
     int lengths = 0;
     int codings = 0;
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -36,7 +36,7 @@
 
 double waiting_ms(const fleet::member& one, base::instant now, const fleet::fleet_rules& rules,
                   const placement_costs& costs) {
-    return static_cast<double>(fleet::all_unread_tokens(one, now, rules)) * costs.read_ms +
+    return reading_ms(one, now, rules, costs) +
            static_cast<double>(fleet::estimated_load(one, now, rules)) * costs.running_ms;
 }
 
@@ -62,11 +62,16 @@
             }
         }
     }
-    return kv_store;
+    return {};
 }
 
 } // namespace
 
+double reading_ms(const fleet::member& one, base::instant now, const fleet::fleet_rules& rules,
+                  const placement_costs& costs) {
+    return static_cast<double>(fleet::all_unread_tokens(one, now, rules)) * costs.read_ms;
+}
+
 placement place(const std::vector<fleet::member*>& candidates,
                 const std::vector<const fleet::member*>& pool_members, const prompt_chain& chain,
                 const cache_beliefs& beliefs, const std::string& kv_store, base::instant now,
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -26,6 +26,10 @@
     double away_from_home_ms = 20.0;
 };
 
+// How long the prompts that wait at a member, over all entries, take to be read, in milliseconds.
+double reading_ms(const fleet::member& one, base::instant now, const fleet::fleet_rules& rules,
+                  const placement_costs& costs = {});
+
 // Where a prompt goes.
 struct placement {
     fleet::member* target = nullptr;
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -67,8 +67,6 @@
     bool not_run = false;
     // The address belongs to another upstream now.
     bool wrong_instance = false;
-    // The upstream's mark under which its answers count.
-    bool stamped = false;
     std::optional<reported_load> load;
     std::optional<std::int64_t> weights;
     // How long the upstream keeps an idle connection, if it says so.
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -13,6 +13,10 @@
     return context.state.config != nullptr && age && *age <= longest_config_age(context.settings);
 }
 
+base::micros logged_config_age(const entry_context& context) {
+    return mirror::age(context.state.store, context.now()).value_or(base::micros(-1));
+}
+
 base::micros longest_config_age(const settings::proxy_settings& settings) {
     // A request's way to the upstream, and the time a loaded machine takes for one turn of its
     // loop.
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -58,6 +58,9 @@
 // Whether the configuration is proved recently enough to serve by.
 bool is_fresh(const entry_context& context);
 
+// The age of the proof behind the configuration as logs show it; -1 where there is none.
+base::micros logged_config_age(const entry_context& context);
+
 // Longest age of the proof behind a configuration that requests are served by.
 base::micros longest_config_age(const settings::proxy_settings& settings);
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -302,8 +302,7 @@
         this->log.line(importance::keep, now_ready ? "ready" : "not_ready")
             .number("config_version",
                     this->state.config == nullptr ? 0 : this->state.config->version)
-            .span("config_age_ms",
-                  mirror::age(this->state.store, this->context.now()).value_or(base::micros(-1)))
+            .span("config_age_ms", logged_config_age(this->context))
             .number("upstreams", static_cast<std::int64_t>(this->state.fleet.members.size()))
             .flag("stopping", this->state.stopping);
     }
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -110,7 +110,7 @@
         this->refused_by_upstream();
         return;
     }
-    this->note_begun();
+    ++this->begun;
     if (this->state == answer_state::streaming) {
         const int status = this->current->head.status;
         note_upstream_success(this->context, this->current->choice.id);
@@ -122,10 +122,6 @@
     this->answered_whole();
 }
 
-void request_flow::note_begun() {
-    ++this->begun;
-}
-
 void request_flow::answered_whole() {
     this->count_first_byte();
     const http::response_head head = std::move(this->current->head);
@@ -179,18 +175,12 @@
     this->wanted.tried.push_back(choice.id);
     this->leave_attempt();
     this->whole_body.clear();
-    const bool again =
-        this->sent_again<most_sent_again&& this->time_left()> least_time && this->take_retry();
-    if (again) {
+    if (this->has_tries_left() && this->take_retry()) {
         this->send_attempt();
-    } else if (this->state == answer_state::streaming) {
-        this->end_without_answer("refused_by_upstream");
-    } else if (this->begun == 0) {
-        this->refuse(base::code::overloaded, base::ran::not_run,
-                     when_free(this->context, this->wanted.pool));
-    } else {
-        this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
+        return;
     }
+    this->give_up("refused_by_upstream", base::code::overloaded, base::code::upstream_failed,
+                  when_free(this->context, this->wanted.pool));
 }
 
 void request_flow::caller_caught_up() {
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -75,7 +75,7 @@
     this->cancel_attempt();
     this->wanted.tried.push_back(id);
     if (why != call_failure::never_sent) {
-        this->note_begun();
+        ++this->begun;
         this->send_again_or_end(name);
         return;
     }
@@ -90,9 +90,14 @@
     }
 }
 
+bool request_flow::has_tries_left() const {
+    const bool tries_left = this->sent_again < most_sent_again;
+    return tries_left && this->time_left() > least_time;
+}
+
 bool request_flow::may_send_again() const {
-    return may_repeat(*this->request.route) && this->begun < this->request.route->attempts &&
-           this->sent_again<most_sent_again&& this->time_left()> least_time;
+    const bool begun_fewer = this->begun < this->request.route->attempts;
+    return may_repeat(*this->request.route) && begun_fewer && this->has_tries_left();
 }
 
 bool request_flow::take_retry() {
@@ -112,16 +117,21 @@
         this->send_attempt();
         return;
     }
+    this->give_up(why, base::code::no_upstream, base::code::upstream_failed,
+                  when_free(this->context, this->wanted.pool));
+}
+
+// The final answer, true about whether the request ran: `unrun` where no upstream can have begun on
+// it, else `begun_code`. An answer that has begun can only be broken off.
+void request_flow::give_up(const char* why, base::code unrun, base::code begun_code,
+                           milliseconds retry_after) {
     if (this->state == answer_state::streaming) {
         this->end_without_answer(why);
-        return;
-    }
-    if (this->begun == 0) {
-        this->refuse(base::code::no_upstream, base::ran::not_run,
-                     when_free(this->context, this->wanted.pool));
-        return;
+    } else if (this->begun == 0) {
+        this->refuse(unrun, base::ran::not_run, retry_after);
+    } else {
+        this->refuse(begun_code, base::ran::unknown, milliseconds(0));
     }
-    this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
 }
 
 void request_flow::silent() {
@@ -156,7 +166,7 @@
         .span("after_ms", this->context.now() - this->current->sent_at);
     this->wanted.tried.push_back(this->current->choice.id);
     this->cancel_attempt();
-    this->note_begun();
+    ++this->begun;
     this->send_again_or_end("silent");
 }
 
@@ -179,22 +189,14 @@
     this->end_early("shutting_down", base::code::shutting_down, base::code::upstream_failed);
 }
 
-// The final answer goes out now: `unrun` where no upstream can have begun, else `begun_code`.
+// The attempt under way is called off first; it may have begun if a byte of it may have left.
 void request_flow::end_early(const char* why, base::code unrun, base::code begun_code) {
     const auto held = this->shared_from_this();
     if (this->current) {
-        if (this->current->connection->may_have_sent()) {
-            this->note_begun();
-        }
+        this->begun += this->current->connection->may_have_sent() ? 1 : 0;
         this->cancel_attempt();
     }
-    if (this->state == answer_state::streaming) {
-        this->end_without_answer(why);
-    } else if (this->begun == 0) {
-        this->refuse(unrun, base::ran::not_run, other_entry);
-    } else {
-        this->refuse(begun_code, base::ran::unknown, milliseconds(0));
-    }
+    this->give_up(why, unrun, begun_code, other_entry);
 }
 
 } // namespace camphorrail::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -133,15 +133,8 @@
     }
     auto choice = choose_upstream(this->context, this->wanted);
     if (!choice) {
-        const bool untouched = this->begun == 0;
-        if (this->state == answer_state::streaming) {
-            this->end_without_answer("no_upstream");
-        } else if (untouched) {
-            this->refuse(base::code::no_upstream, base::ran::not_run,
-                         when_free(this->context, this->wanted.pool));
-        } else {
-            this->refuse(base::code::upstream_failed, base::ran::unknown, milliseconds(0));
-        }
+        this->give_up("no_upstream", base::code::no_upstream, base::code::upstream_failed,
+                      when_free(this->context, this->wanted.pool));
         return;
     }
     this->send_to(std::move(*choice));
@@ -179,8 +172,7 @@
         .number("weights", choice.weights)
         .text("fetch_from", choice.fetch_from)
         .number("config_version", this->request.config->version)
-        .span("config_age_ms",
-              mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(0)))
+        .span("config_age_ms", logged_config_age(this->context))
         .number("time_left_ms", terms.time_left.count())
         .number("rank", terms.priority)
         .flag("gives_way", choice.behind)
@@ -274,9 +266,7 @@
         .number("retry_after_ms", retry_after.count())
         .number("config_version",
                 this->context.state.config == nullptr ? 0 : this->context.state.config->version)
-        .span(
-            "config_age_ms",
-            mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)))
+        .span("config_age_ms", logged_config_age(this->context))
         .number("sent_again", this->sent_again)
         .number("unreachable", this->unreachable)
         .number("pool_listed", upstreams.listed)
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -62,10 +62,13 @@
     void pass_on(const std::string& bytes);
     void silent();
     void out_of_time();
+    void give_up(const char* why, base::code unrun, base::code begun_code,
+                 base::milliseconds retry_after);
     void end_early(const char* why, base::code unrun, base::code begun_code);
     void caller_caught_up();
     void caller_gone();
 
+    [[nodiscard]] bool has_tries_left() const;
     [[nodiscard]] bool may_send_again() const;
     bool take_retry();
     void send_again_or_end(const char* why);
@@ -74,7 +77,6 @@
     [[nodiscard]] bool upstream_is_dead() const;
     void note_heard();
     void count_first_byte();
-    void note_begun();
     void leave_attempt();
     void cancel_attempt();
     void refuse(base::code number, base::ran ran, base::milliseconds retry_after);
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -140,9 +140,7 @@
     }
     this->context.log.line(importance::keep, answered ? "store_regained" : "store_lost")
         .number("revision", this->context.state.store.revision)
-        .span(
-            "config_age_ms",
-            mirror::age(this->context.state.store, this->context.now()).value_or(base::micros(-1)));
+        .span("config_age_ms", logged_config_age(this->context));
     if (answered && this->read_once) {
         // The watch may have been cut without a sign.
         this->watch();
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -85,9 +85,7 @@
 }
 
 double waiting_ms(const entry_context& context, const fleet::member& one) {
-    const auto unread =
-        fleet::all_unread_tokens(one, context.now(), fleet_rules_of(context.settings));
-    return static_cast<double>(unread) * kvcache::placement_costs{}.read_ms;
+    return kvcache::reading_ms(one, context.now(), fleet_rules_of(context.settings));
 }
 
 struct prompt_placement {
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -132,8 +132,7 @@
     for (const auto& each : all) {
         const auto& one = this->context.state.fleet.members.at(each.id);
         if (fleet::is_fit(one, now)) {
-            waiting_ms += static_cast<double>(fleet::all_unread_tokens(one, now, rules)) *
-                          kvcache::placement_costs{}.read_ms;
+            waiting_ms += kvcache::reading_ms(one, now, rules);
             ++sound;
         }
     }
--- a/src/routes/operators_config.h
+++ b/src/routes/operators_config.h
@@ -55,12 +55,6 @@
 // What the operators say of the upstreams of one pool.
 struct pool {
     base::pool_id id;
-    // Connections that one upstream takes of all entries together.
-    std::int64_t max_connections = 0;
-    // Model engines only: requests that run together, and tokens held in memory.
-    std::int64_t slots = 0;
-    std::int64_t kv_capacity = 0;
-    std::vector<base::model_id> models;
     // Address of a store of kept KV cache; empty for pools that run requests.
     std::string kv_store;
 };
--- a/tests/process/proxy_failures.sh
+++ b/tests/process/proxy_failures.sh
@@ -5,15 +5,8 @@
 # not run, until it is back).
 . "$(dirname "$0")/lib.sh"
 
-start_store
-put_config 3
-start_platform_engine slots-1 1 slots --loses=yes
-start_platform_engine pool-1 2 pool --events=30
-start_platform_engine pool-2 3 pool --events=30
-start_proxy entry-1 0
-wait_for ready "$(proxy_operators_of 0)"
-listed() { http_get "$(proxy_operators_of 0)/status" | grep -q 'pool-2' && http_get "$(proxy_operators_of 0)/status" | grep -q 'slots-1'; }
-wait_for listed
+start_proxy_fleet
+wait_for proxy_lists 0 slots-1 pool-1 pool-2
 
 lost=$(send 0 /confirm/x lost-1)
 expect_in "a lost answer" "502" "$lost"
--- a/tests/process/proxy_rolling_stop.sh
+++ b/tests/process/proxy_rolling_stop.sh
@@ -11,8 +11,7 @@
 start_proxy entry-1 0
 start_proxy entry-2 1
 for number in 0 1; do wait_for ready "$(proxy_operators_of $number)"; done
-listed() { http_get "$(proxy_operators_of "$1")/status" | grep -q 'pool-1' && http_get "$(proxy_operators_of "$1")/status" | grep -q 'slots-1'; }
-for number in 0 1; do wait_for listed $number; done
+for number in 0 1; do wait_for proxy_lists $number pool-1 slots-1; done
 
 send 0 /stream/x stream-1 >"$OUT/stream.txt" &
 stream=$!
@@ -29,6 +28,6 @@
 expect_in "a call at the other entry" "200" "$(send 1 /confirm/x other-entry)"
 start_proxy entry-1 0
 wait_for ready "$(proxy_operators_of 0)"
-wait_for listed 0
+wait_for proxy_lists 0 pool-1 slots-1
 expect_in "a call after the start" "200" "$(send 0 /confirm/x after-start)"
 expect_equal "runs" 3 "$(grep -c '^ran ' "$OUT/engine_slots-1.log")"
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -223,7 +223,7 @@
                            route("stream", request_kind::stream, 1, false),
                            route("resume", request_kind::stream, 2, true)};
     this->config.teams = {{.id = {"north"}, .keys = {"k1"}}};
-    this->config.pools[{"pool"}] = {.id = {"pool"}, .max_connections = 10};
+    this->config.pools[{"pool"}] = {.id = {"pool"}};
     routes::index(this->config);
     this->prove_config();
     this->server.listen("127.0.0.1:0");
