--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -11,7 +11,6 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <utility>
-#include <vector>
 
 namespace camphorrail::proxy {
 
@@ -52,9 +51,9 @@
 // A caller's connection: reads one request at a time and writes its answer.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(caller_server& server, int descriptor)
-        : server(&server), bounds(server.handler.bounds()), reader(this->bounds.read),
-          next(server.base, [this] { this->read_request(); }) {
+    caller_connection(caller_server& server, std::int64_t number, int descriptor)
+        : server(&server), number(number), bounds(server.handler.bounds()),
+          reader(this->bounds.read), next(server.base, [this] { this->read_request(); }) {
         adapters::watch_for_silence(descriptor, caller_silence);
         this->socket = bufferevent_socket_new(server.base, descriptor, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(this->socket, on_read, on_written, on_event, this);
@@ -122,7 +121,7 @@
     void close() {
         const auto self = this->shared_from_this();
         this->release();
-        this->server->connections.erase(self);
+        this->server->connections.erase(this->number);
         if (const auto left = std::exchange(this->exchange, nullptr)) {
             left->gone.emit();
         }
@@ -282,6 +281,7 @@
     }
 
     caller_server* server;
+    std::int64_t number;
     bufferevent* socket = nullptr;
     caller_bounds bounds;
     http::request_reader reader;
@@ -360,7 +360,9 @@
         this->base,
         [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* raw) {
             auto* self = static_cast<caller_server*>(raw);
-            self->connections.insert(std::make_shared<caller_connection>(*self, descriptor));
+            const std::int64_t number = ++self->last_connection;
+            self->connections.emplace(
+                number, std::make_shared<caller_connection>(*self, number, descriptor));
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
         reinterpret_cast<sockaddr*>(&*parsed), sizeof *parsed);
@@ -388,9 +390,8 @@
     if (this->listener != nullptr) {
         evconnlistener_free(std::exchange(this->listener, nullptr));
     }
-    const std::vector<std::shared_ptr<caller_connection>> all(this->connections.begin(),
-                                                              this->connections.end());
-    for (const auto& each : all) {
+    const auto all = this->connections;
+    for (const auto& [number, each] : all) {
         if (each->idle()) {
             each->close();
         }
--- a/src/proxy/caller_server.h
+++ b/src/proxy/caller_server.h
@@ -8,9 +8,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
-#include <unordered_set>
 
 struct event_base;
 struct evconnlistener;
@@ -94,7 +94,9 @@
     event_base* base;
     caller_handler handler;
     evconnlistener* listener = nullptr;
-    std::unordered_set<std::shared_ptr<caller_connection>> connections;
+    // By number, so that they are gone through in the order in which they came.
+    std::map<std::int64_t, std::shared_ptr<caller_connection>> connections;
+    std::int64_t last_connection = 0;
     bool closing = false;
     bool stopped = false;
 };
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -52,8 +52,7 @@
     this->listener =
         adapters::listen_for_links(this->context.loop.base(), this->context.settings.peer_listen,
                                    {max_message_bytes}, [this](const adapters::link_ptr& link) {
-                                       this->add(link, {});
-                                       this->greet(this->links.at(link.get()));
+                                       this->greet(this->links.at(this->add(link, {})));
                                    });
     return this->listener != nullptr;
 }
@@ -123,8 +122,8 @@
         this->next_try[id] = now + connect_pause;
         const auto link =
             adapters::connect_link(this->context.loop.base(), address, {max_message_bytes});
-        this->add(link, id);
-        link->opened.connect([this, key = link.get()] {
+        const link_key key = this->add(link, id);
+        link->opened.connect([this, key] {
             const auto found = this->links.find(key);
             if (found != this->links.end()) {
                 this->greet(found->second);
@@ -144,11 +143,12 @@
     }
 }
 
-void peers::add(const adapters::link_ptr& link, base::entry_id id) {
-    const link_key key = link.get();
+peers::link_key peers::add(const adapters::link_ptr& link, base::entry_id id) {
+    const link_key key = ++this->last_link;
     this->links[key] = {link, std::move(id), false, 0, {}};
     link->received.connect([this, key](std::string_view bytes) { this->received(key, bytes); });
     link->closed.connect([this, key] { this->drop(key); });
+    return key;
 }
 
 void peers::drop(link_key key) {
@@ -222,7 +222,7 @@
             each.link->send(encode(peer_store_ask{each.asked, this->context.state.store.revision}));
         }
     }
-    for (const auto* key : silent) {
+    for (const link_key key : silent) {
         this->drop(key);
     }
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -43,14 +43,16 @@
         std::int64_t asked = 0;
         base::instant asked_at{};
     };
-    using link_key = const adapters::link*;
+    // Counts up, so that links are gone through in the order they were made. By address, the order
+    // of questions and news would hang on the memory's layout, and a day could not be played again.
+    using link_key = std::int64_t;
 
     void register_self();
     void connect_to_new();
     void tell_load();
     void ask_for_store();
     void greet(peer_link& to);
-    void add(const adapters::link_ptr& link, base::entry_id id);
+    link_key add(const adapters::link_ptr& link, base::entry_id id);
     void drop(link_key key);
     void received(link_key key, std::string_view bytes);
     void take(link_key key, const peer_hello& message);
@@ -68,6 +70,7 @@
     std::unique_ptr<adapters::link_listener> listener;
     std::map<link_key, peer_link> links;
     std::map<base::entry_id, base::instant> next_try;
+    link_key last_link = 0;
     std::int64_t lease = 0;
     bool registering = false;
     base::instant next_registration{};
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -152,11 +152,10 @@
 
 void proxy::on_request(const exchange_ptr& exchange) {
     const auto flow = std::make_shared<request_flow>(this->context, exchange);
-    this->flows.insert(flow);
-    flow->on_end = [this, raw = std::weak_ptr<request_flow>(flow)] {
-        if (const auto ended = raw.lock()) {
-            this->flows.erase(ended);
-        }
+    const std::int64_t number = ++this->last_flow;
+    this->flows.emplace(number, flow);
+    flow->on_end = [this, number] {
+        this->flows.erase(number);
         this->exit_when_done();
     };
     flow->begin();
@@ -362,7 +361,7 @@
                      [this] { this->leader.resign(); });
     this->loop.after(this->settings.bounds.grace - exit_margin, [this] {
         const auto left = this->flows;
-        for (const auto& flow : left) {
+        for (const auto& [number, flow] : left) {
             flow->break_off();
         }
         this->loop.stop();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -15,10 +15,10 @@
 #include "proxy/store_follower.h"
 #include "proxy/weights_loader.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_set>
 
 namespace camphorrail::proxy {
 
@@ -82,7 +82,9 @@
     std::unique_ptr<caller_server> callers;
     std::unique_ptr<adapters::http_server> balancer;
     std::unique_ptr<adapters::http_server> operators;
-    std::unordered_set<std::shared_ptr<request_flow>> flows;
+    // By number, so that they are gone through in the order of their arrival.
+    std::map<std::int64_t, std::shared_ptr<request_flow>> flows;
+    std::int64_t last_flow = 0;
     base::instant stop_at{};
     bool was_ready = false;
 };
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -180,7 +180,7 @@
         return;
     }
     this->give_up("refused_by_upstream", base::code::overloaded, base::code::upstream_failed,
-                  when_free(this->context, this->wanted.pool));
+                  std::nullopt);
 }
 
 void request_flow::caller_caught_up() {
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -117,18 +117,19 @@
         this->send_attempt();
         return;
     }
-    this->give_up(why, base::code::no_upstream, base::code::upstream_failed,
-                  when_free(this->context, this->wanted.pool));
+    this->give_up(why, base::code::no_upstream, base::code::upstream_failed, std::nullopt);
 }
 
 // The final answer, true about whether the request ran: `unrun` where no upstream can have begun on
-// it, else `begun_code`. An answer that has begun can only be broken off.
+// it, else `begun_code`. An answer that has begun can only be broken off. Without a hint when to
+// come back, it is when an upstream of the pool may be free.
 void request_flow::give_up(const char* why, base::code unrun, base::code begun_code,
-                           milliseconds retry_after) {
+                           std::optional<milliseconds> hint) {
     if (this->state == answer_state::streaming) {
         this->end_without_answer(why);
     } else if (this->begun == 0) {
-        this->refuse(unrun, base::ran::not_run, retry_after);
+        this->refuse(unrun, base::ran::not_run,
+                     hint ? *hint : when_free(this->context, this->wanted.pool));
     } else {
         this->refuse(begun_code, base::ran::unknown, milliseconds(0));
     }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -134,7 +134,7 @@
     auto choice = choose_upstream(this->context, this->wanted);
     if (!choice) {
         this->give_up("no_upstream", base::code::no_upstream, base::code::upstream_failed,
-                      when_free(this->context, this->wanted.pool));
+                      std::nullopt);
         return;
     }
     this->send_to(std::move(*choice));
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -63,7 +63,7 @@
     void silent();
     void out_of_time();
     void give_up(const char* why, base::code unrun, base::code begun_code,
-                 base::milliseconds retry_after);
+                 std::optional<base::milliseconds> hint);
     void end_early(const char* why, base::code unrun, base::code begun_code);
     void caller_caught_up();
     void caller_gone();
