Take weights found at the start to have been named long ago

Nobody was left to tell when; each counted from its own start, and a request began on the old weights 16 s after the new ones were acknowledged. Change: what is in the store at the first reading is undated and taken to be old, until an entry that went on living tells. Engines on older weights then get nothing and are loaded first.

--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -138,7 +138,9 @@
     const base::instant now = this->context.now();
     for (const auto& [model, history] : this->context.state.weights) {
         for (const auto& [version, seen] : history.seen) {
-            to.link->send(encode(peer_named{model, version, now - seen}));
+            if (is_dated(seen)) {
+                to.link->send(encode(peer_named{model, version, now - seen}));
+            }
         }
     }
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -274,24 +274,23 @@
             continue;
         }
         const auto& named = read.value();
-        if (note_named(this->state.weights[named.model], named.version, this->context.now())) {
+        auto& history = this->state.weights[named.model];
+        const bool is_new = this->weights_read
+                                ? note_named(history, named.version, this->context.now())
+                                : note_found(history, named.version);
+        if (is_new) {
             this->log.line(importance::keep, "weights_named")
                 .text("model", named.model.value)
                 .number("version", named.version)
-                .number("revision", item.mod_revision);
+                .number("revision", item.mod_revision)
+                .flag("dated", this->weights_read);
         }
     }
+    this->weights_read = true;
 }
 
 void proxy::take_named(const peer_named& told) {
-    // Whoever saw the version first is right: requests must not begin on outdated weights because
-    // this process has only just started.
-    auto& seen = this->state.weights[told.model].seen;
-    const base::instant at = this->context.now() - told.age;
-    const auto [found, is_new] = seen.emplace(told.version, at);
-    if (!is_new && found->second > at) {
-        found->second = at;
-    }
+    note_told(this->state.weights[told.model], told.version, this->context.now() - told.age);
 }
 
 void proxy::note_readiness() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -87,6 +87,8 @@
     std::int64_t last_flow = 0;
     base::instant stop_at{};
     bool was_ready = false;
+    // The named weights have been read once; what comes later was named in this process's life.
+    bool weights_read = false;
 };
 
 } // namespace camphorrail::proxy
