Keep a stream at its silent upstream where no other can go on

Cause: an attempt was called off for silence before it was known whether another upstream could take it, and whether the retry budget allowed it; the stream was then broken off. An entry that had been frozen took its own pause for silence and broke off ten streams in one turn of its loop.

Change: the next upstream and the retry come first; a look that comes late itself says nothing. The decision is a pure function, silence.h.

--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -10,51 +10,32 @@
 using adapters::importance;
 using base::milliseconds;
 
-// A request that has had no answer for this many targets goes elsewhere, if it may. By then it is
-// late, and what it has waited for so long it may go on waiting for.
-constexpr int silent_targets = 6;
-constexpr milliseconds shortest_silence{200};
-// An upstream that has sent nothing on any request for a quarter more than the target, while one
-// waits, is dead or cut off. A step of an engine takes 50 ms at most, with a piece of a long prompt
-// in it; the longest prompts alone on an engine take 200 ms to read.
-constexpr milliseconds shortest_dead{120};
-base::micros dead_after(milliseconds target) {
-    return std::max<base::micros>(target * 5 / 4, shortest_dead);
-}
-// A stream's first event may wait behind other prompts; a pause in mid-stream is held to the gap
-// target, and upstreams that preempt a stream read its prompt again.
-constexpr int silent_gaps = 4;
-constexpr milliseconds shortest_gap{800};
 // Each costs at most the time that a connection may take.
 constexpr int most_unreachable = 4;
 
 } // namespace
 
-// How long an upstream may say nothing on this request before it is looked into.
-milliseconds request_flow::silence_limit() const {
-    const auto& route = *this->request.route;
-    if (this->state == answer_state::streaming) {
-        return std::max(route.gap_target * silent_gaps, shortest_gap);
-    }
-    return std::max(route.target * silent_targets, shortest_silence);
-}
-
 void request_flow::watch_for_silence() {
     const auto& route = *this->request.route;
-    if (this->state == answer_state::streaming && !route.resumable) {
-        this->silence.clear();
+    const bool streaming = this->state == answer_state::streaming;
+    if (streaming && !route.resumable) {
+        this->silence_timer.clear();
         return;
     }
-    this->silence.set(std::min<base::micros>(this->silence_limit(), dead_after(route.target)));
+    this->look_for_silence_in(first_look(route, streaming));
+}
+
+void request_flow::look_for_silence_in(base::micros span) {
+    this->silence_due = this->context.now() + span;
+    this->silence_timer.set(span);
 }
 
-// Whether nothing at all has come from the upstream lately. One that is only slow still says
-// something on its other requests; taking its work away then would only move the load.
-bool request_flow::upstream_is_dead() const {
+silence_view request_flow::view_of_silence() const {
     const auto* one = this->member_of_attempt();
-    const auto heard =
-        one == nullptr ? this->current->sent_at : std::max(one->heard_at, this->current->sent_at);
-    return this->context.now() - heard >= dead_after(this->request.route->target);
+    const auto sent = this->current->sent_at;
+    return {this->context.now(), this->silence_due,
+            one == nullptr ? sent : std::max(one->heard_at, sent), this->last_progress,
+            this->state == answer_state::streaming};
 }
 
 void request_flow::failed(call_failure why) {
@@ -135,40 +116,60 @@
     }
 }
 
-void request_flow::silent() {
+void request_flow::look_for_silence() {
     const auto held = this->shared_from_this();
     if (!this->current || this->paused) {
         return;
     }
-    const bool dead = this->upstream_is_dead();
-    const base::micros waited = this->context.now() - this->last_progress;
-    if (dead && !this->current->suspected) {
+    const auto& route = *this->request.route;
+    const auto view = this->view_of_silence();
+    const auto verdict = judge_silence(view, route);
+    if (verdict == silence::process_was_stopped) {
+        this->note_heard();
+        this->watch_for_silence();
+        return;
+    }
+    if (verdict == silence::of_upstream && !this->current->suspected) {
         this->current->suspected = true;
         note_upstream_failure(this->context, this->current->choice.id, "silent");
     }
-    const bool last_attempt = this->begun + 1 >= this->request.route->attempts;
-    const bool waited_out = dead || waited >= this->silence_limit();
+    const bool last_attempt = this->begun + 1 >= route.attempts;
     if (last_attempt || !this->may_send_again()) {
         if (!this->current->suspected) {
-            this->silence.set(dead_after(this->request.route->target));
+            this->look_for_silence_in(next_look(view, route));
         }
         return;
     }
-    if (!waited_out) {
-        this->silence.set(std::min<base::micros>(this->silence_limit() - waited,
-                                                 dead_after(this->request.route->target)));
-        return;
+    const bool gone_on =
+        verdict != silence::none && this->leave_silent_upstream(verdict == silence::of_upstream);
+    if (!gone_on) {
+        this->look_for_silence_in(next_look(view, route));
+    }
+}
+
+// Goes on at another upstream. The silent one keeps the request where no other can take it, or the
+// retry budget does not allow it: its answer may still come, and one that has begun could only be
+// broken off.
+bool request_flow::leave_silent_upstream(bool dead) {
+    const auto id = this->current->choice.id;
+    this->wanted.tried.push_back(id);
+    auto next = choose_upstream(this->context, this->wanted);
+    if (!next || !this->take_retry()) {
+        this->wanted.tried.pop_back();
+        return false;
     }
     this->context.log.line(importance::keep, "attempt_silent")
         .text("request", this->facts.request_id)
-        .text("upstream", this->current->choice.id.value)
+        .text("upstream", id.value)
         .flag("upstream_dead", dead)
         .text("last_event", this->events.last_event)
         .span("after_ms", this->context.now() - this->current->sent_at);
-    this->wanted.tried.push_back(this->current->choice.id);
     this->cancel_attempt();
     ++this->begun;
-    this->send_again_or_end("silent");
+    this->whole_body.clear();
+    resume_relay(this->events);
+    this->send_to(std::move(*next));
+    return true;
 }
 
 void request_flow::out_of_time() {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -48,7 +48,7 @@
 request_flow::request_flow(entry_context& context, exchange_ptr exchange)
     : context(context), exchange(std::move(exchange)),
       overall(context.loop.base(), [this] { this->out_of_time(); }),
-      silence(context.loop.base(), [this] { this->silent(); }) {}
+      silence_timer(context.loop.base(), [this] { this->look_for_silence(); }) {}
 
 void request_flow::begin() {
     const auto held = this->shared_from_this();
@@ -226,7 +226,7 @@
 
 // The attempt is over and its connection may serve another call.
 void request_flow::leave_attempt() {
-    this->silence.clear();
+    this->silence_timer.clear();
     auto* one = this->member_of_attempt();
     if (one != nullptr) {
         --one->in_flight;
@@ -299,7 +299,7 @@
     }
     this->state = answer_state::ended;
     this->overall.clear();
-    this->silence.clear();
+    this->silence_timer.clear();
     const bool fine = std::string_view(outcome) == "ok";
     this->context.log.line(fine ? importance::routine : importance::keep, "ended")
         .text("request", this->facts.request_id)
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -4,6 +4,7 @@
 #include "proxy/admission.h"
 #include "proxy/caller_server.h"
 #include "proxy/context.h"
+#include "proxy/silence.h"
 #include "proxy/stream_relay.h"
 #include "proxy/upstream_choice.h"
 
@@ -60,7 +61,7 @@
     void refused_by_upstream();
     void answered_whole();
     void pass_on(const std::string& bytes);
-    void silent();
+    void look_for_silence();
     void out_of_time();
     void give_up(const char* why, base::code unrun, base::code begun_code,
                  std::optional<base::milliseconds> hint);
@@ -73,8 +74,9 @@
     bool take_retry();
     void send_again_or_end(const char* why);
     void watch_for_silence();
-    [[nodiscard]] base::milliseconds silence_limit() const;
-    [[nodiscard]] bool upstream_is_dead() const;
+    void look_for_silence_in(base::micros span);
+    [[nodiscard]] silence_view view_of_silence() const;
+    bool leave_silent_upstream(bool dead);
     void note_heard();
     void count_first_byte();
     void note_prompt_read();
@@ -96,7 +98,7 @@
     choice_request wanted;
     base::milliseconds limit{0};
     adapters::timer overall;
-    adapters::timer silence;
+    adapters::timer silence_timer;
     std::optional<attempt> current;
     // Upstreams that may have begun on the request.
     int begun = 0;
@@ -111,6 +113,8 @@
     bool paused = false;
     // When the current attempt last gave a byte, or was sent.
     base::instant last_progress{};
+    // When the watch for silence is to look next.
+    base::instant silence_due{};
     std::optional<base::micros> first_byte;
 };
 
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -224,6 +224,30 @@
     CHECK_FALSE(seen.whole);
 }
 
+// An engine pauses in mid-stream for longer than streams may. No other engine can take the rest, so
+// the answer is waited for: broken off, it would be lost, while the pause may end.
+TEST_CASE("a stream stays at a silent upstream when no other can go on", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", [](const engine_request& got) {
+        return engine_script{
+            send(tests::stream_head(got.field("Request-Id")) + tests::chunk(events(1, 2))), hang};
+    });
+    world.call_until(tests::request("resume", "r1"), [&] { return engine.requests.size() == 1; });
+    // Long enough for several looks.
+    int turns = 0;
+    CHECK(world.run_until([&turns] { return ++turns >= 500; }));
+    CHECK(engine.closed_by_peer == 0);
+
+    SECTION("and goes on elsewhere as soon as one can") {
+        auto& second = world.add_engine("i-2", [](const engine_request& got) {
+            return engine_script{send(tests::stream_head(got.field("Request-Id")) +
+                                      tests::chunk(events(3, 4)) + "0\r\n\r\n")};
+        });
+        CHECK(world.run_until([&] { return second.requests.size() == 1; }));
+        CHECK(second.requests.at(0).field("Last-Event-Id") == "2");
+    }
+}
+
 // A caller gives up and closes its connection. The engine would work on for nobody; it stops when
 // its connection closes.
 TEST_CASE("a caller who leaves takes its request along", "[proxy][flow]") {
--- /dev/null
+++ b/src/proxy/silence.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/units.h"
+#include "routes/operators_config.h"
+
+namespace camphorrail::proxy {
+
+// What an entry knows when it looks whether an upstream has fallen silent on a request.
+struct silence_view {
+    base::instant now;
+    // When it was to look.
+    base::instant due;
+    // When the upstream last sent a byte, on whatever request and to whatever entry.
+    base::instant upstream_heard;
+    // When something last came of this request, or it was sent.
+    base::instant request_heard;
+    // Part of its answer has come.
+    bool streaming = false;
+};
+
+enum class silence {
+    // This process was stopped for a while and finds all its timers due at once, before it has read
+    // what came meanwhile. Taken for silence, that broke off every stream it had.
+    process_was_stopped,
+    // Slow perhaps, but within its time.
+    none,
+    // The request has waited for too long. The upstream still says something on others.
+    of_request,
+    // Nothing at all comes from the upstream.
+    of_upstream,
+};
+
+silence judge_silence(const silence_view& view, const routes::route& route);
+
+// How long after something was heard to look first, and then again.
+base::micros first_look(const routes::route& route, bool streaming);
+base::micros next_look(const silence_view& view, const routes::route& route);
+
+} // namespace camphorrail::proxy
