Count engines' memory as a cost, and take over what the short lane cuts off

Cause: engines of the lane for long prompts held more prompts than their memory does, so running ones were put back and read again; a change of weights in the short lane waited up to six seconds for answers to end, so weights were outdated for longer than allowed; the retry budget's bucket let three retries go at once where forty streams needed one.

Change: prompt tokens under way are told with the load and count as a cost near the memory's end; an engine of the short lane gets nothing new for 1.5 s and then cuts off what may be resumed; retries are counted in a sliding window; resumed streams keep off engines that change next.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -18,6 +18,16 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+// The sum of one figure over what the other entries have told lately.
+std::int64_t elsewhere(const member& one, std::int64_t entry_load::*figure, base::instant now,
+                       const fleet_rules& rules) {
+    std::int64_t total = 0;
+    for (const auto& [entry, load] : one.elsewhere) {
+        total += now - load.at <= rules.load_lifetime ? load.*figure : 0;
+    }
+    return total;
+}
+
 } // namespace
 
 list_change take_list(fleet& state, const std::vector<ports::listed_upstream>& listed,
@@ -103,18 +113,19 @@
 }
 
 std::int64_t all_unread_tokens(const member& one, base::instant now, const fleet_rules& rules) {
-    std::int64_t total = one.unread_tokens;
-    for (const auto& [entry, load] : one.elsewhere) {
-        total += now - load.at <= rules.load_lifetime ? load.unread_tokens : 0;
-    }
-    return total;
+    return one.unread_tokens + elsewhere(one, &entry_load::unread_tokens, now, rules);
+}
+
+std::int64_t all_held_tokens(const member& one, base::instant now, const fleet_rules& rules) {
+    return one.held_tokens + elsewhere(one, &entry_load::held_tokens, now, rules);
+}
+
+std::int64_t all_unrepeatable(const member& one, base::instant now, const fleet_rules& rules) {
+    return one.unrepeatable + elsewhere(one, &entry_load::unrepeatable, now, rules);
 }
 
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules) {
-    std::int64_t known = one.in_flight;
-    for (const auto& [entry, load] : one.elsewhere) {
-        known += now - load.at <= rules.load_lifetime ? load.in_flight : 0;
-    }
+    const std::int64_t known = one.in_flight + elsewhere(one, &entry_load::in_flight, now, rules);
     if (!one.load || now - one.load_at > rules.load_lifetime) {
         return known;
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,6 +17,8 @@
 struct entry_load {
     std::int64_t in_flight = 0;
     std::int64_t unread_tokens = 0;
+    std::int64_t held_tokens = 0;
+    std::int64_t unrepeatable = 0;
     base::instant at{};
 };
 
@@ -28,8 +30,13 @@
     membership::health health;
     // Requests of this entry that the upstream holds.
     std::int64_t in_flight = 0;
-    // Prompt tokens of those requests whose first byte has not come yet.
+    // Prompt tokens of those requests whose first byte has not come yet, without those that give
+    // way to others.
     std::int64_t unread_tokens = 0;
+    // Prompt tokens of all those requests: what the upstream's memory has to hold for them.
+    std::int64_t held_tokens = 0;
+    // Requests among them that would be lost if the upstream cut them off.
+    std::int64_t unrepeatable = 0;
     // The same at the other entries.
     std::map<base::entry_id, entry_load> elsewhere;
     // What the upstream last said of its load, and when.
@@ -39,6 +46,8 @@
     base::instant heard_at{};
     // It takes no new request before this moment: it loads weights, or has said that it is full.
     base::instant busy_until{};
+    // It is about to change weights, or does so, before this moment.
+    base::instant changing_until{};
     // Takes short prompts before long ones; see kvcache/lanes.h.
     bool short_lane = false;
     // Since when the platform's list lacks it.
@@ -92,6 +101,12 @@
 // Prompt tokens that wait at a member to be read, over all entries.
 std::int64_t all_unread_tokens(const member& one, base::instant now, const fleet_rules& rules);
 
+// Prompt tokens of all requests that a member holds, over all entries.
+std::int64_t all_held_tokens(const member& one, base::instant now, const fleet_rules& rules);
+
+// Requests that a member would lose if it cut off what it holds, over all entries.
+std::int64_t all_unrepeatable(const member& one, base::instant now, const fleet_rules& rules);
+
 // How many requests a member probably holds, ours and those of other entries.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
 
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -35,6 +35,18 @@
     return load * view.costs.running_ms + over * view.costs.answer_ms / slots;
 }
 
+double memory_ms(const fleet::member& one, const prompt_request& request,
+                 const placement_view& view) {
+    if (request.pool.engine_tokens <= 0) {
+        return 0.0;
+    }
+    const auto held = fleet::all_held_tokens(one, view.now, view.rules);
+    const double room =
+        view.costs.nearly_full_memory * static_cast<double>(request.pool.engine_tokens);
+    const auto wanted = static_cast<double>(held + request.chain.all_tokens());
+    return std::max(0.0, wanted - room) * view.costs.memory_ms;
+}
+
 // What it costs to serve a prompt away from its home.
 double away_ms(const prompt_request& request, const placement_costs& costs) {
     constexpr double bits_a_byte = 8.0;
@@ -53,6 +65,7 @@
     const auto& costs = view.costs;
     double cost =
         reading_ms(*one.engine, view.now, view.rules, costs) + slots_ms(*one.engine, view);
+    cost += memory_ms(*one.engine, request, view);
     cost += one.outdated ? costs.outdated_ms : 0.0;
     cost += is_home ? 0.0 : away_ms(request, costs);
     if (!in_lane(*one.engine, request.chain)) {
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -21,12 +21,17 @@
     // takes about 2.5 s, so with all slots taken each further request waits that long by the slots.
     double nearly_full = 0.85;
     double answer_ms = 2500.0;
+    // An engine's memory holds the prompts of all its requests. Beyond this part of it, new ones
+    // wait for others to end, or take running ones' place, whose prompts are then read again; the
+    // memory of 72,000 tokens turns over in about a second.
+    double nearly_full_memory = 0.8;
+    double memory_ms = 0.014;
     // A short prompt on an engine that reads long ones.
     double short_among_long_ms = 40.0;
     // A long prompt on an engine that is kept for short ones. When all are busy, the short lane
     // must not fill up with long prompts too: each would delay some thirty answers that are under
     // way.
-    double long_among_short_ms = 1000.0;
+    double long_among_short_ms = 10000.0;
     // Away from its home a prompt's shared tokens are fetched, perhaps between zones and after
     // others', or read again where the source has dropped them. With a third of these, requests
     // left their homes at the first sign of a wait and kept each other from finding anything
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -275,6 +275,31 @@
     }
 }
 
+// Prompts of 9,000 tokens meet on engines that hold 72,000. With more of them than fit, the newest
+// is put back in the middle of its answer and read again when there is room, ever later.
+TEST_CASE("an engine whose memory is full gets no more prompts", "[kvcache]") {
+    world entry(38);
+    const auto chain = chain_of(1);
+    const auto home = entry.place(chain).target.engine;
+    home->held_tokens = 40000;
+    CHECK(entry.place(chain).target.engine == home);
+    home->held_tokens = 70000;
+    const auto second = entry.place(chain).target.engine;
+    CHECK(second != home);
+
+    SECTION("over all entries") {
+        home->held_tokens = 0;
+        home->elsewhere[{"entry-2"}] = {.held_tokens = 70000, .at = now};
+        CHECK(entry.place(chain).target.engine == second);
+    }
+    SECTION("unless all that come next for the prompt are full") {
+        for (auto& [id, one] : entry.state.members) {
+            one.held_tokens = 70000;
+        }
+        CHECK(entry.place(chain).target.engine == home);
+    }
+}
+
 // A save takes the store's link and its room, both of which all engines share.
 TEST_CASE("a prompt is saved once, where it is missing", "[kvcache]") {
     world entry(18);
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -100,6 +100,8 @@
     std::int64_t fence = 0;
     // The order is void where the upstream has accepted another number of orders before.
     std::int64_t expected_orders = 0;
+    // Requests that are running are cut off; otherwise they are finished first.
+    bool cut_running = false;
 };
 
 // What an upstream says of itself when asked.
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -3,7 +3,7 @@
 #include "adapters/event_log.h"
 #include "adapters/event_loop.h"
 #include "adapters/metrics.h"
-#include "admission/retry_budget.h"
+#include "admission/retry_window.h"
 #include "fleet/fleet.h"
 #include "kvcache/cache_beliefs.h"
 #include "kvcache/kept_copies.h"
@@ -31,7 +31,7 @@
     kvcache::kept_copies kept;
     // Prompts that this entry's requests have had read and that it has not told others of yet.
     std::vector<kvcache::prompt_read> untold_reads;
-    std::map<base::pool_id, admission::retry_budget> retries;
+    std::map<base::pool_id, admission::retry_window> retries;
     // Entries that share the retry budget, this one included.
     std::int64_t entries = 1;
     bool stopping = false;
@@ -50,6 +50,8 @@
     std::function<base::instant()> now;
     // Tells other entries that an upstream takes nothing for a while.
     std::function<void(const base::upstream_id&, base::micros, const char* why)> tell_suspicion;
+    // Tells other entries that an upstream takes nothing new while it changes weights.
+    std::function<void(const base::upstream_id&, base::micros)> tell_change;
     // Notes, here and at other entries, which weights an upstream holds now.
     std::function<void(const base::upstream_id&, const base::model_id&, std::int64_t version)>
         tell_weights;
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -13,7 +13,8 @@
 }
 
 json to_json(const peer_suspicion& message) {
-    return {"suspicion", message.upstream.value, message.span.count(), message.why};
+    return {"suspicion", message.upstream.value, message.span.count(), message.why,
+            message.changing};
 }
 
 json to_json(const peer_weights& message) {
@@ -23,8 +24,8 @@
 json to_json(const peer_load& message) {
     json items = json::array();
     for (const auto& item : message.items) {
-        items.push_back(
-            {item.upstream.value, item.in_flight, item.unread_tokens, item.heard_ago.count()});
+        items.push_back({item.upstream.value, item.in_flight, item.unread_tokens, item.held_tokens,
+                         item.unrepeatable, item.heard_ago.count()});
     }
     return {"load", items};
 }
@@ -102,7 +103,9 @@
         load.items.push_back({{item.at(0).get<std::string>()},
                               item.at(1).get<std::int64_t>(),
                               item.at(2).get<std::int64_t>(),
-                              base::milliseconds(item.at(3).get<std::int64_t>())});
+                              item.at(3).get<std::int64_t>(),
+                              item.at(4).get<std::int64_t>(),
+                              base::milliseconds(item.at(5).get<std::int64_t>())});
     }
     return load;
 }
@@ -115,7 +118,8 @@
     if (kind == "suspicion") {
         return peer_suspicion{{read.at(1).get<std::string>()},
                               base::milliseconds(read.at(2).get<std::int64_t>()),
-                              read.at(3).get<std::string>()};
+                              read.at(3).get<std::string>(),
+                              read.at(4).get<bool>()};
     }
     if (kind == "weights") {
         return peer_weights{{read.at(1).get<std::string>()},
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -25,6 +25,8 @@
     base::upstream_id upstream;
     base::milliseconds span{0};
     std::string why;
+    // It changes weights, and may cut off what it can't finish.
+    bool changing = false;
 };
 
 // An upstream holds these weights now; said before the platform's list does.
@@ -40,6 +42,8 @@
         base::upstream_id upstream;
         std::int64_t in_flight = 0;
         std::int64_t unread_tokens = 0;
+        std::int64_t held_tokens = 0;
+        std::int64_t unrepeatable = 0;
         // How long ago the upstream last sent the sender a byte.
         base::milliseconds heard_ago{0};
     };
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -16,12 +16,15 @@
     REQUIRE(got.items.size() == 1);
     CHECK(got.items[0].value == view.items[0].value);
 
-    const auto load =
-        proxy::decode(proxy::encode(proxy::peer_load{{{{"e1"}, 2, 900, base::milliseconds(40)}}}));
+    const auto load = proxy::decode(
+        proxy::encode(proxy::peer_load{{{{"e1"}, 2, 900, 1900, 1, base::milliseconds(40)}}}));
     CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).unread_tokens == 900);
+    CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).held_tokens == 1900);
+    CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).unrepeatable == 1);
     const auto suspicion = proxy::decode(
-        proxy::encode(proxy::peer_suspicion{{"e1"}, base::milliseconds(250), "silent"}));
+        proxy::encode(proxy::peer_suspicion{{"e1"}, base::milliseconds(250), "silent", true}));
     CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).why == "silent");
+    CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).changing);
 }
 
 TEST_CASE("bytes that are no message are refused", "[proxy]") {
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -203,7 +203,8 @@
     for (const auto& [id, one] : this->context.state.fleet.members) {
         if (one.in_flight > 0) {
             const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
-            load.items.push_back({id, one.in_flight, one.unread_tokens, heard});
+            load.items.push_back(
+                {id, one.in_flight, one.unread_tokens, one.held_tokens, one.unrepeatable, heard});
         }
     }
     // One last message says that nothing is left.
@@ -271,7 +272,11 @@
         return;
     }
     auto& one = found->second;
-    one.busy_until = std::max<base::instant>(one.busy_until, this->context.now() + message.span);
+    const base::instant until = this->context.now() + message.span;
+    one.busy_until = std::max<base::instant>(one.busy_until, until);
+    if (message.changing) {
+        one.changing_until = std::max<base::instant>(one.changing_until, until);
+    }
     this->context.log.line(importance::keep, "upstream_suspected_by_entry")
         .text("upstream", message.upstream.value)
         .text("entry", this->links.at(key).id.value)
@@ -293,7 +298,8 @@
         const auto found = this->context.state.fleet.members.find(item.upstream);
         if (found != this->context.state.fleet.members.end()) {
             auto& one = found->second;
-            one.elsewhere[entry] = {item.in_flight, item.unread_tokens, now};
+            one.elsewhere[entry] = {item.in_flight, item.unread_tokens, item.held_tokens,
+                                    item.unrepeatable, now};
             // With many entries each hears little of an upstream; together they know whether it
             // lives.
             one.heard_at = std::max<base::instant>(one.heard_at, now - item.heard_ago);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -59,6 +59,10 @@
               this->others.tell(
                   peer_suspicion{id, std::chrono::duration_cast<base::milliseconds>(span), why});
           },
+          [this](const base::upstream_id& id, base::micros span) {
+              this->others.tell(peer_suspicion{
+                  id, std::chrono::duration_cast<base::milliseconds>(span), "loading", true});
+          },
           [this](const base::upstream_id& id, const base::model_id& model, std::int64_t version) {
               this->take_weights_of({id, model, version});
               this->others.tell(peer_weights{id, model, version});
@@ -229,10 +233,9 @@
     }
     const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entries, 1));
     for (const auto& [id, pool] : this->state.config->pools) {
-        auto& budget = this->state.retries[id];
-        budget.most = std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
-        budget.a_request = this->settings.bounds.retry_ratio * retry_share;
-        budget.tokens = std::min(budget.tokens, budget.most);
+        auto& window = this->state.retries[id];
+        window.more = std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
+        window.a_request = this->settings.bounds.retry_ratio * retry_share;
     }
 }
 
@@ -432,8 +435,10 @@
     this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
     this->metrics.set("camphorrail_connections_opened",
                       static_cast<double>(this->connections.opened()));
-    for (const auto& [pool, budget] : this->state.retries) {
-        this->metrics.set("camphorrail_retry_tokens", budget.tokens, {{"pool", pool.value}});
+    for (const auto& [pool, window] : this->state.retries) {
+        this->metrics.set("camphorrail_retries_left",
+                          admission::retries_left(window, this->context.now()),
+                          {{"pool", pool.value}});
     }
     this->refresh_weights_metric();
     std::int64_t fit = 0;
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -52,7 +52,13 @@
         .flag("answer_begun", this->current->answering)
         .text("last_event", this->events.last_event)
         .span("after_ms", this->context.now() - this->current->sent_at);
-    note_upstream_failure(this->context, id, name);
+    // An upstream that changes its weights cuts off what it can't finish, as ordered.
+    const auto* one = this->member_of_attempt();
+    const bool ordered =
+        why == call_failure::broken && one != nullptr && one->changing_until > this->context.now();
+    if (!ordered) {
+        note_upstream_failure(this->context, id, name);
+    }
     this->cancel_attempt();
     this->wanted.tried.push_back(id);
     if (why != call_failure::never_sent) {
@@ -82,7 +88,8 @@
 }
 
 bool request_flow::take_retry() {
-    if (!admission::take_retry(this->context.state.retries[this->wanted.pool])) {
+    if (!admission::take_retry(this->context.state.retries[this->wanted.pool],
+                               this->context.now())) {
         this->context.metrics.count("camphorrail_retries_denied_total");
         return false;
     }
@@ -91,10 +98,16 @@
     return true;
 }
 
+// What has come of the answer so far stays with the caller; the rest is asked for after it.
+void request_flow::prepare_to_go_on() {
+    this->whole_body.clear();
+    resume_relay(this->events);
+    this->wanted.resumed = !this->events.last_event.empty();
+}
+
 void request_flow::send_again_or_end(const char* why) {
     if (this->may_send_again() && this->take_retry()) {
-        this->whole_body.clear();
-        resume_relay(this->events);
+        this->prepare_to_go_on();
         this->send_attempt();
         return;
     }
@@ -153,6 +166,7 @@
 bool request_flow::leave_silent_upstream(bool dead) {
     const auto id = this->current->choice.id;
     this->wanted.tried.push_back(id);
+    this->wanted.resumed = !this->events.last_event.empty();
     auto next = choose_upstream(this->context, this->wanted);
     if (!next || !this->take_retry()) {
         this->wanted.tried.pop_back();
@@ -166,8 +180,7 @@
         .span("after_ms", this->context.now() - this->current->sent_at);
     this->cancel_attempt();
     ++this->begun;
-    this->whole_body.clear();
-    resume_relay(this->events);
+    this->prepare_to_go_on();
     this->send_to(std::move(*next));
     return true;
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -92,7 +92,7 @@
     if (this->request.team != nullptr && this->request.team->isolated) {
         this->wanted.isolated_team = this->request.team->id;
     }
-    admission::note_request(this->context.state.retries[this->wanted.pool]);
+    admission::note_request(this->context.state.retries[this->wanted.pool], this->context.now());
     this->overall.set(this->time_left());
     this->send_attempt();
 }
@@ -190,6 +190,8 @@
     if (auto* one = this->member_of_attempt()) {
         ++one->in_flight;
         one->unread_tokens += sent.behind ? 0 : sent.to_read;
+        one->held_tokens += sent.chain.all_tokens();
+        one->unrepeatable += may_repeat(*this->request.route) ? 0 : 1;
         this->current->unread = true;
     }
     const auto all_tokens = sent.chain.all_tokens();
@@ -230,6 +232,8 @@
     auto* one = this->member_of_attempt();
     if (one != nullptr) {
         --one->in_flight;
+        one->held_tokens -= this->current->choice.chain.all_tokens();
+        one->unrepeatable -= may_repeat(*this->request.route) ? 0 : 1;
         if (this->current->unread) {
             const auto& choice = this->current->choice;
             one->unread_tokens -= choice.behind ? 0 : choice.to_read;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -72,6 +72,7 @@
     [[nodiscard]] bool has_tries_left() const;
     [[nodiscard]] bool may_send_again() const;
     bool take_retry();
+    void prepare_to_go_on();
     void send_again_or_end(const char* why);
     void watch_for_silence();
     void look_for_silence_in(base::micros span);
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace camphorrail;
 using tests::engine_request;
 using tests::engine_script;
@@ -212,6 +214,39 @@
     CHECK(seen.whole);
 }
 
+// An engine changes weights and cuts off the streams that it has not finished. They go on
+// elsewhere, as after a crash; but the engine has not failed, and is back as soon as it has
+// changed.
+TEST_CASE("an upstream that cuts streams off to change weights is not ejected", "[proxy][flow]") {
+    tests::proxy_world world;
+    const auto cut = [](const engine_request& got) {
+        return engine_script{send(tests::stream_head(got.field("Request-Id"))),
+                             send(tests::chunk(events(1, 2))), reset_it};
+    };
+    const auto finish = [](const engine_request& got) {
+        return engine_script{send(tests::stream_head(got.field("Request-Id"))),
+                             send(tests::chunk(events(3, 4))), send(std::string(http::last_chunk))};
+    };
+    bool first = true;
+    const auto script = [&](const engine_request& got) {
+        return std::exchange(first, false) ? cut(got) : finish(got);
+    };
+    world.add_engine("i-1", script);
+    world.add_engine("i-2", script);
+    for (auto& [id, one] : world.state.fleet.members) {
+        one.changing_until = world.entry().now() + base::seconds(20);
+    }
+    for (int each = 0; each < 4; ++each) {
+        first = true;
+        const auto seen = world.call(tests::request("resume", "r" + std::to_string(each)));
+        CHECK(seen.bodies.at(0) == events(1, 4));
+        CHECK(seen.whole);
+    }
+    for (const auto& [id, one] : world.state.fleet.members) {
+        CHECK(one.health.ejections_in_row == 0);
+    }
+}
+
 // The same for a stream that may not be resumed: what the caller has got must not look complete.
 TEST_CASE("a stream that can't go on is broken off, not ended", "[proxy][flow]") {
     tests::proxy_world world;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -44,10 +44,23 @@
     return found;
 }
 
+// An answer that goes on once may not do so again, so it keeps off the engines that are to change
+// weights next.
+void prefer_newest(std::vector<kvcache::candidate>& candidates) {
+    const bool any_new = std::any_of(candidates.begin(), candidates.end(),
+                                     [](const auto& each) { return !each.outdated; });
+    if (any_new) {
+        std::erase_if(candidates, [](const auto& each) { return each.outdated; });
+    }
+}
+
 std::optional<upstream_choice> choose_for_prompt(const entry_context& context,
                                                  const choice_request& request,
                                                  const std::vector<fleet::member*>& all) {
-    const auto candidates = prompt_candidates(context, all, request.prompt->model);
+    auto candidates = prompt_candidates(context, all, request.prompt->model);
+    if (request.resumed) {
+        prefer_newest(candidates);
+    }
     const auto& config = *context.state.config;
     const auto pool = config.pools.find(request.pool);
     if (candidates.empty() || pool == config.pools.end()) {
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -16,6 +16,8 @@
     base::team_id isolated_team;
     std::uint64_t number = 0;
     base::milliseconds target{0};
+    // It goes on with an answer that another upstream has begun.
+    bool resumed = false;
     // Upstreams that have refused or failed it.
     std::vector<base::upstream_id> tried;
 };
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -29,6 +29,11 @@
 constexpr base::milliseconds still_busy{350};
 // Nothing new is sent to an upstream that is about to load, for as long as a load usually takes.
 constexpr base::milliseconds load_time{900};
+// An upstream of the lane for short prompts has thirty to fifty answers under way, which take up to
+// six seconds to end; with a few upstreams waiting for theirs at a time, weights were outdated for
+// longer than allowed before the last ones changed. It gets nothing new for this long, and what is
+// then left goes on at other upstreams: less than half of them.
+constexpr base::milliseconds drain_time{1500};
 
 const char* name_of(ports::order_outcome outcome) {
     switch (outcome) {
@@ -82,6 +87,10 @@
         return made;
     }
     auto& order = sent->second;
+    if (order.drained_at) {
+        made.loading = true;
+        return made;
+    }
     const auto waited = now - order.at;
     const bool done = order.accepted && made.version >= order.version;
     if (done) {
@@ -113,6 +122,7 @@
         }
     }
     const std::int64_t version = newest(history);
+    this->order_the_drained(model, version);
     for (const auto& id : weights::plan_loads(all, version, this->context.now(), {})) {
         this->order(id, model, version);
     }
@@ -123,22 +133,58 @@
     const auto known = this->accepted_orders.find(id);
     if (known == this->accepted_orders.end()) {
         // Without the count an order that is carried out late could undo a newer one.
-        this->orders[id] = {asking, this->context.now(), false, {}};
+        this->orders[id] = {asking, this->context.now(), false, {}, {}};
         this->ask_state(id);
         return;
     }
     auto& one = this->context.state.fleet.members.at(id);
-    const ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
-                                  known->second};
-    this->orders[id] = {version, this->context.now(), false, {}};
+    if (one.short_lane && fleet::estimated_load(one, this->context.now(),
+                                                fleet_rules_of(this->context.settings)) > 0) {
+        this->drain(one, version);
+        return;
+    }
     this->keep_away(one, load_time);
+    this->send_order(one, model, version, known->second);
+}
+
+void weights_loader::drain(fleet::member& one, std::int64_t version) {
+    const base::instant now = this->context.now();
+    this->orders[one.listed.id] = {version, now, false, {}, now + drain_time};
+    this->keep_away(one, drain_time + load_time);
+}
+
+void weights_loader::order_the_drained(const base::model_id& model, std::int64_t version) {
+    const base::instant now = this->context.now();
+    for (auto& [id, order] : this->orders) {
+        const auto found = this->context.state.fleet.members.find(id);
+        const auto known = this->accepted_orders.find(id);
+        const bool there = found != this->context.state.fleet.members.end() &&
+                           known != this->accepted_orders.end();
+        if (order.drained_at && now >= *order.drained_at && there) {
+            this->send_order(found->second, model, version, known->second);
+        }
+    }
+}
+
+void weights_loader::send_order(const fleet::member& one, const base::model_id& model,
+                                std::int64_t version, std::int64_t expected_orders) {
+    const auto& id = one.listed.id;
+    const base::instant now = this->context.now();
+    ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
+                            expected_orders};
+    order.cut_running =
+        one.short_lane &&
+        fleet::all_unrepeatable(one, now, fleet_rules_of(this->context.settings)) == 0;
+    this->orders[id] = {version, now, false, {}, {}};
     this->context.log.line(importance::keep, "load_ordered")
         .text("upstream", id.value)
         .number("version", version)
         .number("from_version", fleet::weights_of(one, model))
         .number("fence", order.fence)
         .number("expected_orders", order.expected_orders)
-        .number("in_flight", one.in_flight);
+        .flag("cut_running", order.cut_running)
+        .number("in_flight",
+                fleet::estimated_load(one, now, fleet_rules_of(this->context.settings)));
     this->context.metrics.count("camphorrail_load_orders_total");
     adapters::http_fetch(
         this->context.loop.base(), one.listed.address,
@@ -157,8 +203,10 @@
 
 // Nothing new goes to an upstream in change, from here and from other entries.
 void weights_loader::keep_away(fleet::member& one, base::milliseconds span) {
-    one.busy_until = std::max<base::instant>(one.busy_until, this->context.now() + span);
-    this->context.tell_suspicion(one.listed.id, span, "loading");
+    const base::instant until = this->context.now() + span;
+    one.busy_until = std::max<base::instant>(one.busy_until, until);
+    one.changing_until = std::max<base::instant>(one.changing_until, until);
+    this->context.tell_change(one.listed.id, span);
 }
 
 void weights_loader::note_answer(const base::upstream_id& id, std::int64_t version,
@@ -216,7 +264,7 @@
             }
             if (state.value().busy && asked == this->orders.end()) {
                 // Another leader's order, or one of ours that came late.
-                this->orders[id] = {asking, this->context.now(), true, {}};
+                this->orders[id] = {asking, this->context.now(), true, {}, {}};
             } else if (!state.value().busy && asked != this->orders.end() && !ours) {
                 this->orders.erase(asked);
             }
--- a/src/proxy/weights_loader.h
+++ b/src/proxy/weights_loader.h
@@ -5,6 +5,7 @@
 #include "weights/load_plan.h"
 
 #include <map>
+#include <optional>
 
 namespace camphorrail::proxy {
 
@@ -23,6 +24,8 @@
         base::instant at;
         bool accepted = false;
         base::instant next_look{};
+        // It is not sent yet: the upstream gets nothing new until then.
+        std::optional<base::instant> drained_at;
     };
 
     void load_model(const base::model_id& model, const weights_history& history);
@@ -30,6 +33,10 @@
                                                        const base::model_id& model,
                                                        const weights_history& history);
     void order(const base::upstream_id& id, const base::model_id& model, std::int64_t version);
+    void drain(fleet::member& one, std::int64_t version);
+    void send_order(const fleet::member& one, const base::model_id& model, std::int64_t version,
+                    std::int64_t expected_orders);
+    void order_the_drained(const base::model_id& model, std::int64_t version);
     void keep_away(fleet::member& one, base::milliseconds span);
     void ask_state(const base::upstream_id& id);
     void note_answer(const base::upstream_id& id, std::int64_t version,
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -193,6 +193,7 @@
               this->metrics,
               [this] { return adapters::boot_now() + this->moved; },
               [](const base::upstream_id&, base::micros, const char*) {},
+              [](const base::upstream_id&, base::micros) {},
               [](const base::upstream_id&, const base::model_id&, std::int64_t) {}},
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
