--- a/src/proxy/caller_server.cpp
+++ b/src/proxy/caller_server.cpp
@@ -113,6 +113,22 @@
         this->close();
     }
 
+    // No further request is read. What is still to be sent leaves first: an answer may be complete
+    // for us while half of it waits for the caller's link.
+    void end_gently() {
+        this->last_sent = true;
+        this->reading = false;
+        if (this->socket == nullptr) {
+            return;
+        }
+        bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
+        // A timeout stops the reading, and we go on until the caller has closed.
+        bufferevent_enable(this->socket, EV_READ);
+        if (this->unsent() == 0) {
+            this->written();
+        }
+    }
+
     [[nodiscard]] std::size_t unsent() const {
         return this->socket == nullptr ? 0
                                        : evbuffer_get_length(bufferevent_get_output(this->socket));
@@ -258,14 +274,7 @@
             }
             return;
         }
-        this->last_sent = true;
-        this->reading = false;
-        bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
-        // A timeout stops the reading, and we go on until the caller has closed.
-        bufferevent_enable(this->socket, EV_READ);
-        if (this->unsent() == 0) {
-            this->written();
-        }
+        this->end_gently();
     }
 
     void written() {
@@ -393,9 +402,17 @@
     const auto all = this->connections;
     for (const auto& [number, each] : all) {
         if (each->idle()) {
-            each->close();
+            each->end_gently();
         }
     }
 }
 
+std::size_t caller_server::unsent() const {
+    std::size_t bytes = 0;
+    for (const auto& [number, each] : this->connections) {
+        bytes += each->unsent();
+    }
+    return bytes;
+}
+
 } // namespace camphorrail::proxy
--- a/src/proxy/caller_server.h
+++ b/src/proxy/caller_server.h
@@ -86,6 +86,8 @@
     void close_after_answers();
     // Takes no more connections, and closes each as soon as it is idle.
     void stop();
+    // Bytes of answers that have not left yet.
+    [[nodiscard]] std::size_t unsent() const;
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
 
 private:
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -316,6 +316,7 @@
 
 void proxy::tick() {
     this->note_readiness();
+    this->exit_when_done();
     this->connections.sweep();
     this->others.tick();
     this->kv_stores.tick();
@@ -378,7 +379,8 @@
 void proxy::exit_when_done() {
     const bool noticed =
         this->state.stopping && this->context.now() - this->stop_at >= balancer_notices;
-    if (noticed && this->flows.empty()) {
+    if (noticed && !this->ending && this->flows.empty() && this->callers->unsent() == 0) {
+        this->ending = true;
         // An entry that leads goes on doing so until now: in a rolling restart the next one is
         // stopped soon too.
         this->leader.resign();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -86,6 +86,8 @@
     std::map<std::int64_t, std::shared_ptr<request_flow>> flows;
     std::int64_t last_flow = 0;
     base::instant stop_at{};
+    // All is answered and sent; the process is about to end.
+    bool ending = false;
     bool was_ready = false;
     // The named weights have been read once; what comes later was named in this process's life.
     bool weights_read = false;
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -294,6 +294,27 @@
     CHECK(world.run_until([&] { return engine.closed_by_peer == 1; }));
 }
 
+// An entry ends while a large answer, complete for the entry, waits for its caller's slow link. The
+// connection has no request under way, but closing it would lose the end of the answer.
+TEST_CASE("an entry that ends sends what it has answered", "[proxy][flow]") {
+    tests::proxy_world world;
+    const std::string body(6U << 20U, 'x');
+    world.add_engine("i-1", [&body](const engine_request& got) {
+        return engine_script{send(tests::answer(got.field("Request-Id"), body))};
+    });
+    bool stopped = false;
+    const auto seen = world.call_until(tests::request("once", "r1"), [&] {
+        if (!stopped && world.open_requests() == 0 && world.unsent() > 0) {
+            stopped = true;
+            world.stop_server();
+        }
+        const auto& got = world.last_seen();
+        return got.ended || (!got.heads.empty() && got.whole);
+    });
+    CHECK(stopped);
+    CHECK(seen.bodies.at(0).size() == body.size());
+}
+
 // Connections to one engine can't be made. Nothing has left, so any kind of call may go elsewhere.
 TEST_CASE("an upstream that can't be reached costs the caller nothing", "[proxy][flow]") {
     tests::proxy_world world;
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -279,6 +279,10 @@
     return made->seen;
 }
 
+const caller_view& proxy_world::last_seen() const {
+    return this->callers.back()->seen;
+}
+
 void proxy_world::leave() {
     for (const auto& each : this->callers) {
         each->release();
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -88,6 +88,13 @@
     caller_view call_until(const std::string& bytes, const std::function<bool()>& until);
     // Closes all callers' connections.
     void leave();
+    // The entry is about to end: it takes no more requests.
+    void stop_server() { this->server.stop(); }
+    // Requests that the entry has under way, and bytes of finished ones that have not left.
+    [[nodiscard]] std::size_t open_requests() const { return this->flows.size(); }
+    [[nodiscard]] std::size_t unsent() const { return this->server.unsent(); }
+    // What the last caller has got so far.
+    [[nodiscard]] const caller_view& last_seen() const;
     // Runs the loop until a condition holds; false when it does not within some seconds.
     bool run_until(const std::function<bool()>& condition);
     void move_clock(base::micros by) { this->moved += by; }
