Have new weights roll through each lane within the time allowed

Change: engines whose memory is half full get no request in the last 1.1 s of the bound; as many engines change at once as the bound needs.

--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -11,6 +11,10 @@
 
 // From here on an answer made on outdated weights is worth less to its caller.
 constexpr base::milliseconds outdated_free{1300};
+// A request may wait at an overloaded engine for as long as its caller does, two seconds. One that
+// would begin on weights that are outdated for too long by then is not sent there.
+constexpr base::milliseconds wait_when_full{1100};
+constexpr double full_share = 0.5;
 
 std::vector<const fleet::member*> pool_members(const fleet::fleet& state,
                                                const base::pool_id& pool) {
@@ -23,6 +27,15 @@
     return found;
 }
 
+// Whether the prompts under way fill so much of an engine's memory that new ones may have to wait.
+bool may_wait_long(const entry_context& context, const fleet::member& one) {
+    const auto& pools = context.state.config->pools;
+    const auto pool = pools.find(one.listed.pool);
+    const std::int64_t room = pool == pools.end() ? 0 : pool->second.engine_tokens;
+    const auto held = fleet::all_held_tokens(one, context.now(), fleet_rules_of(context.settings));
+    return static_cast<double>(held) > full_share * static_cast<double>(room);
+}
+
 // The members that hold the model, without those whose weights are outdated for too long. Weights
 // do not decide where a prompt goes beyond that: while upstreams change them one after the other,
 // each prompt stays at its home and is read anew there once, instead of moving to the few upstreams
@@ -37,7 +50,8 @@
     for (auto* one : all) {
         const std::int64_t version = fleet::weights_of(*one, model);
         const auto since = outdated_since(history, version);
-        if (version > 0 && (since > now || now - since < longest)) {
+        const auto allowed = may_wait_long(context, *one) ? longest - wait_when_full : longest;
+        if (version > 0 && (since > now || now - since < allowed)) {
             found.push_back({one, version, since <= now && now - since >= outdated_free});
         }
     }
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -34,6 +34,10 @@
 // longer than allowed before the last ones changed. It gets nothing new for this long, and what is
 // then left goes on at other upstreams: less than half of them.
 constexpr base::milliseconds drain_time{1500};
+// Upstreams for long prompts finish their short answers in about this time.
+constexpr base::milliseconds wait_time{600};
+// From the naming of a version to the first orders: the watch, and a tick.
+constexpr base::seconds first_load{1};
 
 const char* name_of(ports::order_outcome outcome) {
     switch (outcome) {
@@ -78,6 +82,7 @@
     made.in_flight = one.in_flight;
     made.unused = since < now && now - since >= longest_outdated(this->context.settings);
     made.lane = one.short_lane ? 1 : 0;
+    made.change_time = one.short_lane ? drain_time + load_time : wait_time + load_time;
     made.suspected = !membership::usable(one.health, now);
     if (const auto last = this->loaded_at.find(made.id); last != this->loaded_at.end()) {
         made.loaded_at = last->second;
@@ -123,7 +128,10 @@
     }
     const std::int64_t version = newest(history);
     this->order_the_drained(model, version);
-    for (const auto& id : weights::plan_loads(all, version, this->context.now(), {})) {
+    weights::load_rules rules;
+    rules.within =
+        std::max<base::micros>(longest_outdated(this->context.settings) - first_load, first_load);
+    for (const auto& id : weights::plan_loads(all, version, this->context.now(), rules)) {
         this->order(id, model, version);
     }
 }
--- a/src/weights/load_plan.cpp
+++ b/src/weights/load_plan.cpp
@@ -16,10 +16,13 @@
 struct lane_load {
     std::size_t all = 0;
     std::size_t loading = 0;
+    base::micros change_time{0};
 
     [[nodiscard]] std::size_t most(const load_rules& rules) const {
         const double part = std::ceil(rules.in_change * static_cast<double>(this->all));
-        return std::max<std::size_t>(1, static_cast<std::size_t>(part));
+        const double needed = std::ceil(static_cast<double>(this->change_time.count()) /
+                                        static_cast<double>(rules.within.count()));
+        return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(part, needed)));
     }
 };
 
@@ -40,6 +43,7 @@
         auto& lane = lanes[each.lane];
         ++lane.all;
         lane.loading += each.loading ? 1 : 0;
+        lane.change_time += each.change_time;
         if (is_open(each, version, now, rules)) {
             open.push_back(&each);
         }
