Drain engines of the short lane for 0.4 s instead of 1.5 s

Cause: in a change of weights its slots are what the short lane lacks most; the bound on retries allows to take over all of an engine's streams at once.

--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -33,7 +33,7 @@
 // six seconds to end; with a few upstreams waiting for theirs at a time, weights were outdated for
 // longer than allowed before the last ones changed. It gets nothing new for this long, and what is
 // then left goes on at other upstreams: less than half of them.
-constexpr base::milliseconds drain_time{1500};
+constexpr base::milliseconds drain_time{400};
 // Upstreams for long prompts finish their short answers in about this time.
 constexpr base::milliseconds wait_time{600};
 // From the naming of a version to the first orders: the watch, and a tick.
