Have three entries follow the store for all

Change: the first three in line by name watch, prove and tell small changes; the others ask them for proofs, by their own clocks, and for what changed since a revision; large changes (a configuration is 50 KB) are read from the store by each, since told by three to nineteen they filled links of 10 Mbit/s. Whoever gets no proof for 2.2 s follows the store itself.

--- a/src/mirror/store_mirror.cpp
+++ b/src/mirror/store_mirror.cpp
@@ -6,7 +6,26 @@
 
 namespace {
 
+// Upstreams come and go by the dozen; what fell behind by more reads all.
+constexpr std::size_t most_removed = 256;
+
+void note_removed(store_mirror& state, const std::string& key, std::int64_t revision) {
+    state.removed[key] = revision;
+    if (state.removed.size() <= most_removed) {
+        return;
+    }
+    const auto oldest = std::min_element(
+        state.removed.begin(), state.removed.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    state.removals_since = std::max(state.removals_since, oldest->second);
+    state.removed.erase(oldest);
+}
+
 bool put(store_mirror& state, const ports::stored_value& item) {
+    const auto removed = state.removed.find(item.key);
+    if (removed != state.removed.end() && removed->second < item.mod_revision) {
+        state.removed.erase(removed);
+    }
     auto& held = state.items[item.key];
     if (held.mod_revision >= item.mod_revision) {
         return false;
@@ -21,6 +40,7 @@
         return false;
     }
     state.items.erase(found);
+    note_removed(state, item.key, item.mod_revision);
     return true;
 }
 
@@ -43,9 +63,14 @@
         const bool gone = present.count(it->first) == 0 && it->second.mod_revision <= read.revision;
         if (gone) {
             changed.insert(it->first);
+            note_removed(state, it->first, read.revision);
         }
         it = gone ? state.items.erase(it) : std::next(it);
     }
+    if (state.revision == 0) {
+        // What went before our first reading is not known.
+        state.removals_since = read.revision;
+    }
     state.revision = read.revision;
     prove(state, began);
     return changed;
@@ -62,6 +87,25 @@
     return changed;
 }
 
+std::optional<ports::changes> changes_since(const store_mirror& state, std::int64_t revision) {
+    if (revision < state.removals_since) {
+        return std::nullopt;
+    }
+    ports::changes since;
+    since.revision = state.revision;
+    for (const auto& [key, item] : state.items) {
+        if (item.mod_revision > revision) {
+            since.items.push_back({item, false});
+        }
+    }
+    for (const auto& [key, removed_at] : state.removed) {
+        if (removed_at > revision) {
+            since.items.push_back({{key, "", removed_at}, true});
+        }
+    }
+    return since;
+}
+
 void prove(store_mirror& state, base::instant began) {
     if (!state.proved_at || *state.proved_at < began) {
         state.proved_at = began;
--- a/src/mirror/store_mirror.h
+++ b/src/mirror/store_mirror.h
@@ -22,6 +22,10 @@
     // The moment before the read that proved the operators' part of `items` true. On a clock that
     // counts suspension: a process that wakes from a freeze must not trust what it knew before.
     std::optional<base::instant> proved_at;
+    // Keys that went lately, with a revision at which they were gone; complete after
+    // `removals_since`.
+    std::map<std::string, std::int64_t> removed;
+    std::int64_t removals_since = 0;
 };
 
 // Takes a whole reading of the store that began at `began`; gives the keys that changed. A reading
@@ -32,6 +36,10 @@
 // Takes what a watch told; gives the keys that changed.
 std::set<std::string> take_changes(store_mirror& state, const ports::changes& told);
 
+// What has changed after a revision, for one who knows all up to there; nothing where that is not
+// known any more.
+std::optional<ports::changes> changes_since(const store_mirror& state, std::int64_t revision);
+
 // A read that began at `began` found the operators' part unchanged.
 void prove(store_mirror& state, base::instant began);
 
--- a/src/mirror/store_mirror_tests.cpp
+++ b/src/mirror/store_mirror_tests.cpp
@@ -41,3 +41,48 @@
         CHECK(mirror::age(state, at(9)) == base::seconds(8));
     }
 }
+
+// Most entries leave the watching to a few others and ask them about once a second. Sent all each
+// time, the answers filled the links of the smallest VMs, and callers waited behind them.
+TEST_CASE("one who knows all up to a revision is told what has changed since", "[mirror]") {
+    mirror::store_mirror here;
+    mirror::take_snapshot(here, {10, {{"a", "1", 3}, {"b", "1", 10}}}, base::instant{});
+    mirror::store_mirror there = here;
+    mirror::take_changes(here, {12, {{{"a", "2", 11}, false}, {{"b", "", 12}, true}}});
+    const auto since = mirror::changes_since(here, 10);
+    REQUIRE(since);
+    CHECK(since->revision == 12);
+    CHECK(since->items.size() == 2);
+    mirror::take_changes(there, *since);
+    CHECK(there.items.size() == 1);
+    CHECK(there.items.at("a").value == "2");
+    CHECK(there.revision == 12);
+
+    SECTION("nothing where nothing has") {
+        CHECK(mirror::changes_since(here, 12)->items.empty());
+    }
+    SECTION("also of keys that a later reading of all misses") {
+        mirror::take_snapshot(here, {20, {}}, base::instant{});
+        const auto later = mirror::changes_since(here, 12);
+        REQUIRE(later);
+        mirror::take_changes(there, *later);
+        CHECK(there.items.empty());
+    }
+    SECTION("a key that is back is not told as gone") {
+        mirror::take_changes(here, {13, {{{"b", "3", 13}, false}}});
+        mirror::take_changes(there, *mirror::changes_since(here, 12));
+        CHECK(there.items.at("b").value == "3");
+    }
+    SECTION("and everything where that is not known") {
+        CHECK_FALSE(mirror::changes_since(here, 9));
+        for (int key = 0; key < 600; ++key) {
+            const std::int64_t revision = 100 + 2 * key;
+            const std::string name = "k" + std::to_string(key);
+            mirror::take_changes(here, {revision, {{{name, "", revision}, false}}});
+            mirror::take_changes(here, {revision + 1, {{{name, "", revision + 1}, true}}});
+        }
+        CHECK_FALSE(mirror::changes_since(here, 12));
+        CHECK(mirror::changes_since(here, here.revision - 100));
+        CHECK(here.removed.size() <= 256);
+    }
+}
--- a/src/proxy/kv_store_follower.cpp
+++ b/src/proxy/kv_store_follower.cpp
@@ -1,11 +1,9 @@
 #include "proxy/kv_store_follower.h"
 
 #include "adapters/http_client.h"
-#include "base/hash.h"
 #include "proxy/control_call.h"
-#include "routing/rendezvous.h"
+#include "proxy/line_up.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace camphorrail::proxy {
@@ -66,20 +64,9 @@
     }
 }
 
-// How many linked entries come before this one for a store.
-std::size_t kv_store_follower::place_in_line(const std::string& address) const {
-    const std::uint64_t key = base::stable_hash(address);
-    const auto score = [key](const base::entry_id& id) {
-        return routing::score(base::stable_hash(id.value), key);
-    };
-    const std::uint64_t ours = score(this->context.settings.id);
-    const auto others = this->linked_entries();
-    return static_cast<std::size_t>(std::count_if(
-        others.begin(), others.end(), [&](const base::entry_id& id) { return score(id) > ours; }));
-}
-
 bool kv_store_follower::is_our_turn(const std::string& address, const followed_store& store) const {
-    const std::size_t place = this->place_in_line(address);
+    const std::size_t place =
+        place_in_line(this->linked_entries(), this->context.settings.id, address);
     const auto known = this->context.state.kept.find(address);
     const bool down = known != this->context.state.kept.end() && known->second.down;
     const auto unheard = this->context.now() - store.told_at;
--- a/src/proxy/kv_store_follower.h
+++ b/src/proxy/kv_store_follower.h
@@ -45,7 +45,6 @@
     };
 
     [[nodiscard]] bool is_our_turn(const std::string& address, const followed_store& store) const;
-    [[nodiscard]] std::size_t place_in_line(const std::string& address) const;
     void ask(const std::string& address, followed_store& store);
     void take_answer(const std::string& address, const ports::cache_news& news, bool listing);
     void take_failure(const std::string& address);
--- /dev/null
+++ b/src/proxy/line_up_tests.cpp
@@ -0,0 +1,48 @@
+#include "proxy/line_up.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace camphorrail;
+
+TEST_CASE("entries agree on who has a duty", "[proxy]") {
+    std::vector<base::entry_id> all;
+    for (int each = 0; each < 20; ++each) {
+        all.push_back({"entry-" + std::to_string(each)});
+    }
+    const auto place_of = [&all](const base::entry_id& self, const std::string& duty) {
+        auto others = all;
+        std::erase(others, self);
+        return proxy::place_in_line(others, self, duty);
+    };
+    std::set<std::size_t> places;
+    std::set<std::string> first;
+    for (const auto& self : all) {
+        places.insert(place_of(self, "duty"));
+    }
+    CHECK(places.size() == all.size());
+    CHECK(*places.rbegin() == all.size() - 1);
+
+    SECTION("and spread duties among them") {
+        for (int duty = 0; duty < 20; ++duty) {
+            for (const auto& self : all) {
+                if (place_of(self, "duty-" + std::to_string(duty)) == 0) {
+                    first.insert(self.value);
+                }
+            }
+        }
+        CHECK(first.size() > 8);
+    }
+    SECTION("and the next one moves up when one is gone") {
+        for (const auto& self : all) {
+            if (place_of(self, "duty") != 1) {
+                continue;
+            }
+            auto others = all;
+            std::erase(others, self);
+            std::erase_if(others, [&](const auto& id) { return place_of(id, "duty") == 0; });
+            CHECK(proxy::place_in_line(others, self, "duty") == 0);
+        }
+    }
+}
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -38,12 +38,33 @@
     return {"ask", message.number, message.revision};
 }
 
-json to_json(const peer_store_view& message) {
+json changes_to_json(const ports::changes& changes) {
     json items = json::array();
-    for (const auto& item : message.items) {
-        items.push_back({item.key, item.value, item.mod_revision});
+    for (const auto& each : changes.items) {
+        items.push_back({each.item.key, each.item.value, each.item.mod_revision, each.deleted});
     }
-    return {"view", message.number, message.proved, message.age.count(), message.revision, items};
+    return {changes.revision, items};
+}
+
+ports::changes read_changes(const json& read) {
+    ports::changes changes;
+    changes.revision = read.at(0).get<std::int64_t>();
+    for (const auto& item : read.at(1)) {
+        changes.items.push_back({{item.at(0).get<std::string>(), item.at(1).get<std::string>(),
+                                  item.at(2).get<std::int64_t>()},
+                                 item.at(3).get<bool>()});
+    }
+    return changes;
+}
+
+json to_json(const peer_store_view& message) {
+    return {"view",         message.number,
+            message.proved, message.age.count(),
+            message.whole,  changes_to_json(message.changes)};
+}
+
+json to_json(const peer_store_changes& message) {
+    return {"changes", message.after, message.large, changes_to_json(message.changes)};
 }
 
 json to_json(const peer_reads& message) {
@@ -89,11 +110,8 @@
     view.number = read.at(1).get<std::int64_t>();
     view.proved = read.at(2).get<bool>();
     view.age = base::micros(read.at(3).get<std::int64_t>());
-    view.revision = read.at(4).get<std::int64_t>();
-    for (const auto& item : read.at(5)) {
-        view.items.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                              item.at(2).get<std::int64_t>()});
-    }
+    view.whole = read.at(4).get<bool>();
+    view.changes = read_changes(read.at(5));
     return view;
 }
 
@@ -140,6 +158,10 @@
     if (kind == "view") {
         return read_view(read);
     }
+    if (kind == "changes") {
+        return peer_store_changes{read.at(1).get<std::int64_t>(), read.at(2).get<bool>(),
+                                  read_changes(read.at(3))};
+    }
     if (kind == "reads") {
         return read_reads(read);
     }
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -84,13 +84,25 @@
     std::int64_t number = 0;
     bool proved = false;
     base::micros age{0};
-    std::int64_t revision = 0;
-    // Empty where the asker knows as much.
-    std::vector<ports::stored_value> items;
+    // All that the store holds, or what has changed since the asker's revision.
+    bool whole = false;
+    ports::changes changes;
+};
+
+// What has changed in the store, from an entry that watches it. It proves nothing: it may have been
+// on its way for long.
+struct peer_store_changes {
+    // The sender's revision before.
+    std::int64_t after = 0;
+    // Some of it is too large to be told by a few to all, and the items are left out: whoever hears
+    // of it reads the store itself.
+    bool large = false;
+    ports::changes changes;
 };
 
-using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
-                                  peer_store_ask, peer_store_view, peer_reads, peer_kept>;
+using peer_message =
+    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named, peer_store_ask,
+                 peer_store_view, peer_reads, peer_kept, peer_store_changes>;
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -5,16 +5,21 @@
 using namespace camphorrail;
 
 TEST_CASE("entries' messages survive the way between them", "[proxy]") {
-    const proxy::peer_store_view view{
-        7, true, base::micros(1500), 42, {{"config", std::string("\xff\0x", 3), 9}}};
+    const proxy::peer_store_view view{7,
+                                      true,
+                                      base::micros(1500),
+                                      true,
+                                      {42, {{{"config", std::string("\xff\0x", 3), 9}, false}}}};
     const auto read = proxy::decode(proxy::encode(view));
     REQUIRE(read.has_value());
     const auto& got = std::get<proxy::peer_store_view>(read.value());
     CHECK(got.number == 7);
     CHECK(got.proved);
     CHECK(got.age == base::micros(1500));
-    REQUIRE(got.items.size() == 1);
-    CHECK(got.items[0].value == view.items[0].value);
+    CHECK(got.whole);
+    CHECK(got.changes.revision == 42);
+    REQUIRE(got.changes.items.size() == 1);
+    CHECK(got.changes.items[0].item.value == view.changes.items[0].item.value);
 
     const auto load = proxy::decode(
         proxy::encode(proxy::peer_load{{{{"e1"}, 2, 900, 1900, 1, base::milliseconds(40)}}}));
@@ -35,6 +40,21 @@
     }
 }
 
+TEST_CASE("what entries tell of the store's changes survives the way", "[proxy]") {
+    proxy::peer_store_changes told;
+    told.after = 41;
+    told.large = true;
+    told.changes = {43, {{{"a", "\xff", 42}, false}, {{"b", "", 43}, true}}};
+    const auto read = proxy::decode(proxy::encode(told));
+    const auto& got = std::get<proxy::peer_store_changes>(read.value());
+    CHECK(got.after == 41);
+    CHECK(got.large);
+    CHECK(got.changes.revision == 43);
+    REQUIRE(got.changes.items.size() == 2);
+    CHECK(got.changes.items[0].item.value == "\xff");
+    CHECK(got.changes.items[1].deleted);
+}
+
 TEST_CASE("what entries tell of cached prompts survives the way", "[proxy]") {
     const auto reads = proxy::decode(proxy::encode(proxy::peer_reads{{{1, ~0ULL, {"e1"}, true}}}));
     const auto& read = std::get<proxy::peer_reads>(reads.value()).items.at(0);
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -13,8 +13,10 @@
 constexpr std::int64_t lease_seconds = 8;
 constexpr base::milliseconds registration_period{2500};
 constexpr base::milliseconds connect_pause{700};
-// Well above the period of our own proofs, well below the age that ends service.
+// An entry that follows the store asks others when its own proofs fail: well above their period,
+// well below the age that ends service. One that does not asks all the time.
 constexpr base::milliseconds ask_after_age{1600};
+constexpr base::milliseconds ask_after_age_unfollowed{600};
 constexpr base::milliseconds ask_period{300};
 // An entry that answers no ask for this long is cut off too, or its link has fallen silent.
 constexpr base::milliseconds ask_patience{900};
@@ -25,6 +27,24 @@
 // A configuration of 350 routes beside a list of 2,000 upstreams is below 1 MB.
 constexpr std::size_t max_message_bytes = 8U << 20U;
 
+ports::changes whole_store(const mirror::store_mirror& store) {
+    ports::changes all;
+    all.revision = store.revision;
+    for (const auto& [key, item] : store.items) {
+        all.items.push_back({item, false});
+    }
+    return all;
+}
+
+ports::snapshot snapshot_of(const ports::changes& all) {
+    ports::snapshot read;
+    read.revision = all.revision;
+    for (const auto& each : all.items) {
+        read.values.push_back(each.item);
+    }
+    return read;
+}
+
 } // namespace
 
 peers::peers(entry_context& context, ports::platform platform)
@@ -76,7 +96,8 @@
     this->connect_to_new();
     this->tell_load();
     const auto age = mirror::age(this->context.state.store, now);
-    if (now >= this->next_ask && (!age || *age > ask_after_age)) {
+    const auto longest = this->follows_store() ? ask_after_age : ask_after_age_unfollowed;
+    if (now >= this->next_ask && (!age || *age > longest)) {
         this->ask_for_store();
     }
     if (const auto entries = this->count(); entries != this->last_count) {
@@ -222,28 +243,36 @@
     }
 }
 
-// Asks every linked entry in turn until one has a fresh view; with many entries, a few at a time.
+// Asks the linked entries in turn, a few at a time, until one has a fresh view.
 void peers::ask_for_store() {
     const base::instant now = this->context.now();
     this->next_ask = now + ask_period;
-    std::vector<link_key> silent;
+    this->drop_silent();
     constexpr int most_asks = 2;
     int asks = 0;
-    for (auto& [key, each] : this->links) {
-        if (!each.open) {
+    // Once through all links, from the one after the last that was asked.
+    auto next = this->links.upper_bound(this->last_asked);
+    for (std::size_t seen = 0; seen < this->links.size() && asks < most_asks; ++seen) {
+        next = next == this->links.end() ? this->links.begin() : next;
+        auto& [key, each] = *next;
+        ++next;
+        if (!each.open || each.asked != 0) {
             continue;
         }
-        if (each.asked != 0) {
-            if (now - each.asked_at > ask_patience) {
-                silent.push_back(key);
-            }
-            continue;
-        }
-        if (asks < most_asks) {
-            ++asks;
-            each.asked = ++this->last_ask;
-            each.asked_at = now;
-            each.link->send(encode(peer_store_ask{each.asked, this->context.state.store.revision}));
+        ++asks;
+        this->last_asked = key;
+        each.asked = ++this->last_ask;
+        each.asked_at = now;
+        each.link->send(encode(peer_store_ask{each.asked, this->context.state.store.revision}));
+    }
+}
+
+void peers::drop_silent() {
+    const base::instant now = this->context.now();
+    std::vector<link_key> silent;
+    for (const auto& [key, each] : this->links) {
+        if (each.open && each.asked != 0 && now - each.asked_at > ask_patience) {
+            silent.push_back(key);
         }
     }
     for (const link_key key : silent) {
@@ -321,20 +350,42 @@
     this->kept_told(this->links.at(key).id, message);
 }
 
+void peers::take(link_key key, const peer_store_changes& message) {
+    auto& store = this->context.state.store;
+    if (message.large) {
+        if (message.changes.revision > store.revision) {
+            this->read_store();
+        }
+        return;
+    }
+    if (message.after > store.revision) {
+        // Something before it was missed; whoever is asked next tells all.
+        this->next_ask = this->context.now();
+        auto& from = this->links.at(key);
+        if (from.asked == 0) {
+            from.asked = ++this->last_ask;
+            from.asked_at = this->context.now();
+            from.link->send(encode(peer_store_ask{from.asked, store.revision}));
+        }
+        return;
+    }
+    const auto changed = mirror::take_changes(store, message.changes);
+    if (!changed.empty()) {
+        this->store_changed(changed);
+    }
+}
+
 void peers::take(link_key key, const peer_store_ask& message) {
     const auto& store = this->context.state.store;
     peer_store_view view;
     view.number = message.number;
-    view.revision = store.revision;
     if (const auto age = mirror::age(store, this->context.now())) {
         view.proved = true;
         view.age = *age;
     }
-    if (store.revision > message.revision) {
-        for (const auto& [name, item] : store.items) {
-            view.items.push_back(item);
-        }
-    }
+    auto since = mirror::changes_since(store, message.revision);
+    view.whole = !since;
+    view.changes = since ? std::move(*since) : whole_store(store);
     this->links.at(key).link->send(encode(view));
 }
 
@@ -352,14 +403,15 @@
     const base::instant proved = asked.asked_at - message.age;
     const auto before = mirror::age(store, this->context.now());
     std::set<std::string> changed;
-    if (message.revision > store.revision) {
-        changed = mirror::take_snapshot(store, {message.revision, message.items}, proved);
+    if (message.whole) {
+        changed = mirror::take_snapshot(store, snapshot_of(message.changes), proved);
     } else {
+        changed = mirror::take_changes(store, message.changes);
         mirror::prove(store, proved);
     }
     this->context.log.line(importance::keep, "store_view_from_entry")
         .text("entry", asked.id.value)
-        .number("revision", message.revision)
+        .number("revision", message.changes.revision)
         .span("age_ms", message.age)
         .span("our_age_ms", before.value_or(base::micros(-1)))
         .number("changed", static_cast<std::int64_t>(changed.size()));
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -35,6 +35,11 @@
     std::function<void(const peer_weights&)> weights_changed;
     std::function<void(const peer_named&)> named_weights_told;
     std::function<void(const base::entry_id& from, const peer_kept&)> kept_told;
+    // Another entry says that something large has changed in the store.
+    std::function<void()> read_store;
+    // Whether this entry follows the store itself, and so needs others' proofs only when it fails
+    // to.
+    std::function<bool()> follows_store;
     // What a new link is told beside who we are.
     std::function<std::vector<peer_message>()> greeting;
     // The number of entries has changed.
@@ -58,6 +63,7 @@
     void tell_load();
     void tell_reads();
     void ask_for_store();
+    void drop_silent();
     void greet(peer_link& to);
     link_key add(const adapters::link_ptr& link, base::entry_id id);
     void drop(link_key key);
@@ -69,6 +75,7 @@
     void take(link_key key, const peer_named& message);
     void take(link_key key, const peer_reads& message);
     void take(link_key key, const peer_kept& message);
+    void take(link_key key, const peer_store_changes& message);
     void take(link_key key, const peer_store_ask& message);
     void take(link_key key, const peer_store_view& message);
     [[nodiscard]] std::string list_prefix() const;
@@ -84,6 +91,8 @@
     bool registering = false;
     base::instant next_registration{};
     base::instant next_ask{};
+    // The link that was asked last; the next one is asked next.
+    link_key last_asked = 0;
     std::int64_t last_ask = 0;
     std::int64_t last_count = 0;
     bool load_told = false;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -132,6 +132,10 @@
         this->log.flush();
         return 1;
     }
+    this->store.linked_entries = [this] { return this->others.linked(); };
+    this->store.tell = [this](const peer_store_changes& message) { this->others.tell(message); };
+    this->others.read_store = [this] { this->store.read_again(); };
+    this->others.follows_store = [this] { return this->store.following(); };
     this->store.changed = [this](const std::set<std::string>& keys) {
         this->on_store_change(keys);
     };
@@ -319,6 +323,7 @@
     this->exit_when_done();
     this->connections.sweep();
     this->others.tick();
+    this->store.tick();
     this->kv_stores.tick();
     this->leader.tick();
     this->loader.tick();
