--- a/src/proxy/line_up_tests.cpp
+++ b/src/proxy/line_up_tests.cpp
@@ -8,6 +8,7 @@
 
 TEST_CASE("entries agree on who has a duty", "[proxy]") {
     std::vector<base::entry_id> all;
+    all.reserve(20);
     for (int each = 0; each < 20; ++each) {
         all.push_back({"entry-" + std::to_string(each)});
     }
