Add a fault soak, and break off a stream that the next engine fails

Cause: the end of any answer ended the caller's stream. Change: an answer that failed is one more failed attempt; the stream goes on elsewhere or is broken off. The story in request_flow_tests failed first.

--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -123,6 +123,11 @@
         return;
     }
     ++this->begun;
+    const bool success = this->current->head.status < first_refusal_status;
+    if (this->state == answer_state::streaming && !success) {
+        this->failed_to_go_on();
+        return;
+    }
     if (this->state == answer_state::streaming) {
         const int status = this->current->head.status;
         note_upstream_success(this->context, this->current->choice.id);
@@ -134,6 +139,24 @@
     this->answered_whole();
 }
 
+// The upstream that was to go on with a stream answers that it failed. Its answer is whole and the
+// stream is not: it goes on at yet another one, or is broken off.
+void request_flow::failed_to_go_on() {
+    const auto id = this->current->choice.id;
+    this->context.log.line(importance::keep, "attempt_failed")
+        .text("request", this->facts.request_id)
+        .text("kind", this->kind_name())
+        .text("upstream", id.value)
+        .text("why", "error_answer")
+        .flag("answer_begun", this->current->answering)
+        .text("last_event", this->events.last_event)
+        .span("after_ms", this->context.now() - this->current->sent_at);
+    note_upstream_error(this->context, id);
+    this->leave_attempt();
+    this->wanted.tried.push_back(id);
+    this->send_again_or_end("upstream_error");
+}
+
 void request_flow::answered_whole() {
     this->count_first_byte();
     const http::response_head head = std::move(this->current->head);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -59,6 +59,7 @@
     void ended();
     void failed(call_failure why);
     void refused_by_upstream();
+    void failed_to_go_on();
     void answered_whole();
     void pass_on(const std::string& bytes);
     void look_for_silence();
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -214,6 +214,27 @@
     CHECK(seen.whole);
 }
 
+// A stream breaks off and goes on at another engine, which answers that it failed. Its answer has
+// no events, but it is whole; taken for the stream's end, it made half a stream look complete.
+TEST_CASE("a stream that the next upstream fails is broken off, not ended", "[proxy][flow]") {
+    tests::proxy_world world;
+    int asked = 0;
+    const auto script = [&](const engine_request& got) {
+        const std::string id = got.field("Request-Id");
+        if (++asked == 1) {
+            return engine_script{send(tests::stream_head(id)), send(tests::chunk(events(1, 3))),
+                                 close_it};
+        }
+        return engine_script{send(tests::answer(id, "failed", 500))};
+    };
+    world.add_engine("i-1", script);
+    world.add_engine("i-2", script);
+    const auto seen = world.call(tests::request("resume", "r1"));
+    CHECK(asked == 2);
+    CHECK(seen.bodies.at(0) == events(1, 3));
+    CHECK_FALSE(seen.whole);
+}
+
 // An engine changes weights and cuts off the streams that it has not finished. They go on
 // elsewhere, as after a crash; but the engine has not failed, and is back as soon as it has
 // changed.
--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,176 @@
+#include "soak/callers.h"
+
+#include "adapters/sockets.h"
+#include "adapters/timer.h"
+#include "http/readers.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <string_view>
+#include <utility>
+
+namespace camphorrail::soak {
+
+namespace {
+
+constexpr int mean_pause_ms = 60;
+constexpr base::milliseconds patience{4000};
+
+} // namespace
+
+struct callers::caller : std::enable_shared_from_this<callers::caller> {
+    caller(callers& owner, int entry)
+        : owner(&owner), entry(entry), reader(http::read_limits{}),
+          limit(owner.loop->base(), [this] { this->end(); }) {}
+    ~caller() { this->release(); }
+    caller(const caller&) = delete;
+    caller& operator=(const caller&) = delete;
+
+    void send() {
+        if (this->socket == nullptr) {
+            this->socket = adapters::start_connecting(
+                this->owner->loop->base(),
+                this->owner->entries.at(static_cast<std::size_t>(this->entry)));
+            bufferevent_setcb(
+                this->socket, [](bufferevent*, void* raw) { of(raw)->read(); }, nullptr,
+                [](bufferevent*, short what, void* raw) {
+                    if ((what & BEV_EVENT_CONNECTED) == 0) {
+                        of(raw)->closed();
+                    }
+                },
+                this);
+            bufferevent_enable(this->socket, EV_READ | EV_WRITE);
+        }
+        const std::string body = "body of " + this->call.id;
+        const std::string bytes =
+            std::string("POST ") + path_of(this->call.kind) +
+            "x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer " + this->call.key +
+            "\r\nRequest-Id: " + this->call.id +
+            "\r\nRequest-Deadline: 3000\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body;
+        bufferevent_write(this->socket, bytes.data(), bytes.size());
+        this->limit.set(patience);
+    }
+
+    static std::shared_ptr<caller> of(void* raw) {
+        return static_cast<caller*>(raw)->shared_from_this();
+    }
+
+    void read() {
+        evbuffer* input = bufferevent_get_input(this->socket);
+        while (this->busy && evbuffer_get_length(input) > 0) {
+            const auto length = evbuffer_get_length(input);
+            const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)),
+                                         length);
+            const auto used = this->reader.feed(bytes);
+            evbuffer_drain(input, used);
+            this->note_answer();
+            if (used == 0 || this->reader.fault() != http::read_fault::none) {
+                return;
+            }
+        }
+    }
+
+    void note_answer() {
+        if (!this->reader.has_head()) {
+            return;
+        }
+        this->call.status = this->reader.head().status;
+        this->call.stamp = http::value_of(this->reader.head().all, "Response-Stamp");
+        this->call.body += this->reader.take_body();
+        if (this->reader.complete()) {
+            this->call.whole = true;
+            const bool keep =
+                this->reader.head().keep_alive && !this->reader.head().ends_with_close;
+            if (!keep) {
+                this->release();
+            }
+            this->end();
+        }
+    }
+
+    void closed() {
+        if (this->busy) {
+            this->reader.feed_end();
+            this->note_answer();
+        }
+        this->release();
+        if (this->busy) {
+            this->end();
+        }
+    }
+
+    void end() {
+        if (!this->call.whole) {
+            this->release();
+        }
+        this->limit.clear();
+        this->owner->end_call(this->shared_from_this());
+    }
+
+    void release() {
+        if (this->socket != nullptr) {
+            bufferevent_free(std::exchange(this->socket, nullptr));
+        }
+    }
+
+    callers* owner;
+    int entry;
+    bufferevent* socket = nullptr;
+    http::response_reader reader;
+    adapters::timer limit;
+    call_seen call;
+    bool busy = false;
+};
+
+callers::callers(adapters::event_loop& loop, history& seen, std::uint64_t seed)
+    : loop(&loop), seen(&seen), random{seed} {}
+
+callers::~callers() = default;
+
+void callers::start(std::vector<std::string> addresses, int count) {
+    this->entries = std::move(addresses);
+    for (int each = 0; each < count; ++each) {
+        const int entry = each % static_cast<int>(this->entries.size());
+        this->all.push_back(std::make_shared<caller>(*this, entry));
+        this->begin_call(this->all.back());
+    }
+}
+
+bool callers::idle() const {
+    for (const auto& each : this->all) {
+        if (each->busy) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void callers::begin_call(const std::shared_ptr<caller>& one) {
+    const auto pause = static_cast<std::int64_t>(base::exponential(this->random, mean_pause_ms));
+    this->loop->after(base::milliseconds(pause), [this, one] {
+        if (this->stopping) {
+            return;
+        }
+        one->busy = true;
+        one->reader = http::response_reader({});
+        one->call = {};
+        one->call.id = "call-" + std::to_string(++this->calls);
+        one->call.kind = static_cast<call_kind>(base::below(this->random, 4));
+        one->call.key = this->keys.at(base::below(this->random, this->keys.size()));
+        one->call.entry = one->entry;
+        one->call.sent_at = adapters::boot_now();
+        one->send();
+    });
+}
+
+void callers::end_call(const std::shared_ptr<caller>& one) {
+    one->busy = false;
+    one->call.ended_at = adapters::boot_now();
+    this->seen->calls.push_back(one->call);
+    this->begin_call(one);
+}
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/callers.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "adapters/event_loop.h"
+#include "base/random.h"
+#include "soak/history.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorrail::soak {
+
+// Callers that send one call after the other, each on a connection that it keeps until the other
+// end closes it: also while its entry is being stopped, and until the process is gone.
+class callers {
+public:
+    callers(adapters::event_loop& loop, history& seen, std::uint64_t seed);
+    ~callers();
+    callers(const callers&) = delete;
+    callers& operator=(const callers&) = delete;
+
+    // Begins with so many callers, spread over the entries' addresses.
+    void start(std::vector<std::string> entries, int count);
+    // No further calls; those under way still end.
+    void stop() { this->stopping = true; }
+    [[nodiscard]] bool idle() const;
+    // Callers use these keys from now on.
+    void set_keys(std::vector<std::string> in_use) { this->keys = std::move(in_use); }
+
+private:
+    struct caller;
+    void begin_call(const std::shared_ptr<caller>& one);
+    void end_call(const std::shared_ptr<caller>& one);
+
+    adapters::event_loop* loop;
+    history* seen;
+    base::random_source random;
+    std::vector<std::string> entries;
+    std::vector<std::string> keys;
+    std::vector<std::shared_ptr<caller>> all;
+    std::int64_t calls = 0;
+    bool stopping = false;
+};
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/checker.cpp
@@ -0,0 +1,209 @@
+#include "soak/checker.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace camphorrail::soak {
+
+namespace {
+
+constexpr int first_error = 300;
+
+using runs_by_id = std::map<std::string, std::vector<const run_seen*>>;
+using findings = std::vector<std::string>;
+
+std::string at_text(base::instant at) {
+    return std::to_string(at.time_since_epoch().count() / 1000) + " ms";
+}
+
+void find(findings& found, const std::string& promise, const call_seen& call,
+          const std::string& detail) {
+    found.push_back(promise + ": " + call.id + " " + path_of(call.kind) + " to entry " +
+                    std::to_string(call.entry) + " at " + at_text(call.sent_at) + ", status " +
+                    std::to_string(call.status) + ": " + detail);
+}
+
+bool may_repeat(call_kind kind) {
+    return kind == call_kind::safe || kind == call_kind::resumable_stream;
+}
+
+// These statuses say that the call has not run and never will.
+bool says_not_run(int status) {
+    const std::set<int> statuses{408, 421, 429, 503};
+    return statuses.count(status) > 0;
+}
+
+void check_runs(const call_seen& call, const std::vector<const run_seen*>& runs, findings& found) {
+    if (!may_repeat(call.kind) && runs.size() > 1) {
+        find(found, "at most once", call, "ran " + std::to_string(runs.size()) + " times");
+    }
+    if (says_not_run(call.status) && !may_repeat(call.kind) && !runs.empty()) {
+        find(found, "a true 'not run'", call, "ran at " + runs.front()->instance);
+    }
+}
+
+// The ids of a stream's events, in the order they came; nothing where the bytes make no sense.
+std::vector<int> event_ids(const std::string& body) {
+    std::vector<int> ids;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind("id: ", 0) == 0) {
+            ids.push_back(std::stoi(line.substr(4)));
+        }
+    }
+    return ids;
+}
+
+void check_stream(const call_seen& call, findings& found) {
+    const auto ids = event_ids(call.body);
+    for (std::size_t at = 0; at < ids.size(); ++at) {
+        if (ids[at] != static_cast<int>(at) + 1) {
+            find(found, "streams in order", call,
+                 "event " + std::to_string(ids[at]) + " in place " + std::to_string(at + 1));
+            return;
+        }
+    }
+    if (call.whole && ids.size() != stream_events) {
+        find(found, "whole streams", call, "ended after event " + std::to_string(ids.size()));
+    }
+    const bool foreign = !ids.empty() && call.body.find("data: " + call.id) == std::string::npos;
+    if (foreign) {
+        find(found, "one's own answer", call, "events of another call");
+    }
+}
+
+void check_answer(const call_seen& call, const std::vector<const run_seen*>& runs,
+                  findings& found) {
+    if (call.status == 0 || call.status >= first_error) {
+        return;
+    }
+    const bool stamped = std::any_of(runs.begin(), runs.end(), [&call](const run_seen* run) {
+        return run->stamp == call.stamp;
+    });
+    if (!stamped) {
+        find(found, "one's own answer", call, "success without a run's stamp");
+    }
+    if (call.kind == call_kind::stream || call.kind == call_kind::resumable_stream) {
+        check_stream(call, found);
+    } else if (call.whole && call.body != "done " + call.id) {
+        find(found, "one's own answer", call, "body '" + call.body + "'");
+    }
+}
+
+void check_key(const call_seen& call, const std::vector<const run_seen*>& runs, const history& seen,
+               const promised& promises, findings& found) {
+    for (const auto& removed : seen.removed) {
+        if (removed.key == call.key && call.sent_at > removed.at + promises.revoke &&
+            !runs.empty()) {
+            find(found, "removed keys", call, "its key was taken away at " + at_text(removed.at));
+        }
+    }
+    for (const auto* run : runs) {
+        if (run->team != "team-of-" + call.key) {
+            find(found, "one's own team", call, "ran for '" + run->team + "'");
+        }
+    }
+}
+
+bool broken_near(const history& seen, const call_seen& call, const promised& promises) {
+    return std::any_of(seen.faults.begin(), seen.faults.end(), [&](const fault_span& span) {
+        return !span.planned && span.until + promises.calm >= call.sent_at &&
+               span.from <= call.ended_at;
+    });
+}
+
+// Around an orderly stop of its entry, and nothing else, a call that an engine has begun on must
+// get its whole answer.
+void check_stops(const call_seen& call, const std::vector<const run_seen*>& runs,
+                 const history& seen, const promised& promises, findings& found) {
+    if (runs.empty() || call.whole || broken_near(seen, call, promises)) {
+        return;
+    }
+    for (const auto& span : seen.faults) {
+        const bool around = span.planned && span.entry == call.entry &&
+                            call.ended_at >= span.from && call.sent_at <= span.until;
+        if (around) {
+            find(found, "a stop cuts nothing", call, span.what + " from " + at_text(span.from));
+            return;
+        }
+    }
+}
+
+bool thawed_near(const history& seen, base::instant at, base::milliseconds thaw) {
+    return std::any_of(seen.faults.begin(), seen.faults.end(), [&](const fault_span& span) {
+        return !span.planned && at >= span.from && at <= span.until + thaw;
+    });
+}
+
+// Two holders must not take turns at engines, nor a fence go back.
+void check_orders(const history& seen, const promised& promises, findings& found) {
+    const order_seen* last = nullptr;
+    for (const auto& order : seen.orders) {
+        const bool excused = thawed_near(seen, order.at, promises.thaw);
+        if (last != nullptr && !excused && order.holder != last->holder) {
+            if (order.at - last->at < promises.lease) {
+                found.push_back("one leader: orders of " + last->holder + " and " + order.holder +
+                                " within " + std::to_string((order.at - last->at).count() / 1000) +
+                                " ms at " + at_text(order.at));
+            }
+            if (order.fence <= last->fence) {
+                found.push_back("one leader: the fence went back at " + at_text(order.at));
+            }
+        }
+        last = &order;
+    }
+}
+
+void check_end(const history& seen, const promised& promises, findings& found) {
+    double all = 0;
+    double served = 0;
+    for (const auto& call : seen.calls) {
+        const bool removed =
+            std::any_of(seen.removed.begin(), seen.removed.end(),
+                        [&call](const key_removed& each) { return each.key == call.key; });
+        if (call.sent_at < seen.settled_at || removed) {
+            continue;
+        }
+        all += 1;
+        served += call.whole && call.status > 0 && call.status < first_error ? 1 : 0;
+    }
+    if (all == 0 || served < promises.served_at_the_end * all) {
+        found.push_back("recovery: " + std::to_string(static_cast<int>(served)) + " of " +
+                        std::to_string(static_cast<int>(all)) +
+                        " calls served once everything was sound");
+    }
+}
+
+} // namespace
+
+std::vector<std::string> check(const history& seen, const promised& promises) {
+    findings found;
+    runs_by_id runs;
+    std::set<std::string> known;
+    for (const auto& run : seen.runs) {
+        runs[run.id].push_back(&run);
+    }
+    for (const auto& call : seen.calls) {
+        known.insert(call.id);
+        const auto& of_call = runs[call.id];
+        check_runs(call, of_call, found);
+        check_answer(call, of_call, found);
+        check_key(call, of_call, seen, promises, found);
+        check_stops(call, of_call, seen, promises, found);
+    }
+    for (const auto& [id, of_id] : runs) {
+        if (!of_id.empty() && known.count(id) == 0) {
+            found.push_back("nothing unasked: a call with id '" + id + "' ran");
+        }
+    }
+    check_orders(seen, promises, found);
+    for (const auto& exit : seen.exits) {
+        found.push_back("processes stay up: " + exit);
+    }
+    check_end(seen, promises, found);
+    return found;
+}
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/checker.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "soak/history.h"
+
+#include <string>
+#include <vector>
+
+namespace camphorrail::soak {
+
+// What the entries of a run were set to.
+struct promised {
+    base::milliseconds revoke{5000};
+    base::milliseconds lease{3000};
+    // A process that was paused, or whose way was held up, may have had an order under way.
+    base::milliseconds thaw{300};
+    // Around an orderly stop with nothing else broken this long before.
+    base::milliseconds calm{4000};
+    // Share of calls that must be served once everything is sound again.
+    double served_at_the_end = 0.95;
+};
+
+// Holds a run to the promises, from what callers and back ends saw alone. One line a violation.
+std::vector<std::string> check(const history& seen, const promised& promises);
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/checker_tests.cpp
@@ -0,0 +1,126 @@
+#include "soak/checker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+base::instant at(int millis) {
+    return base::instant{base::milliseconds(millis)};
+}
+
+soak::call_seen call(const std::string& id, soak::call_kind kind, int status, int sent_ms) {
+    soak::call_seen made{id, kind, "k1", 0, at(sent_ms), at(sent_ms + 100), status, "s-" + id};
+    made.whole = status == 200;
+    made.body = "done " + id;
+    return made;
+}
+
+soak::run_seen run(const std::string& id, int at_ms) {
+    return {id, "i-1", "s-" + id, "team-of-k1", at(at_ms)};
+}
+
+// A run in which all is well.
+soak::history sound() {
+    soak::history seen;
+    seen.calls = {call("a", soak::call_kind::once, 200, 1000),
+                  call("b", soak::call_kind::safe, 200, 2000)};
+    seen.runs = {run("a", 1010), run("b", 2010)};
+    return seen;
+}
+
+std::string only_finding(const soak::history& seen) {
+    const auto found = soak::check(seen, {});
+    return found.size() == 1 ? found.front() : std::to_string(found.size()) + " findings";
+}
+
+std::string events(const std::string& id, int from, int to) {
+    std::string body;
+    for (int event = from; event <= to; ++event) {
+        body += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    }
+    return body;
+}
+
+} // namespace
+
+// Each promise is broken by hand once. A checker that overlooks one would let a soak of any length
+// pass.
+TEST_CASE("the soak's checker notices each broken promise", "[soak]") {
+    auto seen = sound();
+    CHECK(soak::check(seen, {}).empty());
+
+    SECTION("a call that ran twice") {
+        seen.runs.push_back(run("a", 1500));
+        CHECK(only_finding(seen).rfind("at most once", 0) == 0);
+        seen.calls[0].kind = soak::call_kind::safe;
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("a refusal of what has run") {
+        seen.calls.push_back(call("c", soak::call_kind::once, 503, 1000));
+        seen.calls.back().whole = true;
+        seen.runs.push_back(run("c", 900));
+        CHECK(soak::check(seen, {}).front().rfind("a true 'not run'", 0) == 0);
+    }
+    SECTION("another call's answer") {
+        seen.calls[0].body = "done b";
+        CHECK(only_finding(seen).rfind("one's own answer", 0) == 0);
+    }
+    SECTION("an answer that nobody gave") {
+        seen.calls[0].stamp = "s-x";
+        CHECK(only_finding(seen).rfind("one's own answer", 0) == 0);
+    }
+    SECTION("a call that nobody sent") {
+        seen.runs.push_back(run("x", 1500));
+        CHECK(only_finding(seen).rfind("nothing unasked", 0) == 0);
+    }
+    SECTION("a stream with a gap, an event twice, or an early end") {
+        seen.calls[1].kind = soak::call_kind::resumable_stream;
+        seen.calls[1].body = events("b", 1, 8);
+        CHECK(soak::check(seen, {}).empty());
+        seen.calls[1].body = events("b", 1, 3) + events("b", 5, 8);
+        CHECK(only_finding(seen).rfind("streams in order", 0) == 0);
+        seen.calls[1].body = events("b", 1, 3) + events("b", 3, 8);
+        CHECK(only_finding(seen).rfind("streams in order", 0) == 0);
+        seen.calls[1].body = events("b", 1, 7);
+        CHECK(only_finding(seen).rfind("whole streams", 0) == 0);
+        seen.calls[1].body = events("a", 1, 8);
+        CHECK(only_finding(seen).rfind("one's own answer", 0) == 0);
+    }
+    SECTION("a key that was taken away, and another team's run") {
+        seen.removed = {{"k1", at(-4100)}};
+        seen.calls.push_back(call("z", soak::call_kind::safe, 200, 0));
+        seen.calls.back().key = "k2";
+        seen.runs.push_back(run("z", 10));
+        seen.runs.back().team = "team-of-k2";
+        CHECK(soak::check(seen, {}).size() == 2);
+        seen.removed.clear();
+        seen.runs.back().team = "team-of-k1";
+        CHECK(only_finding(seen).rfind("one's own team", 0) == 0);
+    }
+    SECTION("an answer cut by an orderly stop") {
+        seen.calls[0].whole = false;
+        seen.calls[0].status = 0;
+        seen.faults = {{"stop", 0, at(900), at(3000), true}};
+        seen.settled_at = at(1500);
+        CHECK(only_finding(seen).rfind("a stop cuts nothing", 0) == 0);
+        seen.faults.push_back({"kill", 1, at(500), at(600), false});
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("two leaders that take turns, and a fence that goes back") {
+        seen.orders = {{"i-1", "e1", 5, at(1000)}, {"i-2", "e2", 6, at(2000)}};
+        CHECK(only_finding(seen).rfind("one leader", 0) == 0);
+        seen.orders[1].at = at(4100);
+        CHECK(soak::check(seen, {}).empty());
+        seen.orders[1].fence = 4;
+        CHECK(only_finding(seen).rfind("one leader", 0) == 0);
+    }
+    SECTION("a process that ended by itself, and one that does not recover") {
+        seen.exits = {"entry 1, code 139"};
+        CHECK(only_finding(seen).rfind("processes stay up", 0) == 0);
+        seen.exits.clear();
+        seen.settled_at = at(5000);
+        CHECK(only_finding(seen).rfind("recovery", 0) == 0);
+    }
+}
--- /dev/null
+++ b/tests/soak/engine.cpp
@@ -0,0 +1,157 @@
+#include "soak/engine.h"
+
+#include "adapters/sockets.h"
+
+#include <nlohmann/json.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace camphorrail::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+constexpr int status_conflict = 409;
+constexpr int status_wrong = 421;
+constexpr int status_failed = 500;
+constexpr base::milliseconds work_time{15};
+constexpr base::milliseconds event_pause{25};
+constexpr int first_port = 11000;
+constexpr int ports = 20000;
+
+} // namespace
+
+int free_port() {
+    static int next = getpid() * 37 % ports;
+    while (true) {
+        next = (next + 1) % ports;
+        const int port = first_port + next;
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        auto address = adapters::parse_address("127.0.0.1:" + std::to_string(port));
+        const bool is_free =
+            bind(descriptor, reinterpret_cast<sockaddr*>(&*address), sizeof *address) == 0;
+        close(descriptor);
+        if (is_free) {
+            return port;
+        }
+    }
+}
+
+engine::engine(adapters::event_loop& loop, history& seen, std::string pool, int number)
+    : loop(&loop), seen(&seen), pool(std::move(pool)), number(number) {}
+
+void engine::start() {
+    ++this->starts;
+    this->id =
+        "i-" + this->pool + "-" + std::to_string(this->number) + "-" + std::to_string(this->starts);
+    this->orders = 0;
+    this->fails = false;
+    this->loses_answers = false;
+    this->server = std::make_unique<adapters::http_server>(
+        this->loop->base(), adapters::http_limits{},
+        [this](const adapters::exchange_ptr& exchange) { this->handle(exchange); });
+    do {
+        this->listens_at = "127.0.0.1:" + std::to_string(free_port());
+    } while (!this->server->listen(this->listens_at));
+}
+
+void engine::crash() {
+    this->server.reset();
+}
+
+void engine::handle(const adapters::exchange_ptr& exchange) {
+    if (exchange->path() == "/report") {
+        const json report{{"models", {{{"name", "m0"}, {"version", this->version}}}},
+                          {"busy", false},
+                          {"seq", this->orders}};
+        exchange->reply(status_ok, {{"Content-Type", "application/json"}}, report.dump());
+    } else if (exchange->path() == "/order") {
+        this->order(*exchange);
+    } else if (this->refuses(*exchange)) {
+        exchange->reply(status_wrong,
+                        {{"Request-Id", exchange->header("Request-Id")}, {"Not-Executed", "1"}},
+                        "");
+    } else {
+        this->run(exchange);
+    }
+}
+
+bool engine::refuses(const adapters::http_exchange& exchange) const {
+    return exchange.header("Expect-Instance") != this->id;
+}
+
+void engine::order(adapters::http_exchange& exchange) {
+    const json wanted = json::parse(exchange.body(), nullptr, false);
+    this->seen->orders.push_back({this->id, wanted.value("holder", ""),
+                                  wanted.value("fence", std::int64_t{0}), adapters::boot_now()});
+    if (wanted.value("expected", this->orders) != this->orders) {
+        exchange.reply(status_conflict, {}, "");
+        return;
+    }
+    ++this->orders;
+    this->version = wanted.at("version").get<std::int64_t>();
+    exchange.reply(status_accepted, {}, "");
+    this->changed();
+}
+
+ports::headers engine::fields(const adapters::http_exchange& exchange,
+                              const std::string& stamp) const {
+    return {{"Request-Id", exchange.header("Request-Id")},
+            {"Response-Stamp", stamp},
+            {"Server-Load", "1,0,32"}};
+}
+
+void engine::run(const adapters::exchange_ptr& exchange) {
+    const std::string call = exchange->header("Request-Id");
+    const std::string stamp = this->id + "/" + std::to_string(++this->runs);
+    this->seen->runs.push_back(
+        {call, this->id, stamp, exchange->header("Tenant-Id"), adapters::boot_now()});
+    const bool streams =
+        exchange->path().rfind("/stream/", 0) == 0 || exchange->path().rfind("/resume/", 0) == 0;
+    if (this->fails) {
+        exchange->reply(status_failed, this->fields(*exchange, stamp), "failed");
+        return;
+    }
+    if (streams) {
+        const std::string after = exchange->header("Last-Event-Id");
+        exchange->start(status_ok, this->fields(*exchange, stamp));
+        this->send_event(exchange, call, after.empty() ? 1 : std::stoi(after) + 1, this->starts);
+        return;
+    }
+    this->loop->after(work_time, [this, exchange, call, stamp, of_start = this->starts] {
+        if (this->starts != of_start || this->server == nullptr || !exchange->open()) {
+            return;
+        }
+        if (this->loses_answers) {
+            exchange->abort();
+        } else {
+            exchange->reply(status_ok, this->fields(*exchange, stamp), "done " + call);
+        }
+    });
+}
+
+void engine::send_event(const adapters::exchange_ptr& exchange, const std::string& call, int next,
+                        std::int64_t of_start) {
+    if (this->starts != of_start || this->server == nullptr || !exchange->open()) {
+        return;
+    }
+    if (next > stream_events) {
+        exchange->end();
+        return;
+    }
+    if (this->loses_answers && next > stream_events / 2) {
+        exchange->abort();
+        return;
+    }
+    exchange->send("id: " + std::to_string(next) + "\ndata: " + call + "\n\n");
+    this->loop->after(event_pause, [this, exchange, call, next, of_start] {
+        this->send_event(exchange, call, next + 1, of_start);
+    });
+}
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/engine.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "adapters/event_loop.h"
+#include "adapters/http_server.h"
+#include "soak/history.h"
+
+#include <memory>
+#include <string>
+
+namespace camphorrail::soak {
+
+// A back end that keeps what it ran. It lives in the soak's own process, so that what it saw
+// outlasts its crashes.
+class engine {
+public:
+    engine(adapters::event_loop& loop, history& seen, std::string pool, int number);
+
+    // Starts it as a new instance, with what the one before held of weights.
+    void start();
+    // All its connections end, and what ran there with them.
+    void crash();
+    [[nodiscard]] const std::string& instance() const { return this->id; }
+    [[nodiscard]] const std::string& address() const { return this->listens_at; }
+    [[nodiscard]] std::int64_t weights() const { return this->version; }
+
+    // It fails calls, or runs them and loses their answers.
+    bool fails = false;
+    bool loses_answers = false;
+    // Told when its weights have changed.
+    std::function<void()> changed;
+
+private:
+    void handle(const adapters::exchange_ptr& exchange);
+    void order(adapters::http_exchange& exchange);
+    void run(const adapters::exchange_ptr& exchange);
+    void send_event(const adapters::exchange_ptr& exchange, const std::string& call, int next,
+                    std::int64_t of_start);
+    [[nodiscard]] bool refuses(const adapters::http_exchange& exchange) const;
+    [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
+                                        const std::string& stamp) const;
+
+    adapters::event_loop* loop;
+    history* seen;
+    std::string pool;
+    int number;
+    std::int64_t starts = 0;
+    std::string id;
+    std::string listens_at;
+    std::int64_t version = 1;
+    std::int64_t orders = 0;
+    std::int64_t runs = 0;
+    std::unique_ptr<adapters::http_server> server;
+};
+
+// A port of loopback that is free now, below those that the kernel gives to outgoing connections.
+int free_port();
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/history.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <string>
+#include <vector>
+
+namespace camphorrail::soak {
+
+// The routes of a run, by what may be done again with their calls.
+enum class call_kind { once, safe, stream, resumable_stream };
+
+inline const char* path_of(call_kind kind) {
+    switch (kind) {
+    case call_kind::once:
+        return "/once/";
+    case call_kind::safe:
+        return "/safe/";
+    case call_kind::stream:
+        return "/stream/";
+    case call_kind::resumable_stream:
+        break;
+    }
+    return "/resume/";
+}
+
+// Events of each whole stream.
+inline constexpr int stream_events = 8;
+
+// One call as its caller saw it.
+struct call_seen {
+    std::string id;
+    call_kind kind = call_kind::once;
+    std::string key;
+    int entry = 0;
+    base::instant sent_at{};
+    base::instant ended_at{};
+    // 0 where no answer came.
+    int status = 0;
+    std::string stamp;
+    std::string body;
+    // The answer came to its end.
+    bool whole = false;
+};
+
+// One run as a back end saw it.
+struct run_seen {
+    std::string id;
+    std::string instance;
+    std::string stamp;
+    std::string team;
+    base::instant at{};
+};
+
+// An order to an engine to load weights.
+struct order_seen {
+    std::string instance;
+    std::string holder;
+    std::int64_t fence = 0;
+    base::instant at{};
+};
+
+// A key that operators took away, and when the store acknowledged it.
+struct key_removed {
+    std::string key;
+    base::instant at{};
+};
+
+// A stretch in which something was broken on purpose; `entry` -1 for all.
+struct fault_span {
+    std::string what;
+    int entry = -1;
+    base::instant from{};
+    base::instant until{};
+    // An orderly stop: by itself it may cut nothing.
+    bool planned = false;
+};
+
+// All that callers and back ends saw of one run, and what was done to the entries meanwhile.
+struct history {
+    std::vector<call_seen> calls;
+    std::vector<run_seen> runs;
+    std::vector<order_seen> orders;
+    std::vector<key_removed> removed;
+    std::vector<fault_span> faults;
+    // Ends of processes that nobody asked for.
+    std::vector<std::string> exits;
+    // From here on everything is sound again and has had time to settle.
+    base::instant settled_at{};
+};
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/plan.cpp
@@ -0,0 +1,75 @@
+#include "soak/plan.h"
+
+#include "base/random.h"
+
+#include <array>
+#include <string_view>
+
+namespace camphorrail::soak {
+
+namespace {
+
+constexpr std::array<std::string_view, 22> names{
+    "kill",          "stop",          "pause",         "reload",
+    "delay_engine",  "reset_engine",  "cut_one_way",   "silence_engine",
+    "refuse_engine", "silence_store", "cut_store",     "store_busy",
+    "store_silent",  "store_slow",    "store_loses",   "engine_restarts",
+    "engine_fails",  "engine_loses",  "engine_leaves", "remove_key",
+    "change_config", "name_weights"};
+constexpr int shortest_span_ms = 300;
+constexpr int longest_span_ms = 4000;
+
+bool is_of_engine(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::delay_engine:
+    case fault_kind::reset_engine:
+    case fault_kind::cut_engine_one_way:
+    case fault_kind::silence_engine:
+    case fault_kind::refuse_engine:
+    case fault_kind::engine_restarts:
+    case fault_kind::engine_fails:
+    case fault_kind::engine_loses_answers:
+    case fault_kind::engine_leaves:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+const char* name_of(fault_kind kind) {
+    return names.at(static_cast<std::size_t>(kind)).data();
+}
+
+bool is_planned(fault_kind kind) {
+    return kind == fault_kind::stop || kind == fault_kind::reload ||
+           kind == fault_kind::change_config || kind == fault_kind::name_weights ||
+           kind == fault_kind::remove_key;
+}
+
+std::vector<planned_fault> make_plan(std::uint64_t seed, const plan_size& size) {
+    base::random_source random{seed};
+    std::vector<planned_fault> plan;
+    // Some runs have nothing but planned work, in which nothing at all may be cut.
+    const bool only_planned = base::below(random, 4) == 0;
+    double at = 0;
+    while (true) {
+        at += base::exponential(random, static_cast<double>(size.pause.count()));
+        if (at >= static_cast<double>(size.length.count())) {
+            return plan;
+        }
+        const auto kind = static_cast<fault_kind>(base::below(random, names.size()));
+        const auto span = shortest_span_ms +
+                          static_cast<int>(base::below(random, longest_span_ms - shortest_span_ms));
+        const int among = is_of_engine(kind) ? size.engines : size.entries;
+        const int target = static_cast<int>(base::below(random, static_cast<std::uint64_t>(among)));
+        if (only_planned && !is_planned(kind)) {
+            continue;
+        }
+        plan.push_back(
+            {base::milliseconds(static_cast<int>(at)), base::milliseconds(span), kind, target});
+    }
+}
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/plan.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace camphorrail::soak {
+
+// What is broken, or changed, at one moment of a run.
+enum class fault_kind {
+    // Processes of the system, by signals.
+    kill,
+    stop,
+    pause,
+    reload,
+    // Connections through the loopback relays.
+    delay_engine,
+    reset_engine,
+    cut_engine_one_way,
+    silence_engine,
+    refuse_engine,
+    silence_store_link,
+    cut_store_link,
+    // The store: turned away, silent, slow, answers lost.
+    store_busy,
+    store_silent,
+    store_slow,
+    store_loses,
+    // Engines and operators.
+    engine_restarts,
+    engine_fails,
+    engine_loses_answers,
+    engine_leaves,
+    remove_key,
+    change_config,
+    name_weights,
+};
+
+const char* name_of(fault_kind kind);
+
+// Whether by itself it may cut nothing.
+bool is_planned(fault_kind kind);
+
+struct planned_fault {
+    base::milliseconds at{0};
+    // How long it lasts, or how long a process stays away.
+    base::milliseconds span{0};
+    fault_kind kind = fault_kind::kill;
+    // Which entry or engine, by number.
+    int target = 0;
+};
+
+struct plan_size {
+    int entries = 3;
+    int engines = 4;
+    base::milliseconds length{20000};
+    // Mean time between two faults; they overlap as they last for up to four seconds.
+    base::milliseconds pause{900};
+};
+
+// The faults of a run; the same seed gives the same plan.
+std::vector<planned_fault> make_plan(std::uint64_t seed, const plan_size& size);
+
+} // namespace camphorrail::soak
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,362 @@
+#include "soak/soak.h"
+
+#include "soak/checker.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace camphorrail::soak {
+
+namespace {
+
+using base::milliseconds;
+using nlohmann::json;
+
+constexpr milliseconds start_time{3000};
+// All bounds of the entries' settings are over by then, and a process that was stopped late is
+// back.
+constexpr milliseconds settle_time{12000};
+constexpr milliseconds calm_time{3000};
+constexpr milliseconds last_answers{5000};
+constexpr milliseconds look_period{20};
+constexpr milliseconds restart_pause{300};
+// After SIGTERM, as the platform does.
+constexpr milliseconds grace{8000};
+constexpr milliseconds unlisted_after{1500};
+constexpr milliseconds drain{3000};
+constexpr milliseconds reload_time{1000};
+constexpr milliseconds link_delay{120};
+constexpr milliseconds slow_store{250};
+constexpr int plain_services = 2;
+constexpr std::size_t most_removed = 3;
+constexpr int status_busy = 503;
+
+json route_of(call_kind kind, const char* wire_kind, int attempts, bool resumable,
+              const char* pool) {
+    return {{"name", path_of(kind)}, {"host", "desk.example"}, {"prefix", path_of(kind)},
+            {"kind", wire_kind},     {"timeoutMs", 3000},      {"targetLatencyMs", 300},
+            {"gapTargetMs", 250},    {"attempts", attempts},   {"resumable", resumable},
+            {"service", pool}};
+}
+
+} // namespace
+
+soak::soak(soak_options options)
+    : options(std::move(options)), store(this->loop),
+      calling(this->loop, this->seen, this->options.seed ^ 0x5eedULL) {
+    this->set_up_store();
+    this->set_up_back_ends();
+    this->write_config();
+    this->set_up_entries();
+}
+
+void soak::after(milliseconds delay, std::function<void()> action) {
+    this->loop.after(delay, std::move(action));
+}
+
+void soak::set_up_store() {
+    this->store_server = std::make_unique<adapters::http_server>(
+        this->loop.base(), adapters::http_limits{64 << 10, 64 << 20, 600},
+        [this](const adapters::exchange_ptr& exchange) {
+            switch (this->store_fault) {
+            case fault_kind::store_busy:
+                exchange->reply(status_busy, {}, "");
+                break;
+            case fault_kind::store_silent:
+                this->held_by_store.push_back(exchange);
+                break;
+            case fault_kind::store_slow:
+                this->after(slow_store, [this, exchange] { this->store.handle(exchange); });
+                break;
+            case fault_kind::store_loses:
+                this->store.handle(exchange, true);
+                break;
+            default:
+                this->store.handle(exchange);
+            }
+        });
+    do {
+        this->store_address = "127.0.0.1:" + std::to_string(free_port());
+    } while (!this->store_server->listen(this->store_address));
+}
+
+void soak::set_up_back_ends() {
+    const auto add = [this](const std::string& pool, int number) {
+        back_end one;
+        one.pool = pool;
+        one.runs = std::make_unique<engine>(this->loop, this->seen, pool, number);
+        one.runs->start();
+        one.before = std::make_unique<relay>(this->loop.base(), one.runs->address());
+        this->back_ends.push_back(std::move(one));
+    };
+    for (int each = 0; each < this->options.size.engines; ++each) {
+        add("pool", each);
+    }
+    for (int each = 0; each < plain_services; ++each) {
+        add("app", each);
+    }
+    for (auto& one : this->back_ends) {
+        one.runs->changed = [this, &one] { this->list(one, "ready"); };
+        this->list(one, "ready");
+    }
+}
+
+void soak::set_up_entries() {
+    std::vector<std::string> addresses;
+    for (int each = 0; each < this->options.size.entries; ++each) {
+        entry one;
+        one.to_store = std::make_unique<relay>(this->loop.base(), this->store_address);
+        one.process = std::make_unique<entry_process>(entry_place{
+            "entry-" + std::to_string(each), this->options.directory, this->options.program,
+            one.to_store->address(), free_port(), free_port(), free_port(), free_port()});
+        one.process->start();
+        addresses.push_back(one.process->address());
+        this->entries.push_back(std::move(one));
+    }
+    this->calling.set_keys(this->keys);
+    this->after(start_time,
+                [this, addresses] { this->calling.start(addresses, this->options.callers); });
+}
+
+void soak::list(const back_end& one, const std::string& state) {
+    const json entry{
+        {"service", one.pool}, {"address", one.before->address()},
+        {"zone", "a"},         {"slots", 32},
+        {"state", state},      {"models", {{{"name", "m0"}, {"version", one.runs->weights()}}}}};
+    this->store.put("servers/" + one.runs->instance(), entry.dump());
+}
+
+void soak::write_config() {
+    json teams = json::array();
+    for (const auto& key : this->keys) {
+        const bool removed =
+            std::count(this->removed_keys.begin(), this->removed_keys.end(), key) > 0;
+        const json held = removed ? json::array() : json::array({key});
+        teams.push_back({{"name", "team-of-" + key}, {"keys", held}});
+    }
+    const json config{{"version", ++this->config_version},
+                      {"routes",
+                       {route_of(call_kind::once, "unsafe", 1, false, "app"),
+                        route_of(call_kind::safe, "safe", 2, false, "app"),
+                        route_of(call_kind::stream, "stream", 1, false, "pool"),
+                        route_of(call_kind::resumable_stream, "stream", 2, true, "pool")}},
+                      {"services", {{{"name", "app"}}, {{"name", "pool"}}}},
+                      {"limits", json::object()},
+                      {"tenants", teams}};
+    this->store.put("op/config", config.dump());
+}
+
+history soak::play() {
+    const auto plan = make_plan(this->options.seed, this->options.size);
+    for (const auto& fault : plan) {
+        this->after(start_time + fault.at, [this, fault] { this->strike(fault); });
+    }
+    const auto healed = start_time + this->options.size.length;
+    this->after(healed, [this] { this->heal(); });
+    this->after(healed + settle_time, [this] { this->seen.settled_at = adapters::boot_now(); });
+    this->after(healed + settle_time + calm_time, [this] { this->calling.stop(); });
+    this->after(healed + settle_time + calm_time + last_answers, [this] { this->loop.stop(); });
+    this->loop.every(look_period, [this] { this->look_at_processes(); });
+    this->loop.run();
+    return std::move(this->seen);
+}
+
+void soak::note(const planned_fault& fault) {
+    const base::instant now = adapters::boot_now();
+    this->seen.faults.push_back({name_of(fault.kind), -1, now, now + fault.span, false});
+}
+
+void soak::strike(const planned_fault& fault) {
+    switch (fault.kind) {
+    case fault_kind::kill:
+    case fault_kind::stop:
+    case fault_kind::pause:
+    case fault_kind::reload:
+    case fault_kind::silence_store_link:
+    case fault_kind::cut_store_link:
+        this->strike_entry(fault, this->entries.at(static_cast<std::size_t>(fault.target)));
+        return;
+    case fault_kind::store_busy:
+    case fault_kind::store_silent:
+    case fault_kind::store_slow:
+    case fault_kind::store_loses:
+        this->strike_store(fault);
+        return;
+    case fault_kind::remove_key:
+        this->remove_key();
+        return;
+    case fault_kind::change_config:
+        this->write_config();
+        return;
+    case fault_kind::name_weights:
+        this->store.put("op/version/m0", json{{"model", "m0"}, {"version", ++this->named}}.dump());
+        return;
+    default:
+        this->strike_engine(fault, this->back_ends.at(static_cast<std::size_t>(fault.target)));
+    }
+}
+
+std::size_t soak::number_of(const entry& one) const {
+    return static_cast<std::size_t>(&one - this->entries.data());
+}
+
+void soak::strike_entry(const planned_fault& fault, entry& one) {
+    if (!one.process->running()) {
+        return;
+    }
+    const base::instant now = adapters::boot_now();
+    switch (fault.kind) {
+    case fault_kind::kill:
+        this->note(fault);
+        one.end_expected = true;
+        one.process->signal(SIGKILL);
+        break;
+    case fault_kind::stop:
+        if (one.end_expected) {
+            break;
+        }
+        one.end_expected = true;
+        one.stop_span = this->seen.faults.size();
+        this->seen.faults.push_back(
+            {"stop", static_cast<int>(this->number_of(one)), now, now + grace, true});
+        one.process->signal(SIGTERM);
+        this->after(grace, [&one, of_stop = *one.stop_span] {
+            if (one.stop_span == of_stop) {
+                one.process->signal(SIGKILL);
+            }
+        });
+        break;
+    case fault_kind::pause:
+        this->note(fault);
+        one.process->signal(SIGSTOP);
+        this->after(fault.span, [&one] { one.process->signal(SIGCONT); });
+        break;
+    case fault_kind::reload:
+        this->seen.faults.push_back(
+            {"reload", static_cast<int>(this->number_of(one)), now, now + reload_time, true});
+        one.process->signal(SIGHUP);
+        break;
+    case fault_kind::silence_store_link:
+        this->note(fault);
+        one.to_store->silence_all();
+        break;
+    default:
+        this->note(fault);
+        one.to_store->set_mode(relay_mode::cut);
+        this->after(fault.span, [&one] { one.to_store->set_mode(relay_mode::pass); });
+    }
+}
+
+void soak::strike_store(const planned_fault& fault) {
+    this->note(fault);
+    this->store_fault = fault.kind;
+    this->after(fault.span, [this] {
+        this->store_fault = fault_kind::kill;
+        this->held_by_store.clear();
+    });
+}
+
+void soak::restart_engine(back_end& one, milliseconds away) {
+    if (!one.up) {
+        return;
+    }
+    one.up = false;
+    const std::string gone = one.runs->instance();
+    one.runs->crash();
+    this->after(unlisted_after, [this, gone] { this->store.erase("servers/" + gone); });
+    this->after(away, [this, &one] {
+        one.runs->start();
+        one.before->lead_to(one.runs->address());
+        one.up = true;
+        this->list(one, "ready");
+    });
+}
+
+void soak::strike_engine(const planned_fault& fault, back_end& one) {
+    this->note(fault);
+    switch (fault.kind) {
+    case fault_kind::delay_engine:
+        one.before->set_delay(link_delay);
+        this->after(fault.span, [&one] { one.before->set_delay(milliseconds(0)); });
+        break;
+    case fault_kind::reset_engine:
+        one.before->reset_all();
+        break;
+    case fault_kind::silence_engine:
+        one.before->silence_all();
+        break;
+    case fault_kind::cut_engine_one_way:
+    case fault_kind::refuse_engine:
+        one.before->set_mode(fault.kind == fault_kind::refuse_engine ? relay_mode::refuse
+                                                                     : relay_mode::cut_one_way);
+        this->after(fault.span, [&one] { one.before->set_mode(relay_mode::pass); });
+        break;
+    case fault_kind::engine_restarts:
+        this->restart_engine(one, fault.span);
+        break;
+    case fault_kind::engine_fails:
+        one.runs->fails = true;
+        this->after(fault.span, [&one] { one.runs->fails = false; });
+        break;
+    case fault_kind::engine_loses_answers:
+        one.runs->loses_answers = true;
+        this->after(fault.span, [&one] { one.runs->loses_answers = false; });
+        break;
+    default:
+        this->list(one, "draining");
+        this->after(drain, [this, &one, fault] { this->restart_engine(one, fault.span); });
+    }
+}
+
+void soak::remove_key() {
+    if (this->removed_keys.size() >= most_removed) {
+        return;
+    }
+    const auto& key = this->keys.at(this->removed_keys.size());
+    this->removed_keys.push_back(key);
+    this->write_config();
+    this->seen.removed.push_back({key, adapters::boot_now()});
+}
+
+void soak::look_at_processes() {
+    for (auto& one : this->entries) {
+        const auto code = one.process->ended();
+        if (!code) {
+            continue;
+        }
+        const base::instant now = adapters::boot_now();
+        if (!one.end_expected) {
+            this->seen.exits.push_back(one.process->name() + ", code " + std::to_string(*code));
+        }
+        if (one.stop_span) {
+            auto& span = this->seen.faults.at(*one.stop_span);
+            span.until = now;
+            if (*code != 0 && now - span.from >= grace) {
+                this->seen.exits.push_back(one.process->name() + " outlasted its grace period");
+            }
+            one.stop_span.reset();
+        }
+        this->after(restart_pause, [&one] {
+            one.end_expected = false;
+            one.process->start();
+        });
+    }
+}
+
+void soak::heal() {
+    this->store_fault = fault_kind::kill;
+    this->held_by_store.clear();
+    for (auto& one : this->entries) {
+        one.to_store->set_mode(relay_mode::pass);
+        one.process->signal(SIGCONT);
+    }
+    for (auto& one : this->back_ends) {
+        one.before->set_mode(relay_mode::pass);
+        one.before->set_delay(milliseconds(0));
+    }
+}
+
+} // namespace camphorrail::soak
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,3 +1,4 @@
+#include "standins/metadata_store.h"
 #include "standins/standins.h"
 
 #include <iostream>
@@ -31,6 +32,12 @@
     return 0;
 }
 
+int run_metadata_store(adapters::event_loop& loop, const options& given) {
+    metadata_store store(loop);
+    return serve(loop, given,
+                 [&store](const adapters::exchange_ptr& exchange) { store.handle(exchange); });
+}
+
 } // namespace camphorrail::standins
 
 // Usage: camphorrail_standin key_value|engine|service|relay|metadata_store|platform_engine
