--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -102,10 +102,10 @@
     return suspected.empty() ? vanished : suspected;
 }
 
-workload all_work(const member& one, base::instant now, const fleet_rules& rules) {
+workload all_work(const member& one, base::instant now) {
     workload all = one.ours;
     for (const auto& [entry, load] : one.elsewhere) {
-        if (now - load.at <= rules.load_lifetime) {
+        if (now <= load.until) {
             all += load.work;
         }
     }
@@ -113,7 +113,7 @@
 }
 
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules) {
-    const std::int64_t known = all_work(one, now, rules).in_flight;
+    const std::int64_t known = all_work(one, now).in_flight;
     if (!one.load || now - one.load_at > rules.load_lifetime) {
         return known;
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -14,10 +14,10 @@
 
 namespace camphorrail::fleet {
 
-// What another entry has under way at an upstream, and when it said so.
+// What another entry has under way at an upstream, and until when that is believed.
 struct entry_load {
     workload work;
-    base::instant at{};
+    base::instant until{};
 };
 
 // What an entry knows of one upstream: what the platform lists, and what its own requests show.
@@ -54,7 +54,7 @@
     // How long a member that has vanished from the list may still serve when nothing else is there.
     // Below the platform's bound on new requests to an upstream that left, less the list's lag.
     base::micros missing_grace = base::milliseconds(1400);
-    // A load report older than this says nothing any more.
+    // What an upstream said of its load says nothing any more after this long.
     base::micros load_lifetime = base::milliseconds(500);
 };
 
@@ -90,7 +90,7 @@
                                 const std::vector<base::upstream_id>& except);
 
 // What all entries have under way at a member, as far as they have told lately.
-workload all_work(const member& one, base::instant now, const fleet_rules& rules);
+workload all_work(const member& one, base::instant now);
 
 // How many requests a member probably holds, ours and those of other entries.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -58,7 +58,7 @@
 // 400 ms later for one in four.
 double expected_wait_ms(const fleet::member& one, const prompt_request& request,
                         const placement_view& view) {
-    const auto work = fleet::all_work(one, view.now, view.rules);
+    const auto work = fleet::all_work(one, view.now);
     constexpr double part_of_sum = 0.4;
     const double sum = reading_ms(work, view.costs) + slots_ms(one, work, 1.0, view.costs) +
                        memory_ms(work, 1.0, request, view.costs);
@@ -81,7 +81,7 @@
 double cost_ms(const candidate& one, bool is_home, const prompt_request& request,
                const placement_view& view) {
     const auto& costs = view.costs;
-    const auto work = fleet::all_work(*one.engine, view.now, view.rules);
+    const auto work = fleet::all_work(*one.engine, view.now);
     double cost = reading_ms(work, costs);
     cost += slots_ms(*one.engine, work, costs.nearly_full, costs);
     cost += memory_ms(work, costs.nearly_full_memory, request, costs);
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -289,7 +289,7 @@
 
     SECTION("over all entries") {
         home->ours.held_tokens = 0;
-        home->elsewhere[{"entry-2"}] = {{.held_tokens = 70000}, now};
+        home->elsewhere[{"entry-2"}] = {{.held_tokens = 70000}, now + base::seconds(1)};
         CHECK(entry.place(chain).target.engine == second);
     }
     SECTION("unless all that come next for the prompt are full") {
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -28,7 +28,7 @@
                          item.work.held_tokens, item.work.giving_way, item.work.unrepeatable,
                          item.heard_ago.count()});
     }
-    return {"load", items};
+    return {"load", message.period.count(), items};
 }
 
 json to_json(const peer_named& message) {
@@ -118,7 +118,8 @@
 
 peer_load read_load(const json& read) {
     peer_load load;
-    for (const auto& item : read.at(1)) {
+    load.period = base::milliseconds(read.at(1).get<std::int64_t>());
+    for (const auto& item : read.at(2)) {
         const fleet::workload work{item.at(1).get<std::int64_t>(), item.at(2).get<std::int64_t>(),
                                    item.at(3).get<std::int64_t>(), item.at(4).get<std::int64_t>(),
                                    item.at(5).get<std::int64_t>()};
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -45,6 +45,8 @@
         // How long ago the upstream last sent the sender a byte.
         base::milliseconds heard_ago{0};
     };
+    // It is told again within this time.
+    base::milliseconds period{0};
     std::vector<item> items;
 };
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -20,10 +20,15 @@
 constexpr base::milliseconds ask_period{300};
 // An entry that answers no ask for this long is cut off too, or its link has fallen silent.
 constexpr base::milliseconds ask_patience{900};
-// Each tick with up to five other entries, and ten times a second with more: twenty entries that
-// told each other every 350 ms all sent to the same idle engine before one heard of the others.
-constexpr base::milliseconds load_period{20};
-constexpr base::milliseconds longest_load_period{100};
+// Each tick with up to five other entries, ten times a second with twenty: when those told each
+// other every 350 ms, all of them sent to the same idle engine before one heard of the others. With
+// more entries less often, so that what an entry sends and reads does not grow with their number:
+// with 300 that told each other ten times a second it was 1.1 MB a second.
+constexpr base::milliseconds load_period{5};
+constexpr base::milliseconds least_load_period{40};
+// A report is believed until two further ones have failed to come.
+constexpr int believed_periods = 3;
+constexpr base::milliseconds least_belief{500};
 // A configuration of 350 routes beside a list of 2,000 upstreams is below 1 MB.
 constexpr std::size_t max_message_bytes = 8U << 20U;
 
@@ -219,8 +224,9 @@
         return;
     }
     const auto entries = static_cast<std::int64_t>(this->links.size());
-    this->next_load = now + std::min<base::micros>(load_period * entries, longest_load_period);
     peer_load load;
+    load.period = std::max(load_period * entries, least_load_period);
+    this->next_load = now + load.period;
     for (const auto& [id, one] : this->context.state.fleet.members) {
         if (one.ours.in_flight > 0) {
             const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
@@ -319,6 +325,7 @@
 void peers::take(link_key key, const peer_load& message) {
     const auto& entry = this->links.at(key).id;
     const base::instant now = this->context.now();
+    const base::instant until = now + std::max(message.period * believed_periods, least_belief);
     for (auto& [id, one] : this->context.state.fleet.members) {
         one.elsewhere.erase(entry);
     }
@@ -326,7 +333,7 @@
         const auto found = this->context.state.fleet.members.find(item.upstream);
         if (found != this->context.state.fleet.members.end()) {
             auto& one = found->second;
-            one.elsewhere[entry] = {item.work, now};
+            one.elsewhere[entry] = {item.work, until};
             // With many entries each hears little of an upstream; together they know whether it
             // lives.
             one.heard_at = std::max<base::instant>(one.heard_at, now - item.heard_ago);
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -32,7 +32,7 @@
     const auto& pools = context.state.config->pools;
     const auto pool = pools.find(one.listed.pool);
     const std::int64_t room = pool == pools.end() ? 0 : pool->second.engine_tokens;
-    const auto work = fleet::all_work(one, context.now(), fleet_rules_of(context.settings));
+    const auto work = fleet::all_work(one, context.now());
     return static_cast<double>(work.held_tokens) > full_share * static_cast<double>(room);
 }
 
@@ -98,7 +98,7 @@
     choice.save_to = std::move(made.save_to);
     choice.to_read = made.to_read;
     choice.why = made.is_home ? "home" : "least_cost";
-    choice.unread_there = fleet::all_work(target, now, rules).unread_tokens;
+    choice.unread_there = fleet::all_work(target, now).unread_tokens;
     choice.wait_ms = made.wait_ms;
     choice.behind = kvcache::gives_way(made.wait_ms, request.target);
     choice.chain = std::move(chain);
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -79,7 +79,7 @@
     made.version = fleet::weights_of(one, model);
     const base::instant now = this->context.now();
     const auto since = outdated_since(history, made.version);
-    made.in_flight = fleet::all_work(one, now, fleet_rules_of(this->context.settings)).in_flight;
+    made.in_flight = fleet::all_work(one, now).in_flight;
     made.unused = since < now && now - since >= longest_outdated(this->context.settings);
     made.lane = one.short_lane ? 1 : 0;
     made.change_time = one.short_lane ? drain_time + load_time : wait_time + load_time;
@@ -180,9 +180,7 @@
     const base::instant now = this->context.now();
     ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
                             expected_orders};
-    order.cut_running =
-        one.short_lane &&
-        fleet::all_work(one, now, fleet_rules_of(this->context.settings)).unrepeatable == 0;
+    order.cut_running = one.short_lane && fleet::all_work(one, now).unrepeatable == 0;
     this->orders[id] = {version, now, false, {}, {}};
     this->context.log.line(importance::keep, "load_ordered")
         .text("upstream", id.value)
