--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS  ?= $(shell nproc)
 
-.PHONY: packages build demo check bench report lint format schedules
+.PHONY: packages build demo check bench report lint format schedules soak
 
 packages:
 	@./scripts/install_packages.sh
@@ -29,6 +29,13 @@
 schedules: build
 	@$(BUILD)/tests/camphorrail_tests "[schedule]"
 
+# Fresh seeds each time; SEED and COUNT choose others.
+SEED  ?= $(shell date +%s)
+COUNT ?= 8
+
+soak: build
+	@./scripts/soak.sh $(BUILD) $(SEED) $(COUNT)
+
 lint: build
 	@./scripts/lint.sh $(BUILD)
 
