Leave what comes on a link that was given up, and greet both its ends

Cause 1: a link that was given up is closed a turn later; what had come on it by then was still taken, looked up among the links and not found, and the exception ended the process. Cause 2: an entry that was linked to greeted the other end before the connection stood, so named weights and whole views of kept copies were never sent that way.

--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -85,11 +85,9 @@
 }
 
 bool peers::listen() {
-    this->listener =
-        adapters::listen_for_links(this->context.loop.base(), this->context.settings.peer_listen,
-                                   {max_message_bytes}, [this](const adapters::link_ptr& link) {
-                                       this->greet(this->links.at(this->add(link, {})));
-                                   });
+    this->listener = adapters::listen_for_links(
+        this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
+        [this](const adapters::link_ptr& link) { this->add(link, {}); });
     return this->listener != nullptr;
 }
 
@@ -159,13 +157,7 @@
         this->next_try[id] = now + connect_pause;
         const auto link =
             adapters::connect_link(this->context.loop.base(), address, {max_message_bytes});
-        const link_key key = this->add(link, id);
-        link->opened.connect([this, key] {
-            const auto found = this->links.find(key);
-            if (found != this->links.end()) {
-                this->greet(found->second);
-            }
-        });
+        this->add(link, id);
     }
 }
 
@@ -185,12 +177,18 @@
     }
 }
 
-peers::link_key peers::add(const adapters::link_ptr& link, base::entry_id id) {
+void peers::add(const adapters::link_ptr& link, base::entry_id id) {
     const link_key key = ++this->last_link;
     this->links[key] = {link, std::move(id), false, 0, {}};
+    // What is sent before a link stands is lost.
+    link->opened.connect([this, key] {
+        const auto found = this->links.find(key);
+        if (found != this->links.end()) {
+            this->greet(found->second);
+        }
+    });
     link->received.connect([this, key](std::string_view bytes) { this->received(key, bytes); });
     link->closed.connect([this, key] { this->drop(key); });
-    return key;
 }
 
 void peers::drop(link_key key) {
@@ -286,6 +284,10 @@
 }
 
 void peers::received(link_key key, std::string_view bytes) {
+    // A link that was given up still reads what had come by then.
+    if (this->links.count(key) == 0) {
+        return;
+    }
     const auto message = decode(bytes);
     if (!message.has_value()) {
         this->context.log.line(importance::keep, "entry_message_unreadable");
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -65,7 +65,7 @@
     void ask_for_store();
     void drop_silent();
     void greet(peer_link& to);
-    link_key add(const adapters::link_ptr& link, base::entry_id id);
+    void add(const adapters::link_ptr& link, base::entry_id id);
     void drop(link_key key);
     void received(link_key key, std::string_view bytes);
     void take(link_key key, const peer_hello& message);
--- /dev/null
+++ b/src/proxy/peers_tests.cpp
@@ -0,0 +1,91 @@
+#include "proxy/peers.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+constexpr const char* other_address = "127.0.0.1:18993";
+constexpr std::size_t most_bytes = 1U << 20U;
+
+// A store that answers nothing.
+ports::platform silent_store() {
+    ports::platform store;
+    store.commit = [](const ports::transaction&, auto) {};
+    store.grant_lease = [](std::int64_t, auto) {};
+    store.keep_lease = [](std::int64_t, auto) {};
+    return store;
+}
+
+// An entry and one that it links itself to, which the test plays.
+struct linked_world {
+    tests::proxy_world world;
+    proxy::peers others;
+    std::vector<proxy::peer_message> heard;
+    adapters::link_ptr other;
+    std::unique_ptr<adapters::link_listener> listener;
+
+    linked_world() : others(this->world.entry(), silent_store()) {
+        this->world.prove_config();
+        this->others.count_changed = [] {};
+        this->others.follows_store = [] { return true; };
+        this->others.greeting = [] { return std::vector<proxy::peer_message>{}; };
+        const std::string key = this->world.entry().words.own_prefix + "entries/zz";
+        this->world.state.store.items[key] = {key, other_address, 1};
+        this->listener =
+            adapters::listen_for_links(this->world.entry().loop.base(), other_address, {most_bytes},
+                                       [this](const adapters::link_ptr& made) {
+                                           this->other = made;
+                                           made->received.connect([this](std::string_view bytes) {
+                                               this->heard.push_back(proxy::decode(bytes).value());
+                                           });
+                                       });
+    }
+
+    // Lets time pass until a condition holds.
+    bool tick_until(const std::function<bool()>& condition) {
+        return this->world.run_until([&] {
+            this->world.move_clock(base::milliseconds(20));
+            this->others.tick();
+            return condition();
+        });
+    }
+};
+
+} // namespace
+
+// An entry gives a link up, as one whose other end has been silent or makes no sense. What that
+// other end has sent since is still read together with it. Taken for a link that stands, it ended
+// the process, and all callers of a hundred entries were cut off.
+TEST_CASE("what comes on a link that was given up is left", "[proxy]") {
+    linked_world linked;
+    REQUIRE(linked.tick_until([&] { return !linked.heard.empty(); }));
+    linked.other->send("no message");
+    linked.other->send(proxy::encode(proxy::peer_load{base::milliseconds(100), {}}));
+    REQUIRE(linked.tick_until([&] { return linked.others.linked().empty(); }));
+    // It links itself anew.
+    CHECK(linked.tick_until([&] { return linked.heard.size() >= 2; }));
+}
+
+// An entry that has just started is linked to by some and links itself to others. Half of what it
+// was to be told at first, as what the stores of kept copies hold, was said before the link stood,
+// and so never sent: it went on for minutes with a fraction of what others know.
+TEST_CASE("both ends of a new link are greeted", "[proxy]") {
+    linked_world linked;
+    linked.others.greeting = [] {
+        return std::vector<proxy::peer_message>{proxy::peer_kept{"10.9.9.9:1", true, false, {}}};
+    };
+    REQUIRE(linked.others.listen());
+    std::vector<proxy::peer_message> told;
+    auto newcomer = adapters::connect_link(linked.world.entry().loop.base(),
+                                           linked.world.entry().settings.peer_listen, {most_bytes});
+    newcomer->received.connect(
+        [&](std::string_view bytes) { told.push_back(proxy::decode(bytes).value()); });
+    const auto greeted = [](const std::vector<proxy::peer_message>& got) {
+        return got.size() >= 2 && std::holds_alternative<proxy::peer_hello>(got.front());
+    };
+    CHECK(linked.tick_until([&] { return greeted(linked.heard); }));
+    CHECK(linked.tick_until([&] { return greeted(told); }));
+}
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -205,6 +205,7 @@
                   flow->begin();
               },
               [] { return proxy::caller_bounds{}; }, this->context.now, [](int) {}}) {
+    this->settings.peer_listen = "127.0.0.1:18994";
     using routes::request_kind;
     const auto route = [](const char* name, request_kind kind, int attempts, bool resumable) {
         return routes::route{.name = name,
