Try suspected upstreams rather than refuse, whoever suspects them

A service that fails one call in seven by itself was ejected at three of twenty entries within 0.2 s, one upstream each; they told the others, who took others' word like a change of weights and refused 94 calls although all three upstreams served. Change: error answers eject an upstream at the entry that got them alone; what others say of an unreachable one is a suspicion, and suspected upstreams are the last resort. The test in fleet_tests failed first.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -73,8 +73,12 @@
     return !one.listed.leaving && !one.missing_since;
 }
 
+bool is_suspected(const member& one, base::instant now) {
+    return !membership::usable(one.health, now) || now < one.suspected_until;
+}
+
 bool is_fit(const member& one, base::instant now) {
-    return is_listed(one) && membership::usable(one.health, now) && now >= one.busy_until;
+    return is_listed(one) && !is_suspected(one, now) && now >= one.busy_until;
 }
 
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,9 @@
     base::instant heard_at{};
     // It takes no new request before this moment: it loads weights, or has said that it is full.
     base::instant busy_until{};
+    // Another entry has ejected it until then. What one entry's requests show may be the fault of
+    // its own network, so it only says to try others first.
+    base::instant suspected_until{};
     // It is about to change weights, or does so, before this moment.
     base::instant changing_until{};
     // Takes short prompts before long ones; see kvcache/lanes.h.
@@ -79,6 +82,9 @@
 // Whether a new request may be sent there as far as the list says.
 bool is_listed(const member& one);
 
+// Whether its failures, as seen here or by other entries, speak against sending a request there.
+bool is_suspected(const member& one, base::instant now);
+
 // Whether nothing speaks against sending a new request there.
 bool is_fit(const member& one, base::instant now);
 
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -51,6 +51,19 @@
         CHECK(now(8) == ids{"one"});
         CHECK(now(100) == ids{"one", "two"});
     }
+    // Each of three services of a pool fails one call in seven by itself. Three of twenty entries saw
+    // several failures in a row, one of each service, and told the others: all entries refused
+    // every call for a second although each service would have answered most.
+    SECTION("and to suspected ones rather than to none, whoever suspects them") {
+        state.members.at({"one"}).health.ejected_until = at(100);
+        state.members.at({"two"}).suspected_until = at(100);
+        CHECK(now(6) == ids{"three"});
+        state.members.at({"three"}).suspected_until = at(90);
+        CHECK(now(6) == ids{"one", "three", "two"});
+        CHECK(now(90) == ids{"three"});
+        state.members.at({"three"}).busy_until = at(200);
+        CHECK(now(91) == ids{"one", "two"});
+    }
     // While the store is away, live upstreams lapse from its list all at once. Callers would be
     // refused although every upstream serves; so the newly vanished ones are the last resort.
     SECTION("and to one that has just vanished from the list only if none is left") {
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -46,18 +46,20 @@
 
 namespace {
 
+// Gives how long the upstream is ejected for, if this ejected it.
 template <class Note>
-void note(entry_context& context, const base::upstream_id& id, const char* why, Note note_it) {
+std::optional<base::micros> note(entry_context& context, const base::upstream_id& id,
+                                 const char* why, Note note_it) {
     const auto found = context.state.fleet.members.find(id);
     if (found == context.state.fleet.members.end()) {
-        return;
+        return std::nullopt;
     }
     const base::instant now = context.now();
     const bool was_usable = membership::usable(found->second.health, now);
     note_it(found->second.health, now, fleet_rules_of(context.settings).health);
     const bool ejected = was_usable && !membership::usable(found->second.health, now);
     if (!ejected) {
-        return;
+        return std::nullopt;
     }
     context.connections.forget(id);
     const base::micros span = found->second.health.ejected_until - now;
@@ -66,16 +68,21 @@
         .text("why", why)
         .span("for_ms", span);
     context.metrics.count("camphorrail_ejections_total", {{"why", why}});
-    context.tell_suspicion(id, span, why);
+    return span;
 }
 
 } // namespace
 
 void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why) {
-    note(context, id, why, membership::note_failure);
+    const auto span = note(context, id, why, membership::note_failure);
+    if (span) {
+        context.tell_suspicion(id, *span, why);
+    }
 }
 
 void note_upstream_error(entry_context& context, const base::upstream_id& id) {
+    // Others are not told: some services fail one call in seven, and of many entries one always
+    // sees several in a row.
     note(context, id, "error_answers", membership::note_error);
 }
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -309,9 +309,11 @@
     }
     auto& one = found->second;
     const base::instant until = this->context.now() + message.span;
-    one.busy_until = std::max<base::instant>(one.busy_until, until);
     if (message.changing) {
+        one.busy_until = std::max<base::instant>(one.busy_until, until);
         one.changing_until = std::max<base::instant>(one.changing_until, until);
+    } else {
+        one.suspected_until = std::max<base::instant>(one.suspected_until, until);
     }
     this->context.log.line(importance::keep, "upstream_suspected_by_entry")
         .text("upstream", message.upstream.value)
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -1,4 +1,5 @@
 #include "proxy/peers.h"
+#include "proxy/upstream_choice.h"
 #include "proxy_world.h"
 
 #include <catch2/catch.hpp>
@@ -89,3 +90,27 @@
     CHECK(linked.tick_until([&] { return greeted(linked.heard); }));
     CHECK(linked.tick_until([&] { return greeted(told); }));
 }
+
+// What one entry sees of an upstream may be the fault of its own network, so the others try the
+// rest first, and still send there rather than refuse. One that changes weights takes nothing.
+TEST_CASE("another entry's suspicion holds nothing up where no other upstream is left", "[proxy]") {
+    linked_world linked;
+    linked.world.add_engine("service", [](const auto&) { return tests::engine_script{}; });
+    REQUIRE(linked.tick_until([&] { return linked.other && !linked.heard.empty(); }));
+    const auto& members = linked.world.state.fleet.members;
+    const auto& service = members.at({"service"});
+    const auto now = [&] { return linked.world.entry().now(); };
+    const auto send = [&](bool changing) {
+        linked.other->send(proxy::encode(proxy::peer_suspicion{{"service"},
+                                                               base::milliseconds(60000),
+                                                               changing ? "loading" : "unreachable",
+                                                               changing}));
+    };
+    send(false);
+    REQUIRE(linked.tick_until([&] { return fleet::is_suspected(service, now()); }));
+    CHECK(proxy::count_pool(linked.world.entry(), service.listed.pool).suspected == 1);
+    CHECK(proxy::choose_upstream(linked.world.entry(), {.pool = service.listed.pool}));
+    send(true);
+    REQUIRE(linked.tick_until([&] { return service.busy_until > now(); }));
+    CHECK_FALSE(proxy::choose_upstream(linked.world.entry(), {.pool = service.listed.pool}));
+}
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -272,7 +272,7 @@
         .number("pool_listed", upstreams.listed)
         .number("pool_fit", upstreams.fit)
         .number("pool_busy", upstreams.busy)
-        .number("pool_ejected", upstreams.ejected);
+        .number("pool_suspected", upstreams.suspected);
     this->context.metrics.count("camphorrail_refusals_total",
                                 {{"code", std::string(base::describe(number).name)},
                                  {"ran", std::string(base::to_string(ran))}});
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -138,7 +138,7 @@
         ++count.listed;
         count.fit += fleet::is_fit(one, now) ? 1 : 0;
         count.busy += now < one.busy_until ? 1 : 0;
-        count.ejected += membership::usable(one.health, now) ? 0 : 1;
+        count.suspected += fleet::is_suspected(one, now) ? 1 : 0;
     }
     return count;
 }
@@ -153,7 +153,8 @@
         if (one.listed.pool != pool || !fleet::is_listed(one)) {
             continue;
         }
-        const auto until = std::max(one.busy_until, one.health.ejected_until);
+        const auto until =
+            std::max({one.busy_until, one.health.ejected_until, one.suspected_until});
         const auto left = std::chrono::duration_cast<base::milliseconds>(until - now);
         wait = std::min(wait, std::max(left, soonest));
     }
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -51,7 +51,7 @@
     std::int64_t listed = 0;
     std::int64_t fit = 0;
     std::int64_t busy = 0;
-    std::int64_t ejected = 0;
+    std::int64_t suspected = 0;
 };
 
 pool_count count_pool(const entry_context& context, const base::pool_id& pool);
