--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -51,8 +51,8 @@
         CHECK(now(8) == ids{"one"});
         CHECK(now(100) == ids{"one", "two"});
     }
-    // Each of three services of a pool fails one call in seven by itself. Three of twenty entries saw
-    // several failures in a row, one of each service, and told the others: all entries refused
+    // Each of three services of a pool fails one call in seven by itself. Three of twenty entries
+    // saw several failures in a row, one of each service, and told the others: all entries refused
     // every call for a second although each service would have answered most.
     SECTION("and to suspected ones rather than to none, whoever suspects them") {
         state.members.at({"one"}).health.ejected_until = at(100);
