Fetch outer levels from whoever has read them, and save more prompts

Saves waited for a request with a small own part; most came too late.

Change: beliefs hold outer levels too, and are told with the weights; a save may take an own part as large as what is shared.

--- a/src/kvcache/cache_beliefs.cpp
+++ b/src/kvcache/cache_beliefs.cpp
@@ -28,19 +28,26 @@
     std::erase_if(readings, [&by](const auto& each) { return each.by == by; });
 }
 
+void note_reader(cache_beliefs::belief& belief, const base::upstream_id& by, base::instant now) {
+    erase_reader(belief.readings, by);
+    belief.readings.insert(belief.readings.begin(), {by, now});
+    if (belief.readings.size() > most_readings) {
+        belief.readings.pop_back();
+    }
+}
+
 } // namespace
 
 void note_read(cache_beliefs& beliefs, const prompt_read& read, base::instant now) {
     routing::note_request(beliefs.outer_levels, read.outer, now);
-    auto& belief = touch(beliefs, read.prompt);
+    if (read.outer != read.prompt) {
+        note_reader(touch(beliefs, key_at(read.outer, read.weights)), read.by, now);
+    }
+    auto& belief = touch(beliefs, key_at(read.prompt, read.weights));
+    note_reader(belief, read.by, now);
     if (read.saved) {
         belief.saved_at = now;
     }
-    erase_reader(belief.readings, read.by);
-    belief.readings.insert(belief.readings.begin(), {read.by, now});
-    if (belief.readings.size() > most_readings) {
-        belief.readings.pop_back();
-    }
     drop_oldest(beliefs);
 }
 
--- a/src/kvcache/cache_beliefs.h
+++ b/src/kvcache/cache_beliefs.h
@@ -20,16 +20,17 @@
 // An engine has read a prompt. Entries tell each other, since each sees only its part of a prompt's
 // requests.
 struct prompt_read {
-    // The outermost level, whatever the weights.
+    // Keys of the outermost and of the innermost shared level, which may be the same.
     std::uint64_t outer = 0;
-    // The innermost shared level, at its weights.
     std::uint64_t prompt = 0;
+    std::int64_t weights = 0;
     base::upstream_id by;
     // The engine was told to save it in the prompt's store.
     bool saved = false;
 };
 
-// Who has read which prompt lately, as far as this entry and those it hears from have seen.
+// Who has read which level of which prompts lately, as far as this entry and those it hears from
+// have seen. Levels are known by their keys at their weights.
 struct cache_beliefs {
     struct reading {
         base::upstream_id by;
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -24,9 +24,6 @@
 constexpr base::seconds save_shows{2};
 // Where no store's contents are known, a prompt is saved again after this long.
 constexpr base::seconds save_again_unknown{20};
-// A save takes the request's own part along, which nobody asks for again; with larger ones the
-// stores dropped shared parts for them.
-constexpr std::int64_t shared_a_own = 2;
 
 // How long the prompts that wait there take to be read.
 double reading_ms(const fleet::workload& work, const placement_costs& costs) {
@@ -153,67 +150,92 @@
     return up.empty() ? nullptr : up[chain.levels.back().key % up.size()];
 }
 
-// The engine that read the prompt last, if it did so within `longest`; null where that is the
-// target itself or one that can't be asked.
-const fleet::member* last_reader(const prompt_request& request, const placement_view& view,
-                                 const candidate& target, base::micros longest) {
-    const auto prompt = key_at(request.chain.levels.back(), target.weights);
-    for (const auto& reading : readings_of(view.beliefs, prompt)) {
-        if (view.now - reading.at > longest || reading.by == target.engine->listed.id) {
+// A level's newest readings by which an engine may hold it.
+const std::vector<cache_beliefs::reading>&
+readings_at(const prompt_level& level, const candidate& target, const placement_view& view) {
+    return readings_of(view.beliefs, key_at(level.key, target.weights));
+}
+
+// A member that can be asked for what it holds; null where it has left or fails.
+const fleet::member* askable(const base::upstream_id& id, const prompt_request& request,
+                             const placement_view& view) {
+    const auto found = std::find_if(request.pool_members.begin(), request.pool_members.end(),
+                                    [&](const auto* one) { return one->listed.id == id; });
+    const bool can_ask = found != request.pool_members.end() && fleet::is_listed(**found) &&
+                         membership::usable((*found)->health, view.now);
+    return can_ask ? *found : nullptr;
+}
+
+// The address of the engine other than the target that read the level last, if it did so within
+// `longest`; empty where there is none that can be asked.
+std::string last_reader(const prompt_level& level, const prompt_request& request,
+                        const placement_view& view, const candidate& target, base::micros longest) {
+    for (const auto& reading : readings_at(level, target, view)) {
+        if (reading.by == target.engine->listed.id || view.now - reading.at > longest) {
             continue;
         }
-        for (const auto* one : request.pool_members) {
-            if (one->listed.id == reading.by && fleet::is_listed(*one) &&
-                membership::usable(one->health, view.now)) {
-                return one;
-            }
+        if (const auto* reader = askable(reading.by, request, view)) {
+            return reader->listed.address;
         }
     }
-    return nullptr;
+    return {};
 }
 
-bool reads_lately(const prompt_request& request, const placement_view& view,
-                  const candidate& target) {
-    const auto prompt = key_at(request.chain.levels.back(), target.weights);
-    for (const auto& reading : readings_of(view.beliefs, prompt)) {
-        if (reading.by == target.engine->listed.id && view.now - reading.at <= surely_held) {
-            return true;
-        }
-    }
-    return false;
+bool reads_lately(const prompt_level& level, const candidate& target, const placement_view& view) {
+    const auto& readings = readings_at(level, target, view);
+    return std::any_of(readings.begin(), readings.end(), [&](const auto& reading) {
+        return reading.by == target.engine->listed.id && view.now - reading.at <= surely_held;
+    });
 }
 
-// Names a source for what the target does not hold, and what it then still has to read. A prompt at
-// its home names the store, which costs a millisecond where it is in vain. Elsewhere an engine that
-// has just read it goes first: the engines' links together carry many times what the stores' do.
+// Names a source for what the target does not hold, and what it then still has to read. The store
+// goes first where it holds all, which costs the engines nothing; away from home an engine that has
+// just read the prompt does, since the engines' links together carry many times what the stores'
+// do.
 void find_source(placement& made, const prompt_request& request, const placement_view& view,
                  const routes::kv_store* store) {
+    const auto& inner = request.chain.levels.back();
+    const auto& outer = request.chain.levels.front();
     const std::int64_t kept =
         store == nullptr ? 0 : kept_tokens(view.copies, store->address, request.chain, made.salt);
     const bool unknown = store != nullptr && !is_known(view.copies, store->address, view.now);
-    const std::int64_t shared = request.chain.shared_tokens();
-    const auto* just_read =
-        made.is_home ? nullptr : last_reader(request, view, made.target, surely_held);
-    std::int64_t found = reads_lately(request, view, made.target) ? shared : 0;
-    if (just_read != nullptr) {
-        made.fetch_from = just_read->listed.address;
-        found = shared;
+    const auto reader_of = [&](const prompt_level& level, base::micros longest) {
+        return last_reader(level, request, view, made.target, longest);
+    };
+    std::int64_t found = 0;
+    if (reads_lately(inner, made.target, view)) {
+        found = inner.tokens;
+    } else if (reads_lately(outer, made.target, view)) {
+        found = outer.tokens;
+    }
+    const auto take = [&](std::string address, std::int64_t tokens) {
+        found = address.empty() ? found : std::max(found, tokens);
+        made.fetch_from = std::move(address);
+    };
+    auto just_read = reader_of(inner, surely_held);
+    const bool whole = kept == inner.tokens;
+    if (!just_read.empty() && !(made.is_home && whole)) {
+        take(std::move(just_read), inner.tokens);
     } else if (kept > 0 || unknown) {
-        made.fetch_from = store->address;
-        found = std::max(found, kept);
-    } else if (const auto* reader = last_reader(request, view, made.target, perhaps_held)) {
-        made.fetch_from = reader->listed.address;
+        take(store->address, kept);
+    } else if (auto reader = reader_of(inner, perhaps_held); !reader.empty()) {
+        take(std::move(reader), 0);
+    } else if (found == 0) {
+        take(reader_of(outer, surely_held), outer.tokens);
     }
-    made.to_read = shared - found + request.chain.own_tokens;
+    made.to_read = inner.tokens - found + request.chain.own_tokens;
 }
 
 bool wants_save(const placement& made, const prompt_request& request, const placement_view& view,
                 const routes::kv_store& store) {
     const auto& chain = request.chain;
-    if (chain.own_tokens * shared_a_own > chain.shared_tokens()) {
+    // A save takes the request's own part along, which nobody asks for again; with larger ones the
+    // stores dropped shared parts for them, with smaller ones alone most saves came too late.
+    if (chain.own_tokens > chain.shared_tokens()) {
         return false;
     }
-    const auto saved = last_save(view.beliefs, key_at(chain.levels.back(), made.target.weights));
+    const auto saved =
+        last_save(view.beliefs, key_at(chain.levels.back().key, made.target.weights));
     if (!is_known(view.copies, store.address, view.now)) {
         return !saved || view.now - *saved > save_again_unknown;
     }
--- a/src/kvcache/prompt_chain.cpp
+++ b/src/kvcache/prompt_chain.cpp
@@ -24,8 +24,8 @@
     return space.isolated_team.empty() ? salt : salt + "." + space.isolated_team.value;
 }
 
-std::uint64_t key_at(const prompt_level& level, std::int64_t weights) {
-    return base::mix(level.key, static_cast<std::uint64_t>(weights));
+std::uint64_t key_at(std::uint64_t level_key, std::int64_t weights) {
+    return base::mix(level_key, static_cast<std::uint64_t>(weights));
 }
 
 std::uint64_t part_key(const std::string& salt, const std::string& part_id) {
--- a/src/kvcache/prompt_chain.h
+++ b/src/kvcache/prompt_chain.h
@@ -49,7 +49,7 @@
 std::string make_salt(const prompt_space& space, std::int64_t weights);
 
 // A level's key for one version of the weights.
-std::uint64_t key_at(const prompt_level& level, std::int64_t weights);
+std::uint64_t key_at(std::uint64_t level_key, std::int64_t weights);
 
 // A part as a store names it: by the salt and the part's own name.
 std::uint64_t part_key(const std::string& salt, const std::string& part_id);
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -71,7 +71,7 @@
 json to_json(const peer_reads& message) {
     json items = json::array();
     for (const auto& item : message.items) {
-        items.push_back({item.outer, item.prompt, item.by.value, item.saved});
+        items.push_back({item.outer, item.prompt, item.weights, item.by.value, item.saved});
     }
     return {"reads", items};
 }
@@ -89,8 +89,9 @@
     for (const auto& item : read.at(1)) {
         reads.items.push_back({item.at(0).get<std::uint64_t>(),
                                item.at(1).get<std::uint64_t>(),
-                               {item.at(2).get<std::string>()},
-                               item.at(3).get<bool>()});
+                               item.at(2).get<std::int64_t>(),
+                               {item.at(3).get<std::string>()},
+                               item.at(4).get<bool>()});
     }
     return reads;
 }
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -109,9 +109,8 @@
     if (chain.shared_tokens() < kvcache::least_tracked_tokens) {
         return;
     }
-    const kvcache::prompt_read read{chain.levels.front().key,
-                                    kvcache::key_at(chain.levels.back(), choice.weights), choice.id,
-                                    !choice.save_to.empty()};
+    const kvcache::prompt_read read{chain.levels.front().key, chain.levels.back().key,
+                                    choice.weights, choice.id, !choice.save_to.empty()};
     kvcache::note_read(this->context.state.cache, read, this->context.now());
     this->context.state.untold_reads.push_back(read);
 }
