Take a call back before its upstream's weights are outdated for too long

The choice of engines leaves a margin for the wait, but no margin covers every wait. Change: a call on outdated weights that has not begun 0.4 s before the bound is cancelled, and ends or is sent again as after any broken connection. The story in request_flow_tests failed first.

--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -185,6 +185,26 @@
     return true;
 }
 
+// An engine that turned out slower than expected has not begun, and its weights are outdated for as
+// long as is allowed. It drops a call that is cancelled before its first event, so nothing begins
+// on such weights; whether it was about to begin can't be known.
+void request_flow::weights_expired() {
+    if (!this->current || this->current->begun) {
+        return;
+    }
+    const auto held = this->shared_from_this();
+    const auto id = this->current->choice.id;
+    this->context.log.line(importance::keep, "weights_expired")
+        .text("request", this->facts.request_id)
+        .text("upstream", id.value)
+        .number("weights", this->current->choice.weights)
+        .span("after_ms", this->context.now() - this->current->sent_at);
+    this->cancel_attempt();
+    ++this->begun;
+    this->wanted.tried.push_back(id);
+    this->send_again_or_end("weights_expired");
+}
+
 void request_flow::out_of_time() {
     this->end_early("timed_out", base::code::no_upstream, base::code::timed_out);
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -49,7 +49,8 @@
 request_flow::request_flow(entry_context& context, exchange_ptr exchange)
     : context(context), exchange(std::move(exchange)),
       overall(context.loop.base(), [this] { this->out_of_time(); }),
-      silence_timer(context.loop.base(), [this] { this->look_for_silence(); }) {}
+      silence_timer(context.loop.base(), [this] { this->look_for_silence(); }),
+      weights_timer(context.loop.base(), [this] { this->weights_expired(); }) {}
 
 void request_flow::begin() {
     const auto held = this->shared_from_this();
@@ -221,6 +222,9 @@
                                     {{"expected", "read"}}, static_cast<double>(sent.to_read));
     }
     this->watch_for_silence();
+    if (sent.begin_by) {
+        this->weights_timer.set(*sent.begin_by - this->current->sent_at);
+    }
     const std::weak_ptr<request_flow> weak = this->weak_from_this();
     this->current->connection->call(std::move(bytes), {[weak](const http::response_head& answer) {
                                                            const auto held = weak.lock();
@@ -252,6 +256,7 @@
 // The attempt is over and its connection may serve another call.
 void request_flow::leave_attempt() {
     this->silence_timer.clear();
+    this->weights_timer.clear();
     auto* one = this->member_of_attempt();
     if (one != nullptr) {
         fleet::end_work(one->ours, this->work_of_attempt(), this->current->begun);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -65,6 +65,7 @@
     void answered_whole();
     void pass_on(const std::string& bytes);
     void look_for_silence();
+    void weights_expired();
     void out_of_time();
     void give_up(const char* why, base::code unrun, base::code begun_code,
                  std::optional<base::milliseconds> hint);
@@ -104,6 +105,7 @@
     base::milliseconds limit{0};
     adapters::timer overall;
     adapters::timer silence_timer;
+    adapters::timer weights_timer;
     std::optional<attempt> current;
     // Upstreams that may have begun on the request.
     int begun = 0;
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -466,3 +466,31 @@
     CHECK(seen.bodies.at(0) == events(1, 5));
     CHECK(seen.whole);
 }
+
+// An engine with outdated weights is slower than expected, and a prompt waits there until these are
+// outdated for as long as operators allow. Had it begun then, its caller would get an answer made
+// on weights that may not be used any more; so the call is taken back before.
+TEST_CASE("nothing begins on weights that are outdated for too long", "[proxy][flow]") {
+    prompt_world world([](const engine_request&) { return engine_script{hang}; });
+    const auto longest = proxy::longest_outdated(world.entry().settings);
+    const auto named = world.entry().now() - longest + base::milliseconds(50);
+    proxy::note_told(world.state.weights[{"desk-8b"}], 2, named);
+    const auto seen = world.call(prompt("stream", "r1"));
+    REQUIRE(world.engine.requests.size() == 1);
+    CHECK(world.entry().now() < named + world.entry().settings.bounds.outdated_weights);
+    CHECK(seen.heads.at(0).status == 502);
+    CHECK(world.engine.closed_by_peer == 1);
+
+    SECTION("while an answer that has begun goes on") {
+        prompt_world calm([](const engine_request& got) {
+            return engine_script{send(tests::stream_head(got.field("Request-Id"))),
+                                 send(tests::chunk(events(1, 1))), hang};
+        });
+        const auto since = calm.entry().now() - longest + base::milliseconds(50);
+        proxy::note_told(calm.state.weights[{"desk-8b"}], 2, since);
+        const auto bound = since + calm.entry().settings.bounds.outdated_weights;
+        calm.call_until(prompt("stream", "r2"), [&] { return calm.entry().now() >= bound; });
+        CHECK_FALSE(calm.last_seen().ended);
+        CHECK(calm.engine.closed_by_peer == 0);
+    }
+}
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -16,6 +16,10 @@
 constexpr base::milliseconds wait_when_full{1100};
 constexpr double full_share = 0.5;
 
+// Versions are seen up to some hundred milliseconds after they were named, and a call that is
+// cancelled reaches the upstream a hop later.
+constexpr base::milliseconds begin_margin{400};
+
 std::vector<const fleet::member*> pool_members(const fleet::fleet& state,
                                                const base::pool_id& pool) {
     std::vector<const fleet::member*> found;
@@ -102,6 +106,11 @@
     choice.wait_ms = made.wait_ms;
     choice.overloaded = kvcache::is_overloaded(made.wait_ms, request.target);
     choice.chain = std::move(chain);
+    const auto since =
+        outdated_since(history_of(context.state, request.prompt->model), choice.weights);
+    if (since <= now) {
+        choice.begin_by = since + context.settings.bounds.outdated_weights - begin_margin;
+    }
     return choice;
 }
 
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -38,6 +38,8 @@
     double wait_ms = 0.0;
     // It would wait there for too long to be taken on now.
     bool overloaded = false;
+    // By when the upstream must have begun, since its weights are outdated.
+    std::optional<base::instant> begin_by;
     // What decided it, for the log.
     const char* why = "";
 };
