--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -188,42 +188,59 @@
     });
 }
 
-// Names a source for what the target does not hold, and what it then still has to read. The store
-// goes first where it holds all, which costs the engines nothing; away from home an engine that has
-// just read the prompt does, since the engines' links together carry many times what the stores'
-// do.
-void find_source(placement& made, const prompt_request& request, const placement_view& view,
-                 const routes::kv_store* store) {
+// Tokens of the prompt that the target has read lately itself.
+std::int64_t held_by_target(const prompt_request& request, const candidate& target,
+                            const placement_view& view) {
+    const auto& levels = request.chain.levels;
+    const auto innermost = std::find_if(levels.rbegin(), levels.rend(), [&](const auto& level) {
+        return reads_lately(level, target, view);
+    });
+    return innermost == levels.rend() ? 0 : innermost->tokens;
+}
+
+// Whoever can hand over parts of a prompt, and how many tokens of it it surely has.
+struct part_source {
+    std::string address;
+    std::int64_t tokens = 0;
+};
+
+// The best source for what the target does not hold. The store goes first where it holds all, which
+// costs the engines nothing; away from home an engine that has just read the prompt does, since the
+// engines' links together carry many times what the stores' do. Without either, others are asked on
+// the chance, and at last an engine that has read the outer level alone.
+part_source best_source(const placement& made, const prompt_request& request,
+                        const placement_view& view, const routes::kv_store* store,
+                        std::int64_t held) {
     const auto& inner = request.chain.levels.back();
     const auto& outer = request.chain.levels.front();
     const std::int64_t kept =
         store == nullptr ? 0 : kept_tokens(view.copies, store->address, request.chain, made.salt);
-    const bool unknown = store != nullptr && !is_known(view.copies, store->address, view.now);
+    const bool is_guess = store != nullptr && !is_known(view.copies, store->address, view.now);
     const auto reader_of = [&](const prompt_level& level, base::micros longest) {
         return last_reader(level, request, view, made.target, longest);
     };
-    std::int64_t found = 0;
-    if (reads_lately(inner, made.target, view)) {
-        found = inner.tokens;
-    } else if (reads_lately(outer, made.target, view)) {
-        found = outer.tokens;
+    const auto just_read = reader_of(inner, surely_held);
+    const bool store_first = made.is_home && kept == inner.tokens;
+    if (!just_read.empty() && !store_first) {
+        return {just_read, inner.tokens};
     }
-    const auto take = [&](std::string address, std::int64_t tokens) {
-        found = address.empty() ? found : std::max(found, tokens);
-        made.fetch_from = std::move(address);
-    };
-    auto just_read = reader_of(inner, surely_held);
-    const bool whole = kept == inner.tokens;
-    if (!just_read.empty() && !(made.is_home && whole)) {
-        take(std::move(just_read), inner.tokens);
-    } else if (kept > 0 || unknown) {
-        take(store->address, kept);
-    } else if (auto reader = reader_of(inner, perhaps_held); !reader.empty()) {
-        take(std::move(reader), 0);
-    } else if (found == 0) {
-        take(reader_of(outer, surely_held), outer.tokens);
+    if (kept > 0 || is_guess) {
+        return {store->address, kept};
+    }
+    const auto once_read = reader_of(inner, perhaps_held);
+    if (!once_read.empty() || held > 0) {
+        return {once_read, 0};
     }
-    made.to_read = inner.tokens - found + request.chain.own_tokens;
+    const auto outer_reader = reader_of(outer, surely_held);
+    return {outer_reader, outer_reader.empty() ? 0 : outer.tokens};
+}
+
+void find_source(placement& made, const prompt_request& request, const placement_view& view,
+                 const routes::kv_store* store) {
+    const std::int64_t held = held_by_target(request, made.target, view);
+    auto source = best_source(made, request, view, store, held);
+    made.to_read = request.chain.all_tokens() - std::max(held, source.tokens);
+    made.fetch_from = std::move(source.address);
 }
 
 bool wants_save(const placement& made, const prompt_request& request, const placement_view& view,
--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -36,7 +36,7 @@
 // Whether an attempt may be made again at another upstream after one that may have run.
 bool may_repeat(const routes::route& route);
 
-// The rank of requests that give way to all others.
+// The least urgent rank that upstreams know.
 inline constexpr int last_rank = 9;
 
 // The rank of a request, from 0 (first) to 9: its team's where that has one, else its route's.
