Have each further engine of a prompt cost more than the one before

Cause: prompts that leave a busy home went to the second and third of their engines alike, so each was read at two more places and displaced others there. Change: the third costs twice the fetch and reading that the second does.

--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -13,6 +13,8 @@
 // home.
 constexpr std::size_t looked_at_long = 3;
 constexpr std::size_t looked_at_short = 4;
+// An engine of the other lane counts as so many steps from a prompt's home.
+constexpr std::size_t most_steps_away = 2;
 // Engines of the other lane that are looked at, for when the prompt's own is full.
 constexpr std::size_t looked_at_beside = 2;
 // An engine's memory turns over in one to two seconds at the peak, so it still holds what it read
@@ -75,7 +77,17 @@
     return token_ms * static_cast<double>(request.chain.shared_tokens());
 }
 
-double cost_ms(const candidate& one, bool is_home, const prompt_request& request,
+// How many engines come before this one for the prompt, so 0 for its home. Each step costs the
+// cached parts once more: the further a prompt strays, the fewer others find there what it has
+// read. With the same cost for all steps, a fifth more shared tokens were read again at the peak,
+// and with the first two engines alone lightly loaded pools refused what a third could have taken.
+std::size_t steps_away(const fleet::member& one,
+                       const std::vector<const fleet::member*>& by_prompt) {
+    const auto at = std::find(by_prompt.begin(), by_prompt.end(), &one) - by_prompt.begin();
+    return std::min(static_cast<std::size_t>(at), most_steps_away);
+}
+
+double cost_ms(const candidate& one, std::size_t steps, const prompt_request& request,
                const placement_view& view) {
     const auto& costs = view.costs;
     const auto work = fleet::all_work(*one.engine, view.now);
@@ -84,7 +96,7 @@
     cost += memory_ms(work, costs.nearly_full_memory, request, costs);
     cost += static_cast<double>(work.in_flight) * costs.running_ms;
     cost += one.outdated ? costs.outdated_ms : 0.0;
-    cost += is_home ? 0.0 : away_ms(request, costs);
+    cost += static_cast<double>(steps) * away_ms(request, costs);
     if (!in_lane(*one.engine, request.chain)) {
         cost += is_long(request.chain) ? costs.long_among_short_ms : costs.short_among_long_ms;
     }
@@ -273,7 +285,7 @@
     double best_ms = 0.0;
     for (const auto* each : few_of(candidates, by_prompt, chain)) {
         const bool is_home = each->engine == home;
-        const double cost = cost_ms(*each, is_home, request, view);
+        const double cost = cost_ms(*each, steps_away(*each->engine, by_prompt), request, view);
         if (best.target.engine == nullptr || cost < best_ms) {
             best.target = *each;
             best.is_home = is_home;
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -149,6 +149,18 @@
         CHECK(second.fetch_from == home->listed.address);
         CHECK(second.to_read == 2890);
     }
+    // At the peak every engine has something to do. Were all that come next for a prompt alike, it
+    // would be read by a different one each time, and displace there what others come for.
+    SECTION("the second of its engines, unless the third has far less to do") {
+        const auto placed = [&] { return entry.place(chain).target.engine; };
+        auto* home = placed();
+        home->ours.unread_tokens = 30000;
+        auto* second = placed();
+        second->ours.unread_tokens = 8000;
+        CHECK(placed() == second);
+        second->ours.unread_tokens = 25000;
+        CHECK(placed() != second);
+    }
     SECTION("and from the kept copy when that is too long ago") {
         const auto home = entry.place(chain).target.engine;
         entry.read(chain, *home, now - base::seconds(3));
