--- a/src/kvcache/overload.h
+++ b/src/kvcache/overload.h
@@ -15,16 +15,17 @@
 // itself up for ten seconds after new weights or a crash. Refused prompts come back when it is
 // over.
 //
-// Measured on ten days with new weights, crashes and bursts at 400 and 500 requests a second: with
-// all sent, the late ones at the last rank, engines put back up to 2,000 prompts a day and callers
-// got nothing for 4.4 of 100 requests; with this 2 prompts of 100 put back before, and 3.3 of 100
-// requests. With a wait of two fifths of the target allowed the gain was half as large; with an
-// eighth, more were refused on days that could have served them.
+// Measured on ten days with new weights, crashes and bursts at 400 to 550 requests a second: with
+// all sent, the late ones at the last rank, engines put 5,800 prompts back, and callers got nothing
+// for 4.4 of 100 requests; with this 300 prompts, and 3.6 of 100 requests. With a wait of two
+// fifths of the target allowed, two thirds of the gain in worth were left; with an eighth, more
+// were refused on days that could have served them.
 bool is_overloaded(double waiting_ms, base::milliseconds target);
 
-// When a refused caller is to come back. Spread by the request's number, so that those who are
-// refused together do not return together. Half a second to over a second made no difference to how
-// many were served; callers with four seconds wait for at most a third of these.
+// When a refused caller is to come back. Spread by a number that differs from request to request,
+// so that those who are refused together do not return together. Half a second or over a second
+// made no difference to how many were served; callers with four seconds wait for a third of these
+// at most.
 base::milliseconds come_back_after(std::uint64_t number);
 
 } // namespace camphorrail::kvcache
