--- a/tests/soak/entry_process.cpp
+++ b/tests/soak/entry_process.cpp
@@ -1,13 +1,15 @@
 #include "soak/entry_process.h"
 
+#include <array>
 #include <csignal>
+#include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <iostream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
-#include <vector>
 
 extern char** environ;
 
@@ -60,14 +62,14 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, log_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    std::vector<std::string> words{this->place.program, "proxy", settings};
-    std::vector<char*> arguments;
-    for (auto& word : words) {
-        arguments.push_back(word.data());
-    }
-    arguments.push_back(nullptr);
-    if (posix_spawn(&this->pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ) !=
-        0) {
+    std::string program = this->place.program;
+    std::string command = "proxy";
+    std::string settings_path = settings;
+    std::array<char*, 4> arguments{program.data(), command.data(), settings_path.data(), nullptr};
+    const int failed =
+        posix_spawn(&this->pid, program.c_str(), &actions, nullptr, arguments.data(), environ);
+    if (failed != 0) {
+        std::cerr << "cannot start " << this->place.name << ": " << std::strerror(failed) << "\n";
         this->pid = 0;
     }
     posix_spawn_file_actions_destroy(&actions);
