--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -38,6 +38,23 @@
     auto operator<=>(const config_version&) const = default;
 };
 
+// One life of an upstream, which may start again under its id, with empty caches and counts: the
+// Unix millisecond of its start, as it says itself. It only tells lives apart; clocks jump, so a
+// later one may be smaller. 0 where the upstream does not say.
+struct upstream_incarnation {
+    std::int64_t value = 0;
+
+    auto operator<=>(const upstream_incarnation&) const = default;
+};
+
+// One upstream in one of its lives.
+struct upstream_instance {
+    upstream_id id;
+    upstream_incarnation incarnation;
+
+    auto operator<=>(const upstream_instance&) const = default;
+};
+
 // One life of a process. Counts up at each start and is never used again.
 struct incarnation {
     std::int64_t value = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,8 +10,17 @@
 namespace {
 
 bool same(const ports::listed_upstream& left, const ports::listed_upstream& right) {
-    return left.address == right.address && left.leaving == right.leaving &&
-           left.models == right.models && left.pool == right.pool && left.slots == right.slots;
+    return left.incarnation == right.incarnation && left.address == right.address &&
+           left.leaving == right.leaving && left.models == right.models &&
+           left.pool == right.pool && left.slots == right.slots;
+}
+
+// Further lives are older than any message on its way.
+constexpr std::size_t most_earlier_lives = 4;
+
+// An upstream that begins to say when it started has not started again for that.
+bool is_other_life(base::upstream_incarnation before, base::upstream_incarnation after) {
+    return before.value != 0 && before != after;
 }
 
 bool contains(const std::vector<base::upstream_id>& ids, const base::upstream_id& id) {
@@ -20,6 +29,44 @@
 
 } // namespace
 
+void begin_life(member& one, base::upstream_incarnation incarnation) {
+    one.earlier_lives.push_back(one.listed.incarnation);
+    if (one.earlier_lives.size() > most_earlier_lives) {
+        one.earlier_lives.erase(one.earlier_lives.begin());
+    }
+    member begun;
+    begun.listed = std::move(one.listed);
+    begun.listed.incarnation = incarnation;
+    begun.id_hash = one.id_hash;
+    begun.short_lane = one.short_lane;
+    begun.missing_since = one.missing_since;
+    begun.earlier_lives = std::move(one.earlier_lives);
+    one = std::move(begun);
+}
+
+base::upstream_instance instance_of(const member& one) {
+    return {one.listed.id, one.listed.incarnation};
+}
+
+member* find_instance(fleet& state, const base::upstream_instance& instance) {
+    const auto found = state.members.find(instance.id);
+    const bool same_life =
+        found != state.members.end() && found->second.listed.incarnation == instance.incarnation;
+    return same_life ? &found->second : nullptr;
+}
+
+bool has_ended(const member& one, base::upstream_incarnation incarnation) {
+    return std::find(one.earlier_lives.begin(), one.earlier_lives.end(), incarnation) !=
+           one.earlier_lives.end();
+}
+
+void withdraw(fleet& state, const base::upstream_id& id) {
+    const auto found = state.members.find(id);
+    if (found != state.members.end()) {
+        found->second.listed.leaving = true;
+    }
+}
+
 list_change take_list(fleet& state, const std::vector<ports::listed_upstream>& listed,
                       base::instant now) {
     list_change change;
@@ -27,14 +74,22 @@
     for (const auto& each : listed) {
         present.insert(each.id);
         const auto [found, is_new] = state.members.try_emplace(each.id);
+        auto& one = found->second;
+        if (!is_new && has_ended(one, each.incarnation)) {
+            continue;
+        }
         if (is_new) {
             change.added.push_back(each.id);
-        } else if (found->second.missing_since || !same(found->second.listed, each)) {
+        } else if (one.missing_since || !same(one.listed, each)) {
             change.changed.push_back(each.id);
         }
-        found->second.listed = each;
-        found->second.id_hash = base::stable_hash(each.id.value);
-        found->second.missing_since.reset();
+        if (!is_new && is_other_life(one.listed.incarnation, each.incarnation)) {
+            begin_life(one, each.incarnation);
+            change.restarted.push_back(each.id);
+        }
+        one.listed = each;
+        one.id_hash = base::stable_hash(each.id.value);
+        one.missing_since.reset();
     }
     for (auto& [id, one] : state.members) {
         if (present.count(id) == 0 && !one.missing_since) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -46,6 +46,8 @@
     bool short_lane = false;
     // Since when the platform's list lacks it.
     std::optional<base::instant> missing_since;
+    // Its lives before this one, the newest last.
+    std::vector<base::upstream_incarnation> earlier_lives;
 };
 
 struct fleet {
@@ -66,12 +68,32 @@
     std::vector<base::upstream_id> added;
     std::vector<base::upstream_id> changed;
     std::vector<base::upstream_id> removed;
+    // They started again under their ids.
+    std::vector<base::upstream_id> restarted;
 };
 
 // Takes the platform's list as it now is.
 list_change take_list(fleet& state, const std::vector<ports::listed_upstream>& listed,
                       base::instant now);
 
+// An upstream is known to have started again. All that was believed of it is void: it holds no
+// cached prompt and has nothing under way. The platform's list may go on telling of the earlier
+// life for a while, since heartbeats overtake each other; that is passed over.
+void begin_life(member& one, base::upstream_incarnation incarnation);
+
+base::upstream_instance instance_of(const member& one);
+
+// The member where it is in that very life; null where it has started again since, or before, or is
+// not known. What is told of another life must not be believed of this one.
+member* find_instance(fleet& state, const base::upstream_instance& instance);
+
+// Whether the upstream is known to have ended that life.
+bool has_ended(const member& one, base::upstream_incarnation incarnation);
+
+// Something else stands in the list in place of a member that vanished from it. Unlike one that
+// only lapsed, it gets nothing more, even where no other is left.
+void withdraw(fleet& state, const base::upstream_id& id);
+
 // Forgets members that vanished long enough ago and hold no request; gives their ids.
 std::vector<base::upstream_id> drop_missing(fleet& state, base::instant now,
                                             const fleet_rules& rules);
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -27,6 +27,62 @@
 
 } // namespace
 
+// An engine crashes and starts again under its id, within a second and without leaving the list.
+// Were the beliefs of its earlier life kept, it would be shunned for that life's failures, taken
+// for busy with that life's requests, and asked for prompts that it has lost.
+TEST_CASE("an upstream that starts again is known by nothing of before", "[fleet]") {
+    fleet::fleet state;
+    auto listed = upstream("one");
+    listed.incarnation = {500};
+    fleet::take_list(state, {listed}, at(0));
+    auto& one = state.members.at({"one"});
+    one.health.ejected_until = at(9000);
+    one.suspected_until = at(9000);
+    one.busy_until = at(9000);
+    one.ours.in_flight = 3;
+    one.elsewhere[{"entry-2"}] = {{4, 100, 100, 0}, at(9000)};
+    one.load = ports::reported_load{6, 2, 6};
+    const std::int64_t born = GENERATE(std::int64_t{700}, std::int64_t{400});
+    listed.incarnation = {born};
+    const auto change = fleet::take_list(state, {listed}, at(10));
+    REQUIRE(change.restarted == std::vector<base::upstream_id>{{"one"}});
+    CHECK(fleet::is_fit(one, at(11)));
+    CHECK(fleet::estimated_load(one, at(11), {}) == 0);
+    CHECK(fleet::find_instance(state, {{"one"}, {born}}) == &one);
+    CHECK(fleet::find_instance(state, {{"one"}, {500}}) == nullptr);
+
+    SECTION("and a late heartbeat of its earlier life changes nothing") {
+        one.ours.in_flight = 1;
+        listed.incarnation = {500};
+        listed.leaving = true;
+        CHECK(fleet::take_list(state, {listed}, at(20)).restarted.empty());
+        CHECK(one.listed.incarnation.value == born);
+        CHECK(one.ours.in_flight == 1);
+        CHECK(fleet::is_fit(one, at(21)));
+    }
+}
+
+TEST_CASE("an upstream that begins to say when it started has not started again", "[fleet]") {
+    fleet::fleet state;
+    auto listed = upstream("one");
+    fleet::take_list(state, {listed}, at(0));
+    listed.incarnation = {500};
+    CHECK(fleet::take_list(state, {listed}, at(10)).restarted.empty());
+}
+
+// Another program writes over an engine's entry in the list. A vanished engine is a last resort,
+// since entries lapse while the platform's store is away; one that was written over is not.
+TEST_CASE("an upstream whose entry was written over gets nothing", "[fleet]") {
+    fleet::fleet state;
+    fleet::take_list(state, {upstream("one")}, at(0));
+    fleet::take_list(state, {}, at(10));
+    CHECK(fleet::candidates(state, {"pool"}, at(11), {}, {}).size() == 1);
+    fleet::withdraw(state, {"one"});
+    CHECK(fleet::candidates(state, {"pool"}, at(11), {}, {}).empty());
+    fleet::take_list(state, {upstream("one")}, at(12));
+    CHECK(fleet::candidates(state, {"pool"}, at(13), {}, {}).size() == 1);
+}
+
 TEST_CASE("new requests go to upstreams that nothing speaks against", "[fleet]") {
     fleet::fleet state;
     const fleet::fleet_rules rules;
--- a/src/kvcache/cache_beliefs.cpp
+++ b/src/kvcache/cache_beliefs.cpp
@@ -41,10 +41,10 @@
 void note_read(cache_beliefs& beliefs, const prompt_read& read, base::instant now) {
     routing::note_request(beliefs.outer_levels, read.outer, now);
     if (read.outer != read.prompt) {
-        note_reader(touch(beliefs, key_at(read.outer, read.weights)), read.by, now);
+        note_reader(touch(beliefs, key_at(read.outer, read.weights)), read.by.id, now);
     }
     auto& belief = touch(beliefs, key_at(read.prompt, read.weights));
-    note_reader(belief, read.by, now);
+    note_reader(belief, read.by.id, now);
     if (read.saved) {
         belief.saved_at = now;
     }
--- a/src/kvcache/cache_beliefs.h
+++ b/src/kvcache/cache_beliefs.h
@@ -24,7 +24,7 @@
     std::uint64_t outer = 0;
     std::uint64_t prompt = 0;
     std::int64_t weights = 0;
-    base::upstream_id by;
+    base::upstream_instance by;
     // The engine was told to save it in the prompt's store.
     bool saved = false;
 };
--- a/src/kvcache/cache_beliefs_tests.cpp
+++ b/src/kvcache/cache_beliefs_tests.cpp
@@ -30,7 +30,7 @@
     kvcache::cache_beliefs beliefs;
     beliefs.most_prompts = 10;
     for (std::uint64_t prompt = 0; prompt < 100; ++prompt) {
-        kvcache::note_read(beliefs, {1000, prompt, weights, {"e1"}, prompt % 2 == 0}, now);
+        kvcache::note_read(beliefs, {1000, prompt, weights, {{"e1"}, {}}, prompt % 2 == 0}, now);
     }
     CHECK(beliefs.by_prompt.size() == 10);
     CHECK(readings(beliefs, 99).front().by.value == "e1");
@@ -39,8 +39,8 @@
     CHECK_FALSE(kvcache::last_save(beliefs, kvcache::key_at(99, weights)));
 
     SECTION("with the newest reader first, each once") {
-        kvcache::note_read(beliefs, {1000, 99, weights, {"e2"}, false}, now);
-        kvcache::note_read(beliefs, {1000, 99, weights, {"e1"}, false}, now);
+        kvcache::note_read(beliefs, {1000, 99, weights, {{"e2"}, {}}, false}, now);
+        kvcache::note_read(beliefs, {1000, 99, weights, {{"e1"}, {}}, false}, now);
         REQUIRE(readings(beliefs, 99).size() == 2);
         CHECK(readings(beliefs, 99).front().by.value == "e1");
     }
@@ -49,7 +49,7 @@
         CHECK(readings(beliefs, 99).empty());
     }
     SECTION("of the outermost level too, which many prompts share") {
-        kvcache::note_read(beliefs, {1000, 200, weights, {"e2"}, false}, now);
+        kvcache::note_read(beliefs, {1000, 200, weights, {{"e2"}, {}}, false}, now);
         REQUIRE(readings(beliefs, 1000).size() == 2);
         CHECK(readings(beliefs, 1000).front().by.value == "e2");
     }
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -43,7 +43,8 @@
     void see_traffic(const std::function<kvcache::prompt_chain(int)>& chain_of) {
         for (int history = 0; history < 300; ++history) {
             kvcache::note_read(this->beliefs,
-                               {chain_of(history).levels.front().key, 0, 1, {"e0"}, false}, now);
+                               {chain_of(history).levels.front().key, 0, 1, {{"e0"}, {}}, false},
+                               now);
         }
     }
 
@@ -69,7 +70,8 @@
               bool saved = false) {
         kvcache::note_read(
             this->beliefs,
-            {chain.levels.front().key, chain.levels.back().key, 1, by.listed.id, saved}, at);
+            {chain.levels.front().key, chain.levels.back().key, 1, fleet::instance_of(by), saved},
+            at);
     }
 
     // Each store holds the whole prompt.
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -76,6 +76,7 @@
 // One upstream as the platform lists it.
 struct listed_upstream {
     base::upstream_id id;
+    base::upstream_incarnation incarnation;
     base::pool_id pool;
     std::string address;
     base::availability_zone zone;
@@ -106,6 +107,7 @@
 
 // What an upstream says of itself when asked.
 struct upstream_state {
+    base::upstream_incarnation incarnation;
     std::vector<std::pair<base::model_id, std::int64_t>> models;
     // Orders that it has accepted since its start.
     std::int64_t orders = 0;
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -44,27 +44,38 @@
     return rules;
 }
 
+void forget_earlier_life(entry_context& context, const base::upstream_instance& now_in) {
+    context.connections.forget(now_in.id);
+    kvcache::forget_reader(context.state.cache, now_in.id);
+    std::erase_if(context.state.untold_reads,
+                  [&](const auto& read) { return read.by.id == now_in.id; });
+    context.log.line(adapters::importance::keep, "upstream_restarted")
+        .text("upstream", now_in.id.value)
+        .number("incarnation", now_in.incarnation.value);
+    context.metrics.count("camphorrail_upstream_restarts_total");
+}
+
 namespace {
 
 // Gives how long the upstream is ejected for, if this ejected it.
 template <class Note>
-std::optional<base::micros> note(entry_context& context, const base::upstream_id& id,
+std::optional<base::micros> note(entry_context& context, const base::upstream_instance& upstream,
                                  const char* why, Note note_it) {
-    const auto found = context.state.fleet.members.find(id);
-    if (found == context.state.fleet.members.end()) {
+    auto* one = fleet::find_instance(context.state.fleet, upstream);
+    if (one == nullptr) {
         return std::nullopt;
     }
     const base::instant now = context.now();
-    const bool was_usable = membership::usable(found->second.health, now);
-    note_it(found->second.health, now, fleet_rules_of(context.settings).health);
-    const bool ejected = was_usable && !membership::usable(found->second.health, now);
+    const bool was_usable = membership::usable(one->health, now);
+    note_it(one->health, now, fleet_rules_of(context.settings).health);
+    const bool ejected = was_usable && !membership::usable(one->health, now);
     if (!ejected) {
         return std::nullopt;
     }
-    context.connections.forget(id);
-    const base::micros span = found->second.health.ejected_until - now;
+    context.connections.forget(upstream.id);
+    const base::micros span = one->health.ejected_until - now;
     context.log.line(adapters::importance::keep, "upstream_ejected")
-        .text("upstream", id.value)
+        .text("upstream", upstream.id.value)
         .text("why", why)
         .span("for_ms", span);
     context.metrics.count("camphorrail_ejections_total", {{"why", why}});
@@ -73,23 +84,23 @@
 
 } // namespace
 
-void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why) {
-    const auto span = note(context, id, why, membership::note_failure);
+void note_upstream_failure(entry_context& context, const base::upstream_instance& upstream,
+                           const char* why) {
+    const auto span = note(context, upstream, why, membership::note_failure);
     if (span) {
-        context.tell_suspicion(id, *span, why);
+        context.tell_suspicion(upstream, *span, why);
     }
 }
 
-void note_upstream_error(entry_context& context, const base::upstream_id& id) {
+void note_upstream_error(entry_context& context, const base::upstream_instance& upstream) {
     // Others are not told: some services fail one call in seven, and of many entries one always
     // sees several in a row.
-    note(context, id, "error_answers", membership::note_error);
+    note(context, upstream, "error_answers", membership::note_error);
 }
 
-void note_upstream_success(entry_context& context, const base::upstream_id& id) {
-    const auto found = context.state.fleet.members.find(id);
-    if (found != context.state.fleet.members.end()) {
-        membership::note_success(found->second.health, fleet_rules_of(context.settings).health);
+void note_upstream_success(entry_context& context, const base::upstream_instance& upstream) {
+    if (auto* one = fleet::find_instance(context.state.fleet, upstream)) {
+        membership::note_success(one->health, fleet_rules_of(context.settings).health);
     }
 }
 
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -49,11 +49,12 @@
     // On a clock that counts suspension.
     std::function<base::instant()> now;
     // Tells other entries that an upstream takes nothing for a while.
-    std::function<void(const base::upstream_id&, base::micros, const char* why)> tell_suspicion;
+    std::function<void(const base::upstream_instance&, base::micros, const char* why)>
+        tell_suspicion;
     // Tells other entries that an upstream takes nothing new while it changes weights.
-    std::function<void(const base::upstream_id&, base::micros)> tell_change;
+    std::function<void(const base::upstream_instance&, base::micros)> tell_change;
     // Notes, here and at other entries, which weights an upstream holds now.
-    std::function<void(const base::upstream_id&, const base::model_id&, std::int64_t version)>
+    std::function<void(const base::upstream_instance&, const base::model_id&, std::int64_t version)>
         tell_weights;
 };
 
@@ -76,12 +77,18 @@
 // How long a request may still begin on weights after newer ones were named.
 base::micros longest_outdated(const settings::proxy_settings& settings);
 
-// Notes that an attempt at an upstream failed; may eject it, and then tells other entries.
-void note_upstream_failure(entry_context& context, const base::upstream_id& id, const char* why);
+// Voids what hangs on an upstream's earlier life outside the fleet: its idle connections, which are
+// dead, and what it was believed to have cached.
+void forget_earlier_life(entry_context& context, const base::upstream_instance& now_in);
+
+// Notes that an attempt at an upstream failed; may eject it, and then tells other entries. Says
+// nothing of an upstream that has started again since.
+void note_upstream_failure(entry_context& context, const base::upstream_instance& upstream,
+                           const char* why);
 
 // Notes that an upstream answered that a call failed.
-void note_upstream_error(entry_context& context, const base::upstream_id& id);
+void note_upstream_error(entry_context& context, const base::upstream_instance& upstream);
 
-void note_upstream_success(entry_context& context, const base::upstream_id& id);
+void note_upstream_success(entry_context& context, const base::upstream_instance& upstream);
 
 } // namespace camphorrail::proxy
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -8,23 +8,31 @@
 
 using nlohmann::json;
 
+json to_json(const base::upstream_instance& instance) {
+    return {instance.id.value, instance.incarnation.value};
+}
+
+base::upstream_instance read_instance(const json& read) {
+    return {{read.at(0).get<std::string>()}, {read.at(1).get<std::int64_t>()}};
+}
+
 json to_json(const peer_hello& message) {
     return {"hello", message.from.value};
 }
 
 json to_json(const peer_suspicion& message) {
-    return {"suspicion", message.upstream.value, message.span.count(), message.why,
+    return {"suspicion", to_json(message.upstream), message.span.count(), message.why,
             message.changing};
 }
 
 json to_json(const peer_weights& message) {
-    return {"weights", message.upstream.value, message.model.value, message.version};
+    return {"weights", to_json(message.upstream), message.model.value, message.version};
 }
 
 json to_json(const peer_load& message) {
     json items = json::array();
     for (const auto& item : message.items) {
-        items.push_back({item.upstream.value, item.work.in_flight, item.work.unread_tokens,
+        items.push_back({to_json(item.upstream), item.work.in_flight, item.work.unread_tokens,
                          item.work.held_tokens, item.work.unrepeatable, item.heard_ago.count()});
     }
     return {"load", message.period.count(), items};
@@ -70,7 +78,7 @@
 json to_json(const peer_reads& message) {
     json items = json::array();
     for (const auto& item : message.items) {
-        items.push_back({item.outer, item.prompt, item.weights, item.by.value, item.saved});
+        items.push_back({item.outer, item.prompt, item.weights, to_json(item.by), item.saved});
     }
     return {"reads", items};
 }
@@ -86,10 +94,8 @@
 peer_reads read_reads(const json& read) {
     peer_reads reads;
     for (const auto& item : read.at(1)) {
-        reads.items.push_back({item.at(0).get<std::uint64_t>(),
-                               item.at(1).get<std::uint64_t>(),
-                               item.at(2).get<std::int64_t>(),
-                               {item.at(3).get<std::string>()},
+        reads.items.push_back({item.at(0).get<std::uint64_t>(), item.at(1).get<std::uint64_t>(),
+                               item.at(2).get<std::int64_t>(), read_instance(item.at(3)),
                                item.at(4).get<bool>()});
     }
     return reads;
@@ -122,9 +128,8 @@
     for (const auto& item : read.at(2)) {
         const fleet::workload work{item.at(1).get<std::int64_t>(), item.at(2).get<std::int64_t>(),
                                    item.at(3).get<std::int64_t>(), item.at(4).get<std::int64_t>()};
-        load.items.push_back({{item.at(0).get<std::string>()},
-                              work,
-                              base::milliseconds(item.at(5).get<std::int64_t>())});
+        load.items.push_back(
+            {read_instance(item.at(0)), work, base::milliseconds(item.at(5).get<std::int64_t>())});
     }
     return load;
 }
@@ -135,13 +140,12 @@
         return peer_hello{{read.at(1).get<std::string>()}};
     }
     if (kind == "suspicion") {
-        return peer_suspicion{{read.at(1).get<std::string>()},
+        return peer_suspicion{read_instance(read.at(1)),
                               base::milliseconds(read.at(2).get<std::int64_t>()),
-                              read.at(3).get<std::string>(),
-                              read.at(4).get<bool>()};
+                              read.at(3).get<std::string>(), read.at(4).get<bool>()};
     }
     if (kind == "weights") {
-        return peer_weights{{read.at(1).get<std::string>()},
+        return peer_weights{read_instance(read.at(1)),
                             {read.at(2).get<std::string>()},
                             read.at(3).get<std::int64_t>()};
     }
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -23,7 +23,7 @@
 
 // An upstream takes nothing new for a while.
 struct peer_suspicion {
-    base::upstream_id upstream;
+    base::upstream_instance upstream;
     base::milliseconds span{0};
     std::string why;
     // It changes weights, and may cut off what it can't finish.
@@ -32,7 +32,7 @@
 
 // An upstream holds these weights now; said before the platform's list does.
 struct peer_weights {
-    base::upstream_id upstream;
+    base::upstream_instance upstream;
     base::model_id model;
     std::int64_t version = 0;
 };
@@ -40,7 +40,7 @@
 // What the sender has under way at upstreams, those with nothing left out.
 struct peer_load {
     struct item {
-        base::upstream_id upstream;
+        base::upstream_instance upstream;
         fleet::workload work;
         // How long ago the upstream last sent the sender a byte.
         base::milliseconds heard_ago{0};
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -22,12 +22,12 @@
     CHECK(got.changes.items[0].item.value == view.changes.items[0].item.value);
 
     const auto load = proxy::decode(proxy::encode(proxy::peer_load{
-        base::milliseconds(100), {{{"e1"}, {2, 900, 1900, 1}, base::milliseconds(40)}}}));
+        base::milliseconds(100), {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}));
     CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.unread_tokens == 900);
     CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.held_tokens == 1900);
     CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.unrepeatable == 1);
-    const auto suspicion = proxy::decode(
-        proxy::encode(proxy::peer_suspicion{{"e1"}, base::milliseconds(250), "silent", true}));
+    const auto suspicion = proxy::decode(proxy::encode(
+        proxy::peer_suspicion{{{"e1"}, {17}}, base::milliseconds(250), "silent", true}));
     CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).why == "silent");
     CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).changing);
 }
@@ -57,10 +57,10 @@
 
 TEST_CASE("what entries tell of cached prompts survives the way", "[proxy]") {
     const auto reads =
-        proxy::decode(proxy::encode(proxy::peer_reads{{{1, ~0ULL, 4, {"e1"}, true}}}));
+        proxy::decode(proxy::encode(proxy::peer_reads{{{1, ~0ULL, 4, {{"e1"}, {17}}, true}}}));
     const auto& read = std::get<proxy::peer_reads>(reads.value()).items.at(0);
     CHECK(read.prompt == ~0ULL);
-    CHECK(read.by.value == "e1");
+    CHECK(read.by.id.value == "e1");
     CHECK(read.saved);
     const auto kept =
         proxy::decode(proxy::encode(proxy::peer_kept{"10.9.9.9:1", true, false, {{~0ULL, 2520}}}));
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -228,7 +228,7 @@
     for (const auto& [id, one] : this->context.state.fleet.members) {
         if (one.ours.in_flight > 0) {
             const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
-            load.items.push_back({id, one.ours, heard});
+            load.items.push_back({fleet::instance_of(one), one.ours, heard});
         }
     }
     // One last message says that nothing is left.
@@ -303,11 +303,11 @@
 }
 
 void peers::take(link_key key, const peer_suspicion& message) {
-    const auto found = this->context.state.fleet.members.find(message.upstream);
-    if (found == this->context.state.fleet.members.end()) {
+    auto* found = fleet::find_instance(this->context.state.fleet, message.upstream);
+    if (found == nullptr) {
         return;
     }
-    auto& one = found->second;
+    auto& one = *found;
     const base::instant until = this->context.now() + message.span;
     if (message.changing) {
         one.busy_until = std::max<base::instant>(one.busy_until, until);
@@ -316,7 +316,7 @@
         one.suspected_until = std::max<base::instant>(one.suspected_until, until);
     }
     this->context.log.line(importance::keep, "upstream_suspected_by_entry")
-        .text("upstream", message.upstream.value)
+        .text("upstream", message.upstream.id.value)
         .text("entry", this->links.at(key).id.value)
         .text("why", message.why)
         .number("for_ms", message.span.count());
@@ -334,9 +334,8 @@
         one.elsewhere.erase(entry);
     }
     for (const auto& item : message.items) {
-        const auto found = this->context.state.fleet.members.find(item.upstream);
-        if (found != this->context.state.fleet.members.end()) {
-            auto& one = found->second;
+        if (auto* found = fleet::find_instance(this->context.state.fleet, item.upstream)) {
+            auto& one = *found;
             one.elsewhere[entry] = {item.work, until};
             // With many entries each hears little of an upstream; together they know whether it
             // lives.
@@ -351,7 +350,9 @@
 
 void peers::take(link_key /*key*/, const peer_reads& message) {
     for (const auto& read : message.items) {
-        kvcache::note_read(this->context.state.cache, read, this->context.now());
+        if (fleet::find_instance(this->context.state.fleet, read.by) != nullptr) {
+            kvcache::note_read(this->context.state.cache, read, this->context.now());
+        }
     }
 }
 
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -101,7 +101,7 @@
     const auto& service = members.at({"service"});
     const auto now = [&] { return linked.world.entry().now(); };
     const auto send = [&](bool changing) {
-        linked.other->send(proxy::encode(proxy::peer_suspicion{{"service"},
+        linked.other->send(proxy::encode(proxy::peer_suspicion{{{"service"}, {}},
                                                                base::milliseconds(60000),
                                                                changing ? "loading" : "unreachable",
                                                                changing}));
@@ -114,3 +114,43 @@
     REQUIRE(linked.tick_until([&] { return service.busy_until > now(); }));
     CHECK_FALSE(proxy::choose_upstream(linked.world.entry(), {.pool = service.listed.pool}));
 }
+
+// An entry that has not yet heard of an engine's new start goes on telling of the life before: what
+// it has under way there, what it caches, that it fails. None of that may be believed of the new
+// life, or callers would be kept from an engine that is idle, and prompts fetched that it has lost.
+TEST_CASE("what other entries say of an upstream's earlier life is left", "[proxy]") {
+    linked_world linked;
+    linked.world.add_engine("engine", [](const auto&) { return tests::engine_script{}; });
+    auto& engine = linked.world.state.fleet.members.at({"engine"});
+    engine.listed.incarnation = {200};
+    REQUIRE(linked.tick_until([&] { return linked.other && !linked.heard.empty(); }));
+    constexpr std::uint64_t prompt = 9;
+    constexpr std::int64_t weights = 1;
+    const auto tell = [&](std::int64_t incarnation) {
+        const base::upstream_instance of{{"engine"}, {incarnation}};
+        linked.other->send(proxy::encode(
+            proxy::peer_suspicion{of, base::milliseconds(60000), "unreachable", false}));
+        linked.other->send(proxy::encode(proxy::peer_load{
+            base::milliseconds(60000), {{of, {2, 900, 1900, 0}, base::milliseconds(0)}}}));
+        linked.other->send(
+            proxy::encode(proxy::peer_reads{{{prompt, prompt, weights, of, false}}}));
+        linked.other->send(proxy::encode(proxy::peer_named{{"m"}, incarnation, {}}));
+    };
+    std::int64_t last_named = 0;
+    linked.others.named_weights_told = [&](const auto& told) { last_named = told.version; };
+    const auto readings = [&] {
+        return kvcache::readings_of(linked.world.state.cache, kvcache::key_at(prompt, weights))
+            .size();
+    };
+    tell(100);
+    REQUIRE(linked.tick_until([&] { return last_named == 100; }));
+    const auto now = linked.world.entry().now();
+    CHECK(fleet::is_fit(engine, now));
+    CHECK(fleet::all_work(engine, now).in_flight == 0);
+    CHECK(readings() == 0);
+    tell(200);
+    REQUIRE(linked.tick_until([&] { return last_named == 200; }));
+    CHECK(fleet::is_suspected(engine, now));
+    CHECK(fleet::all_work(engine, now).in_flight == 2);
+    CHECK(readings() == 1);
+}
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,9 +2,11 @@
 
 #include "kvcache/lanes.h"
 #include "process/operators_port.h"
+#include "proxy/upstream_list.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
@@ -46,32 +48,36 @@
       log(STDOUT_FILENO, this->settings.id.value, {}, this->loop.clock().wall_ms),
       timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
       connections(this->loop.base(), adapters::boot_now),
-      context{
-          this->loop,
-          this->settings,
-          this->platform.words,
-          this->state,
-          this->connections,
-          this->log,
-          this->metrics,
-          adapters::boot_now,
-          [this](const base::upstream_id& id, base::micros span, const char* why) {
-              this->others.tell(
-                  peer_suspicion{id, std::chrono::duration_cast<base::milliseconds>(span), why});
-          },
-          [this](const base::upstream_id& id, base::micros span) {
-              this->others.tell(peer_suspicion{
-                  id, std::chrono::duration_cast<base::milliseconds>(span), "loading", true});
-          },
-          [this](const base::upstream_id& id, const base::model_id& model, std::int64_t version) {
-              this->take_weights_of({id, model, version});
-              this->others.tell(peer_weights{id, model, version});
-          }},
+      context{this->loop,
+              this->settings,
+              this->platform.words,
+              this->state,
+              this->connections,
+              this->log,
+              this->metrics,
+              adapters::boot_now,
+              [this](const base::upstream_instance& upstream, base::micros span, const char* why) {
+                  this->others.tell(peer_suspicion{
+                      upstream, std::chrono::duration_cast<base::milliseconds>(span), why});
+              },
+              [this](const base::upstream_instance& upstream, base::micros span) {
+                  this->others.tell(
+                      peer_suspicion{upstream, std::chrono::duration_cast<base::milliseconds>(span),
+                                     "loading", true});
+              },
+              [this](const base::upstream_instance& upstream, const base::model_id& model,
+                     std::int64_t version) {
+                  this->take_weights_of({upstream, model, version});
+                  this->others.tell(peer_weights{upstream, model, version});
+              }},
       platform_calls(std::make_shared<adapters::platform_calls>()),
       store_calls(this->platform.make_store(this->loop.base(), this->settings.platform.endpoint,
                                             this->settings.platform.timeout, this->platform_calls)),
       store(this->context, this->store_calls), leader(this->context, this->store_calls),
-      loader(this->context, this->leader), others(this->context, this->store_calls),
+      loader(this->context,
+             {[this] { return this->leader.may_order(); }, [this] { return this->leader.name(); },
+              [this] { return this->leader.fence(); }}),
+      others(this->context, this->store_calls),
       kv_stores(this->context, [this] { return this->others.linked(); }) {}
 
 bool proxy::listen() {
@@ -160,7 +166,12 @@
 }
 
 bool proxy::ready() const {
-    return !this->state.stopping && is_fresh(this->context) && !this->state.fleet.members.empty();
+    // A list entry may name a pool that no configuration knows.
+    const auto& members = this->state.fleet.members;
+    return !this->state.stopping && is_fresh(this->context) &&
+           std::any_of(members.begin(), members.end(), [this](const auto& each) {
+               return this->state.config->pools.count(each.second.listed.pool) > 0;
+           });
 }
 
 void proxy::on_request(const exchange_ptr& exchange) {
@@ -216,16 +227,16 @@
 }
 
 void proxy::take_weights_of(const peer_weights& told) {
-    const auto found = this->state.fleet.members.find(told.upstream);
-    if (found == this->state.fleet.members.end()) {
+    auto* one = fleet::find_instance(this->state.fleet, told.upstream);
+    if (one == nullptr) {
         return;
     }
-    for (auto& [model, version] : found->second.listed.models) {
+    for (auto& [model, version] : one->listed.models) {
         if (model == told.model && version < told.version) {
             version = told.version;
-            found->second.busy_until = this->context.now();
+            one->busy_until = this->context.now();
             this->log.line(importance::keep, "upstream_weights")
-                .text("upstream", told.upstream.value)
+                .text("upstream", told.upstream.id.value)
                 .number("version", told.version);
         }
     }
@@ -244,17 +255,19 @@
 }
 
 void proxy::take_upstreams() {
-    std::vector<ports::listed_upstream> listed;
-    for (const auto& item :
-         mirror::items_below(this->state.store, this->platform.words.upstreams_prefix)) {
-        auto read = this->platform.words.read_upstream(item.key, item.value);
-        if (read.has_value()) {
-            listed.push_back(std::move(read.value()));
-        } else {
-            this->log.line(importance::keep, "upstream_unreadable").text("key", item.key);
+    const auto list = read_upstream_list(this->state.store, this->platform.words);
+    const auto change = fleet::take_list(this->state.fleet, list.upstreams, this->context.now());
+    for (const auto& [id, revision] : list.unreadable) {
+        fleet::withdraw(this->state.fleet, id);
+        // Said once for each entry that can't be read, however often the list is read again.
+        if (const auto said = this->unreadable.find(id);
+            said == this->unreadable.end() || said->second != revision) {
+            this->log.line(importance::keep, "upstream_unreadable")
+                .text("upstream", id.value)
+                .number("revision", revision);
         }
     }
-    const auto change = fleet::take_list(this->state.fleet, listed, this->context.now());
+    this->unreadable = list.unreadable;
     kvcache::assign_lanes(this->state.fleet, {});
     const auto tell = [this](const char* event, const std::vector<base::upstream_id>& ids) {
         for (const auto& id : ids) {
@@ -264,6 +277,7 @@
                 .text("pool", one.listed.pool.value)
                 .text("address", one.listed.address)
                 .flag("leaving", one.listed.leaving)
+                .number("incarnation", one.listed.incarnation.value)
                 .number("weights", one.listed.models.empty() ? 0 : one.listed.models[0].second)
                 .number("revision", this->state.store.revision);
         }
@@ -271,6 +285,9 @@
     tell("upstream_added", change.added);
     tell("upstream_changed", change.changed);
     tell("upstream_unlisted", change.removed);
+    for (const auto& id : change.restarted) {
+        forget_earlier_life(this->context, fleet::instance_of(this->state.fleet.members.at(id)));
+    }
     for (const auto& id : change.removed) {
         this->connections.forget(id);
         kvcache::forget_reader(this->state.cache, id);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -89,6 +89,8 @@
     // All is answered and sent; the process is about to end.
     bool ending = false;
     bool was_ready = false;
+    // Entries of the platform's list that could not be read, as last logged.
+    std::map<base::upstream_id, std::int64_t> unreadable;
     // The named weights have been read once; what comes later was named in this process's life.
     bool weights_read = false;
 };
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -106,11 +106,12 @@
 void request_flow::note_prompt_read() {
     const auto& choice = this->current->choice;
     const auto& chain = choice.chain;
-    if (chain.shared_tokens() < kvcache::least_tracked_tokens) {
+    const bool holds = this->member_of_attempt() != nullptr;
+    if (!holds || chain.shared_tokens() < kvcache::least_tracked_tokens) {
         return;
     }
     const kvcache::prompt_read read{chain.levels.front().key, chain.levels.back().key,
-                                    choice.weights, choice.id, !choice.save_to.empty()};
+                                    choice.weights, instance_of(choice), !choice.save_to.empty()};
     kvcache::note_read(this->context.state.cache, read, this->context.now());
     this->context.state.untold_reads.push_back(read);
 }
@@ -129,7 +130,7 @@
     }
     if (this->state == answer_state::streaming) {
         const int status = this->current->head.status;
-        note_upstream_success(this->context, this->current->choice.id);
+        note_upstream_success(this->context, instance_of(this->current->choice));
         this->leave_attempt();
         this->exchange->finish();
         this->finish("ok", status);
@@ -141,18 +142,18 @@
 // The upstream that was to go on with a stream answers that it failed. Its answer is whole and the
 // stream is not: it goes on at yet another one, or is broken off.
 void request_flow::failed_to_go_on() {
-    const auto id = this->current->choice.id;
+    const auto upstream = instance_of(this->current->choice);
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
-        .text("upstream", id.value)
+        .text("upstream", upstream.id.value)
         .text("why", "error_answer")
         .flag("answer_begun", this->current->answering)
         .text("last_event", this->events.last_event)
         .span("after_ms", this->context.now() - this->current->sent_at);
-    note_upstream_error(this->context, id);
+    note_upstream_error(this->context, upstream);
     this->leave_attempt();
-    this->wanted.tried.push_back(id);
+    this->wanted.tried.push_back(upstream.id);
     this->send_again_or_end("upstream_error");
 }
 
@@ -160,17 +161,17 @@
     this->count_first_byte();
     const http::response_head head = std::move(this->current->head);
     const bool error = head.status >= first_error_status;
-    const auto id = this->current->choice.id;
+    const auto upstream = instance_of(this->current->choice);
     const bool in_time = this->time_left() > least_time;
     if (error && in_time) {
-        note_upstream_error(this->context, id);
+        note_upstream_error(this->context, upstream);
     } else if (!error) {
-        note_upstream_success(this->context, id);
+        note_upstream_success(this->context, upstream);
     }
     if (error && this->request.route->kind == routes::request_kind::idempotent &&
         this->may_send_again() && this->take_retry()) {
         this->leave_attempt();
-        this->wanted.tried.push_back(id);
+        this->wanted.tried.push_back(upstream.id);
         this->error_answer = whole_answer{head, std::exchange(this->whole_body, {})};
         this->send_attempt();
         return;
@@ -196,7 +197,7 @@
                                    this->context.now() + (changing ? loading_pause : full_pause));
     }
     if (has_room && !outdated) {
-        note_upstream_failure(this->context, choice.id, "refuses_with_room");
+        note_upstream_failure(this->context, instance_of(choice), "refuses_with_room");
     }
     this->context.log.line(importance::keep, "refused_by_upstream")
         .text("request", this->facts.request_id)
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -40,14 +40,14 @@
 
 void request_flow::failed(call_failure why) {
     const auto held = this->shared_from_this();
-    const auto id = this->current->choice.id;
+    const auto upstream = instance_of(this->current->choice);
     const char* name = why == call_failure::never_sent  ? "unreachable"
                        : why == call_failure::malformed ? "malformed_answer"
                                                         : "connection_broke";
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
-        .text("upstream", id.value)
+        .text("upstream", upstream.id.value)
         .text("why", name)
         .flag("answer_begun", this->current->answering)
         .text("last_event", this->events.last_event)
@@ -57,10 +57,10 @@
     const bool ordered =
         why == call_failure::broken && one != nullptr && one->changing_until > this->context.now();
     if (!ordered) {
-        note_upstream_failure(this->context, id, name);
+        note_upstream_failure(this->context, upstream, name);
     }
     this->cancel_attempt();
-    this->wanted.tried.push_back(id);
+    this->wanted.tried.push_back(upstream.id);
     if (why != call_failure::never_sent) {
         ++this->begun;
         this->send_again_or_end(name);
@@ -69,7 +69,7 @@
     // Nothing has left, so nothing is repeated.
     ++this->unreachable;
     // A connection that can't be made says more than an answer that fails.
-    note_upstream_failure(this->context, id, name);
+    note_upstream_failure(this->context, upstream, name);
     if (this->unreachable < most_unreachable) {
         this->send_attempt();
     } else {
@@ -144,7 +144,7 @@
     }
     if (verdict == silence::of_upstream && !this->current->suspected) {
         this->current->suspected = true;
-        note_upstream_failure(this->context, this->current->choice.id, "silent");
+        note_upstream_failure(this->context, instance_of(this->current->choice), "silent");
     }
     const bool last_attempt = this->begun + 1 >= route.attempts;
     if (last_attempt || !this->may_send_again()) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -123,8 +123,7 @@
 }
 
 fleet::member* request_flow::member_of_attempt() const {
-    const auto found = this->context.state.fleet.members.find(this->current->choice.id);
-    return found == this->context.state.fleet.members.end() ? nullptr : &found->second;
+    return fleet::find_instance(this->context.state.fleet, instance_of(this->current->choice));
 }
 
 void request_flow::send_attempt() {
@@ -263,9 +262,14 @@
     }
     const auto left = std::move(*this->current);
     this->current.reset();
+    const auto& upstreams = this->context.state.fleet.members;
+    const auto known = upstreams.find(left.choice.id);
+    const bool restarted =
+        known != upstreams.end() && known->second.listed.incarnation != left.choice.incarnation;
     const auto idle = left.facts.idle_timeout;
-    this->context.connections.give_back(left.choice.id, left.connection,
-                                        idle ? *idle * 3 / 4 : unknown_keep);
+    // A connection to an earlier life is dead, and would lose the next call that is sent on it.
+    const base::micros keep = restarted ? base::micros(0) : idle ? *idle * 3 / 4 : unknown_keep;
+    this->context.connections.give_back(left.choice.id, left.connection, keep);
 }
 
 void request_flow::cancel_attempt() {
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -94,6 +94,7 @@
     [[nodiscard]] base::milliseconds time_left() const;
     [[nodiscard]] base::micros age() const;
     [[nodiscard]] const char* kind_name() const;
+    // Null where the upstream has started again since, or is gone.
     [[nodiscard]] fleet::member* member_of_attempt() const;
     [[nodiscard]] fleet::request_work work_of_attempt() const;
 
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -498,3 +498,35 @@
         CHECK(calm.engine.closed_by_peer == 0);
     }
 }
+
+// An engine crashes while it answers, and starts again under its id before its entry has seen the
+// connection break. The broken call is the earlier life's: counted against the new one, two such
+// calls would eject it at once. A connection that stood before is dead, and would lose the next
+// call.
+TEST_CASE("a call to an upstream's earlier life says nothing of the new one", "[proxy][flow]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", echo);
+    world.call(tests::request("once", "r1"));
+    auto& one = world.state.fleet.members.at({"i-1"});
+    one.listed.incarnation = {100};
+    const auto start_again = [&](std::int64_t incarnation) {
+        fleet::begin_life(one, {incarnation});
+        proxy::forget_earlier_life(world.entry(), fleet::instance_of(one));
+    };
+    start_again(101);
+    world.call(tests::request("once", "r2"));
+    CHECK(engine.connections == 2);
+
+    SECTION("neither its failure, nor that it has ended") {
+        world.add_engine("i-2", [&](const engine_request&) {
+            fleet::begin_life(world.state.fleet.members.at({"i-2"}), {6});
+            return engine_script{reset_it};
+        });
+        one.busy_until = world.entry().now() + base::seconds(9);
+        const auto seen = world.call(tests::request("once", "r3"));
+        CHECK(seen.heads.at(0).status == 502);
+        const auto& second = world.state.fleet.members.at({"i-2"});
+        CHECK(second.health.failures_in_row == 0);
+        CHECK(second.ours.in_flight == 0);
+    }
+}
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -95,6 +95,7 @@
     const auto& target = *made.target.engine;
     upstream_choice choice;
     choice.id = target.listed.id;
+    choice.incarnation = target.listed.incarnation;
     choice.address = target.listed.address;
     choice.weights = made.target.weights;
     choice.cache_salt = std::move(made.salt);
@@ -116,6 +117,10 @@
 
 } // namespace
 
+base::upstream_instance instance_of(const upstream_choice& choice) {
+    return {choice.id, choice.incarnation};
+}
+
 std::optional<upstream_choice> choose_upstream(entry_context& context,
                                                const choice_request& request) {
     const base::instant now = context.now();
@@ -132,6 +137,7 @@
         fleet::least_loaded(all, context.settings.zone, request.number, now, rules);
     upstream_choice choice;
     choice.id = target->listed.id;
+    choice.incarnation = target->listed.incarnation;
     choice.address = target->listed.address;
     choice.why = "least_loaded";
     return choice;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -25,6 +25,7 @@
 // Where an attempt goes, and what it carries.
 struct upstream_choice {
     base::upstream_id id;
+    base::upstream_incarnation incarnation;
     std::string address;
     kvcache::prompt_chain chain;
     std::int64_t weights = 0;
@@ -44,6 +45,8 @@
     const char* why = "";
 };
 
+base::upstream_instance instance_of(const upstream_choice& choice);
+
 // The upstream for an attempt; nothing where none can take it now.
 std::optional<upstream_choice> choose_upstream(entry_context& context,
                                                const choice_request& request);
--- /dev/null
+++ b/src/proxy/upstream_list.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "mirror/store_mirror.h"
+#include "ports/dialect.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// The upstreams that the platform's store lists.
+struct upstream_list {
+    std::vector<ports::listed_upstream> upstreams;
+    // Entries that no upstream has written, by the id that they stand under, with the revision of
+    // the store at which they were written.
+    std::map<base::upstream_id, std::int64_t> unreadable;
+};
+
+// Reads the list from what is known of the store. Where most upstreams say when they started, an
+// entry that does not is held to be another writer's.
+upstream_list read_upstream_list(const mirror::store_mirror& store, const ports::dialect& words);
+
+} // namespace camphorrail::proxy
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -57,20 +57,33 @@
 
 } // namespace
 
-weights_loader::weights_loader(entry_context& context, leadership& leader)
-    : context(context), leader(leader) {}
+weights_loader::weights_loader(entry_context& context, order_authority authority)
+    : context(context), leader(std::move(authority)) {}
 
 void weights_loader::tick() {
-    if (!this->leader.may_order()) {
+    if (!this->leader.may_order() || this->context.state.config == nullptr) {
         this->orders.clear();
         this->accepted_orders.clear();
         return;
     }
+    this->forget_earlier_lives();
     for (const auto& [model, history] : this->context.state.weights) {
         this->load_model(model, history);
     }
 }
 
+void weights_loader::forget_earlier_lives() {
+    for (const auto& [id, one] : this->context.state.fleet.members) {
+        auto& life = this->lives[id];
+        if (life != one.listed.incarnation) {
+            life = one.listed.incarnation;
+            this->orders.erase(id);
+            this->accepted_orders.erase(id);
+            this->loaded_at.erase(id);
+        }
+    }
+}
+
 weights::load_candidate weights_loader::candidate_of(const fleet::member& one,
                                                      const base::model_id& model,
                                                      const weights_history& history) {
@@ -122,7 +135,8 @@
 void weights_loader::load_model(const base::model_id& model, const weights_history& history) {
     std::vector<weights::load_candidate> all;
     for (const auto& [id, one] : this->context.state.fleet.members) {
-        if (fleet::is_listed(one) && fleet::weights_of(one, model) > 0) {
+        const bool is_ours = this->context.state.config->pools.count(one.listed.pool) > 0;
+        if (is_ours && fleet::is_listed(one) && fleet::weights_of(one, model) > 0) {
             all.push_back(this->candidate_of(one, model, history));
         }
     }
@@ -176,7 +190,8 @@
 
 void weights_loader::send_order(const fleet::member& one, const base::model_id& model,
                                 std::int64_t version, std::int64_t expected_orders) {
-    const auto& id = one.listed.id;
+    const auto upstream = fleet::instance_of(one);
+    const auto& id = upstream.id;
     const base::instant now = this->context.now();
     ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
                             expected_orders};
@@ -195,14 +210,14 @@
     adapters::http_fetch(
         this->context.loop.base(), one.listed.address,
         to_call(this->context.words.order_call(order, id)), {order_timeout, false},
-        max_answer_bytes, [this, id, version](base::result<adapters::http_answer> answer) {
+        max_answer_bytes, [this, upstream, version](base::result<adapters::http_answer> answer) {
             if (!answer.has_value()) {
                 this->context.log.line(importance::keep, "load_order_unanswered")
-                    .text("upstream", id.value)
+                    .text("upstream", upstream.id.value)
                     .number("version", version);
                 return;
             }
-            this->note_answer(id, version,
+            this->note_answer(upstream, version,
                               this->context.words.read_order_answer(answer.value().status));
         });
 }
@@ -212,17 +227,20 @@
     const base::instant until = this->context.now() + span;
     one.busy_until = std::max<base::instant>(one.busy_until, until);
     one.changing_until = std::max<base::instant>(one.changing_until, until);
-    this->context.tell_change(one.listed.id, span);
+    this->context.tell_change(fleet::instance_of(one), span);
 }
 
-void weights_loader::note_answer(const base::upstream_id& id, std::int64_t version,
+void weights_loader::note_answer(const base::upstream_instance& upstream, std::int64_t version,
                                  ports::order_outcome outcome) {
+    const auto& id = upstream.id;
+    auto* one = fleet::find_instance(this->context.state.fleet, upstream);
     this->context.log.line(importance::keep, "load_order_answered")
         .text("upstream", id.value)
         .number("version", version)
-        .text("outcome", name_of(outcome));
+        .text("outcome", name_of(outcome))
+        .flag("of_this_life", one != nullptr);
     const auto sent = this->orders.find(id);
-    if (sent == this->orders.end() || sent->second.version != version) {
+    if (one == nullptr || sent == this->orders.end() || sent->second.version != version) {
         return;
     }
     if (outcome == ports::order_outcome::accepted) {
@@ -232,10 +250,7 @@
     }
     this->orders.erase(sent);
     this->accepted_orders.erase(id);
-    const auto found = this->context.state.fleet.members.find(id);
-    if (found != this->context.state.fleet.members.end()) {
-        found->second.busy_until = this->context.now();
-    }
+    one->busy_until = this->context.now();
     this->ask_state(id);
 }
 
@@ -245,40 +260,78 @@
     if (found == this->context.state.fleet.members.end()) {
         return;
     }
-    adapters::http_fetch(
-        this->context.loop.base(), found->second.listed.address,
-        to_call(this->context.words.state_call), {order_timeout, false}, max_answer_bytes,
-        [this, id](base::result<adapters::http_answer> answer) {
-            const auto held = this->context.state.fleet.members.find(id);
-            const auto asked = this->orders.find(id);
-            if (!answer.has_value() || answer.value().status != status_ok ||
-                held == this->context.state.fleet.members.end()) {
-                return;
-            }
-            const auto state = this->context.words.read_state(answer.value().body);
-            if (!state.has_value()) {
-                return;
-            }
-            for (const auto& [model, version] : state.value().models) {
-                this->context.tell_weights(id, model, version);
-            }
-            this->accepted_orders[id] = state.value().orders;
-            const bool ours = asked != this->orders.end() && asked->second.accepted;
-            if (state.value().busy) {
-                // It refuses whatever comes; each refusal would cost a caller time and a retry.
-                this->keep_away(held->second, still_busy);
-            }
-            if (state.value().busy && asked == this->orders.end()) {
-                // Another leader's order, or one of ours that came late.
-                this->orders[id] = {asking, this->context.now(), true, {}, {}};
-            } else if (!state.value().busy && asked != this->orders.end() && !ours) {
-                this->orders.erase(asked);
-            }
-            this->context.log.line(importance::keep, "upstream_state")
-                .text("upstream", id.value)
-                .number("orders", state.value().orders)
-                .flag("busy", state.value().busy);
-        });
+    const auto upstream = fleet::instance_of(found->second);
+    adapters::http_fetch(this->context.loop.base(), found->second.listed.address,
+                         to_call(this->context.words.state_call), {order_timeout, false},
+                         max_answer_bytes,
+                         [this, upstream](base::result<adapters::http_answer> answer) {
+                             if (!answer.has_value() || answer.value().status != status_ok) {
+                                 return;
+                             }
+                             const auto state = this->context.words.read_state(answer.value().body);
+                             if (state.has_value()) {
+                                 this->take_state(upstream, state.value());
+                             }
+                         });
+}
+
+// An upstream that has started again may say so before the platform's list does: beliefs of its
+// earlier life are void from then on. What comes from a life that is over, or from one that the
+// list has replaced meanwhile, is not believed: its count of orders would let an order through that
+// was meant for another life.
+bool weights_loader::take_incarnation(const base::upstream_instance& asked,
+                                      base::upstream_incarnation said) {
+    auto* one = fleet::find_instance(this->context.state.fleet, asked);
+    if (one == nullptr) {
+        return false;
+    }
+    if (said == asked.incarnation) {
+        return true;
+    }
+    if (said == base::upstream_incarnation{} || fleet::has_ended(*one, said)) {
+        return false;
+    }
+    fleet::begin_life(*one, said);
+    forget_earlier_life(this->context, fleet::instance_of(*one));
+    this->forget_earlier_lives();
+    return true;
+}
+
+void weights_loader::take_state(const base::upstream_instance& upstream,
+                                const ports::upstream_state& state) {
+    const auto& id = upstream.id;
+    if (!this->take_incarnation(upstream, state.incarnation)) {
+        this->context.log.line(importance::keep, "upstream_state_dropped")
+            .text("upstream", id.value)
+            .number("incarnation", state.incarnation.value);
+        if (const auto sent = this->orders.find(id);
+            sent != this->orders.end() && sent->second.version == asking) {
+            this->orders.erase(sent);
+        }
+        return;
+    }
+    auto& one = this->context.state.fleet.members.at(id);
+    const auto asked = this->orders.find(id);
+    for (const auto& [model, version] : state.models) {
+        this->context.tell_weights(fleet::instance_of(one), model, version);
+    }
+    this->accepted_orders[id] = state.orders;
+    const bool ours = asked != this->orders.end() && asked->second.accepted;
+    if (state.busy) {
+        // It refuses whatever comes; each refusal would cost a caller time and a retry.
+        this->keep_away(one, still_busy);
+    }
+    if (state.busy && asked == this->orders.end()) {
+        // Another leader's order, or one of ours that came late.
+        this->orders[id] = {asking, this->context.now(), true, {}, {}};
+    } else if (!state.busy && asked != this->orders.end() && !ours) {
+        this->orders.erase(asked);
+    }
+    this->context.log.line(importance::keep, "upstream_state")
+        .text("upstream", id.value)
+        .number("incarnation", state.incarnation.value)
+        .number("orders", state.orders)
+        .flag("busy", state.busy);
 }
 
 } // namespace camphorrail::proxy
--- a/tests/fuzz_tests.cpp
+++ b/tests/fuzz_tests.cpp
@@ -4,6 +4,9 @@
 #include "config/edits.h"
 #include "entry/caller_request.h"
 #include "once/records.h"
+#include "platform/configuration_document.h"
+#include "platform/engine_documents.h"
+#include "proxy/peer_messages.h"
 #include "replay/trace.h"
 #include "settings/settings.h"
 #include "stream/event_splitter.h"
@@ -84,6 +87,31 @@
          }},
         {"traces", replay::to_text(recorded),
          [](const auto& text) { (void)replay::parse_trace(text); }},
+        {"listed engines",
+         R"({"service":"p","address":"10.0.0.1:8080","zone":"a","version":"v1","slots":64,
+             "state":"ready","coldLeftMs":0,"born":1785310069000,"stage":"both",
+             "models":[{"name":"m","version":1,"adapters":[]}],"seq":4})",
+         [](const auto& text) { (void)platform::read_listed_engine("servers/i-1", text); }},
+        {"named weights", R"({"model":"m","version":2})",
+         [](const auto& text) { (void)platform::read_named_weights(text); }},
+        {"engines' reports",
+         R"({"born":17,"models":[{"name":"m","version":1}],"busy":false,"seq":2})",
+         [](const auto& text) { (void)platform::read_engine_state(text); }},
+        {"operators' configuration",
+         R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"stream",
+             "timeoutMs":10,"service":"s"}],"services":[{"name":"s","engine":{"slots":4}}],
+             "limits":{"headerBytes":1},"tenants":[{"name":"t","keys":["k"]}]})",
+         [](const auto& text) { (void)platform::read_configuration(text); }},
+        {"entries' loads",
+         proxy::encode(
+             proxy::peer_load{base::milliseconds(100),
+                              {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}),
+         [](const auto& text) { (void)proxy::decode(text); }},
+        {"entries' readings", proxy::encode(proxy::peer_reads{{{1, 2, 4, {{"e1"}, {17}}, true}}}),
+         [](const auto& text) { (void)proxy::decode(text); }},
+        {"entries' views of the store",
+         proxy::encode(proxy::peer_store_view{7, true, base::micros(5), true, {42, {}}}),
+         [](const auto& text) { (void)proxy::decode(text); }},
         {"callers' bodies",
          R"({"model":"m","stream":true,"stream_options":{},"messages":[{"role":"user","content":"x"}]})",
          [](const auto& text) { (void)entry::read_request(request_of(text), tables, {}, "own"); }}};
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -192,9 +192,9 @@
               this->log,
               this->metrics,
               [this] { return adapters::boot_now() + this->moved; },
-              [](const base::upstream_id&, base::micros, const char*) {},
-              [](const base::upstream_id&, base::micros) {},
-              [](const base::upstream_id&, const base::model_id&, std::int64_t) {}},
+              [](const base::upstream_instance&, base::micros, const char*) {},
+              [](const base::upstream_instance&, base::micros) {},
+              [](const base::upstream_instance&, const base::model_id&, std::int64_t) {}},
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -122,10 +122,15 @@
 }
 
 void soak::list(const back_end& one, const std::string& state) {
-    const json entry{
-        {"service", one.pool}, {"address", one.before->address()},
-        {"zone", "a"},         {"slots", 32},
-        {"state", state},      {"models", {{{"name", "m0"}, {"version", one.runs->weights()}}}}};
+    const json entry{{"service", one.pool},
+                     {"address", one.before->address()},
+                     {"zone", "a"},
+                     {"version", "v1"},
+                     {"slots", 32},
+                     {"state", state},
+                     {"coldLeftMs", 0},
+                     {"seq", 1},
+                     {"models", {{{"name", "m0"}, {"version", one.runs->weights()}}}}};
     this->store.put("servers/" + one.runs->instance(), entry.dump());
 }
 
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -22,15 +22,17 @@
 class platform_engine {
 public:
     platform_engine(adapters::event_loop& loop, const options& given)
-        : loop(&loop), id(option(given, "id", "i-1")), pool(option(given, "pool", "pool")),
-          address(option(given, "listen", "")), store(option(given, "store", "")),
-          events(number(given, "events", 10)), loses_answers(option(given, "loses", "") == "yes") {
+        : loop(&loop), born(loop.clock().wall_ms()), id(option(given, "id", "i-1")),
+          pool(option(given, "pool", "pool")), address(option(given, "listen", "")),
+          store(option(given, "store", "")), events(number(given, "events", 10)),
+          loses_answers(option(given, "loses", "") == "yes") {
         this->list();
     }
 
     void handle(const adapters::exchange_ptr& exchange) {
         if (exchange->path() == "/report") {
-            reply_json(*exchange, json{{"models", this->models()},
+            reply_json(*exchange, json{{"born", this->born},
+                                       {"models", this->models()},
                                        {"busy", false},
                                        {"seq", this->orders},
                                        {"queued", 0},
@@ -64,9 +66,16 @@
     }
 
     void list() {
-        const json entry{{"service", this->pool}, {"address", this->address},
-                         {"zone", "a"},           {"slots", 8},
-                         {"state", "ready"},      {"models", this->models()}};
+        const json entry{{"service", this->pool},
+                         {"address", this->address},
+                         {"zone", "a"},
+                         {"version", "v1"},
+                         {"slots", 8},
+                         {"state", "ready"},
+                         {"coldLeftMs", 0},
+                         {"seq", 1},
+                         {"born", this->born},
+                         {"models", this->models()}};
         const json change{{"expected", json::array()},
                           {"puts",
                            {{{"key", "servers/" + this->id},
@@ -115,6 +124,7 @@
     }
 
     adapters::event_loop* loop;
+    std::int64_t born;
     std::string id;
     std::string pool;
     std::string address;
