--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -86,7 +86,6 @@
     void count_first_byte();
     void note_prompt_read();
     [[nodiscard]] latency::first_byte_sample shown_by_attempt() const;
-    void note_first_byte_time();
     void note_prompt_sent();
     void leave_attempt();
     void cancel_attempt();
