--- a/scripts/bench_entry.sh
+++ b/scripts/bench_entry.sh
@@ -23,21 +23,24 @@
 
 memory_of() { awk '/VmRSS/ {printf "%.1f MB", $2 / 1000}' "/proc/$1/status"; }
 ticks_of() { awk '{print $14 + $15}' "/proc/$1/stat"; }
-calls_of() { curl -s "http://$1/metrics" | awk -v kind="$2" '/^camphorrail_platform_calls/ && index($0, kind) {print $2}'; }
+# Sums the kinds of calls that the pattern names.
+calls_of() { curl -s "http://$1/metrics" | awk -v kinds="kind=\"($2)\"" '/^camphorrail_platform_calls\{/ && $0 ~ kinds {sum += $2} END {print sum + 0}'; }
+READS="read|read_key|watch"
+WRITES="proof|write|lease|renewal"
 
 echo "idle entry: $(memory_of "$PID_entry_entry_1"); idle agent: $(memory_of "$PID_agent_pool_1")"
 entry_before=$(ticks_of "$PID_entry_entry_1")
 agent_before=$(ticks_of "$PID_agent_slots_2")
-reads=$(calls_of "$(agent_operators_of 2)" read)
-writes=$(calls_of "$(agent_operators_of 2)" write)
-entry_reads=$(calls_of "$(entry_operators_of 0)" read)
+reads=$(calls_of "$(agent_operators_of 2)" "$READS")
+writes=$(calls_of "$(agent_operators_of 2)" "$WRITES")
+entry_reads=$(calls_of "$(entry_operators_of 0)" "$READS")
 sleep 20
 echo "idle for 20 s: entry $(($(ticks_of "$PID_entry_entry_1") - entry_before)) ticks of 10 ms," \
     "agent $(($(ticks_of "$PID_agent_slots_2") - agent_before)) ticks"
 echo "platform calls in 20 s: agent of a pool that keeps keys" \
-    "$(($(calls_of "$(agent_operators_of 2)" read) - reads)) reads," \
-    "$(($(calls_of "$(agent_operators_of 2)" write) - writes)) writes; entry" \
-    "$(($(calls_of "$(entry_operators_of 0)" read) - entry_reads)) reads"
+    "$(($(calls_of "$(agent_operators_of 2)" "$READS") - reads)) reads," \
+    "$(($(calls_of "$(agent_operators_of 2)" "$WRITES") - writes)) writes; entry" \
+    "$(($(calls_of "$(entry_operators_of 0)" "$READS") - entry_reads)) reads"
 
 "$BUILD/bench/camphorrail_latency_bench" "$(upstream_of 1)" "$(entry_of 0)" "$TEAM_KEY" 2000
 entry_before=$(ticks_of "$PID_entry_entry_1")
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -66,18 +66,16 @@
     event_base* base;
     std::string endpoint;
     base::milliseconds timeout;
-    std::shared_ptr<platform_calls> calls;
 
     // Posts a request and reads the answer with `read`; any failure on the way is unreachable or
     // malformed, never an exception.
     template <class Value, class Read>
     void post(const std::string& path, const json& body, Read read,
               std::function<void(base::result<Value>)> done) const {
-        const auto count = this->calls;
         http_fetch(this->base, this->endpoint,
                    {"POST", path, {{"Content-Type", "application/json"}}, body.dump()},
                    {this->timeout, false}, max_answer_bytes,
-                   [read, done, count](base::result<http_answer> answer) {
+                   [read, done](base::result<http_answer> answer) {
                        base::result<Value> value = base::code::platform_unreachable;
                        if (answer.has_value() && answer.value().status == http_ok) {
                            try {
@@ -86,7 +84,6 @@
                                value = base::code::platform_answer_malformed;
                            }
                        }
-                       count->failed += value.has_value() ? 0 : 1;
                        done(std::move(value));
                    });
     }
@@ -95,19 +92,27 @@
 } // namespace
 
 ports::platform make_http_platform(event_base* base, const std::string& endpoint,
-                                   base::milliseconds timeout,
-                                   std::shared_ptr<platform_calls> calls) {
-    const gateway at{base, endpoint, timeout, std::move(calls)};
+                                   base::milliseconds timeout) {
+    const gateway at{base, endpoint, timeout};
     ports::platform made;
     made.read = [at](const std::string& prefix, auto done) {
-        ++at.calls->reads;
         at.post<ports::snapshot>(
             "/v3/kv/range",
             {{"key", base::to_base64(prefix)}, {"range_end", base::to_base64(end_of(prefix))}},
             read_snapshot, std::move(done));
     };
+    made.read_key = [at](const std::string& key, ports::freshness wanted, auto done) {
+        at.post<std::optional<ports::stored_value>>(
+            "/v3/kv/range",
+            {{"key", base::to_base64(key)},
+             {"serializable", wanted == ports::freshness::may_be_old}},
+            [](const json& answer) -> std::optional<ports::stored_value> {
+                const auto read = read_snapshot(answer);
+                return read.values.empty() ? std::nullopt : std::optional(read.values.front());
+            },
+            std::move(done));
+    };
     made.revision = [at](const std::string& key, auto done) {
-        ++at.calls->reads;
         at.post<std::int64_t>(
             "/v3/kv/range", {{"key", base::to_base64(key)}, {"keys_only", true}},
             [](const json& answer) {
@@ -117,7 +122,6 @@
             std::move(done));
     };
     made.commit = [at](const ports::transaction& change, auto done) {
-        ++at.calls->writes;
         at.post<ports::committed>(
             "/v3/kv/txn", to_json(change),
             [](const json& answer) {
@@ -127,13 +131,11 @@
             std::move(done));
     };
     made.grant_lease = [at](std::int64_t seconds, auto done) {
-        ++at.calls->writes;
         at.post<std::int64_t>(
             "/v3/lease/grant", {{"TTL", std::to_string(seconds)}},
             [](const json& answer) { return whole(answer, "ID"); }, std::move(done));
     };
     made.keep_lease = [at](std::int64_t lease, auto done) {
-        ++at.calls->writes;
         at.post<bool>(
             "/v3/lease/keepalive", {{"ID", std::to_string(lease)}},
             [](const json& answer) { return whole(answer.at("result"), "TTL") > 0; },
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -24,6 +24,8 @@
         {"camphorrail_links_replaced_total", "Links replaced because they went silent or broke."},
         {"camphorrail_config_version", "Version of the configuration in force here."},
         {"camphorrail_platform_calls", "Calls made to the platform, by kind."},
+        {"camphorrail_platform_calls_failed", "Calls that the platform did not answer."},
+        {"camphorrail_platform_calls_held_back", "Calls that had to wait for the budget."},
         {"camphorrail_running", "Orders running."},
         {"camphorrail_waiting", "Orders waiting."},
         {"camphorrail_once_keys", "Idempotency keys held."},
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent.h"
 
 #include "adapters/http_client.h"
+#include "adapters/http_platform.h"
 #include "adapters/http_upstream.h"
 #include "adapters/logging.h"
 #include "process/config_exchange.h"
@@ -38,7 +39,7 @@
 agent::agent(settings::agent_settings given)
     : settings(std::move(given)),
       timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
-      platform_calls(std::make_shared<adapters::platform_calls>()),
+      platform_calls(std::make_shared<adapters::platform_budget>()),
       // Two lives of one agent never share this: the clock moves on between them.
       incarnation(this->loop.clock().wall_ms()),
       orders(this->settings, this->loop.clock(),
@@ -47,14 +48,18 @@
              this->metrics, this->timeline),
       once(this->settings.id, make_nonce(this->settings, this->incarnation),
            {&this->loop,
-            adapters::make_http_platform(this->loop.base(), this->settings.platform.endpoint,
-                                         this->settings.platform.timeout, this->platform_calls),
+            adapters::counted(adapters::make_http_platform(this->loop.base(),
+                                                           this->settings.platform.endpoint,
+                                                           this->settings.platform.timeout),
+                              this->loop, this->platform_calls),
             adapters::make_http_upstream(this->loop.base(), this->settings.upstream,
                                          this->settings.limits.request_timeout),
             &this->metrics, &this->timeline}),
       loads(this->settings.id, make_nonce(this->settings, this->incarnation), this->loop,
-            adapters::make_http_platform(this->loop.base(), this->settings.platform.endpoint,
-                                         this->settings.platform.timeout, this->platform_calls),
+            adapters::counted(adapters::make_http_platform(this->loop.base(),
+                                                           this->settings.platform.endpoint,
+                                                           this->settings.platform.timeout),
+                              this->loop, this->platform_calls),
             this->timeline, this->settings.upstream) {}
 
 int agent::run() {
@@ -81,11 +86,12 @@
 
 void agent::start_timers() {
     this->config.changed.connect([this] { this->follow_config(); });
-    this->config.follow(
-        this->loop,
-        adapters::make_http_platform(this->loop.base(), this->settings.platform.endpoint,
-                                     this->settings.platform.timeout, this->platform_calls),
-        this->settings.platform.poll);
+    this->config.follow(this->loop,
+                        adapters::counted(adapters::make_http_platform(
+                                              this->loop.base(), this->settings.platform.endpoint,
+                                              this->settings.platform.timeout),
+                                          this->loop, this->platform_calls),
+                        this->settings.platform.poll);
     this->once.start();
     this->loop.every(process::heartbeat_period, [this] { this->beat(); });
     this->loop.every(tick_period, [this] { this->orders.expire(); });
@@ -116,8 +122,7 @@
     set("running", static_cast<double>(load.running));
     set("waiting", static_cast<double>(load.waiting));
     set("once_keys", static_cast<double>(this->once.key_count()));
-    set("platform_calls", static_cast<double>(this->platform_calls->reads), {{"kind", "read"}});
-    set("platform_calls", static_cast<double>(this->platform_calls->writes), {{"kind", "write"}});
+    adapters::show_platform_calls(this->metrics, *this->platform_calls);
 }
 
 void agent::accept(adapters::link_ptr transport) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "adapters/event_loop.h"
-#include "adapters/http_platform.h"
 #include "adapters/metrics.h"
+#include "adapters/platform_budget.h"
 #include "adapters/timeline.h"
 #include "agent/load_runner.h"
 #include "agent/once_runner.h"
@@ -59,7 +59,7 @@
     adapters::event_loop loop;
     adapters::metrics metrics;
     adapters::timeline timeline;
-    std::shared_ptr<adapters::platform_calls> platform_calls;
+    std::shared_ptr<adapters::platform_budget> platform_calls;
     process::config_keeper config;
     std::int64_t incarnation;
     order_runner orders;
--- a/src/app/cmd_ctl.cpp
+++ b/src/app/cmd_ctl.cpp
@@ -273,8 +273,7 @@
     constexpr base::milliseconds timeout{3000};
     adapters::event_loop loop;
     const auto platform =
-        adapters::make_http_platform(loop.base(), text(*given, "--platform"), timeout,
-                                     std::make_shared<adapters::platform_calls>());
+        adapters::make_http_platform(loop.base(), text(*given, "--platform"), timeout);
     if (is_set(*given, "show")) {
         return show(loop, platform);
     }
--- a/src/entries/line_up.h
+++ b/src/entries/line_up.h
@@ -3,10 +3,11 @@
 #include "base/ids.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace camphorrail::proxy {
+namespace camphorrail::entries {
 
 // How many of the other entries come before this one for a duty. The order follows from the names
 // alone, so entries that are linked to the same ones agree on it without a message; it differs from
@@ -14,4 +15,12 @@
 std::size_t place_in_line(const std::vector<base::entry_id>& others, const base::entry_id& self,
                           const std::string& duty);
 
-} // namespace camphorrail::proxy
+// The entry that this one asks first for what the first in line knows; nothing for the first
+// itself. Those behind it form a tree, so that none is asked by more than `most_askers`, however
+// many entries there are: with 100 that all asked the first, its answers would have taken a fifth
+// of a weak VM's processor.
+inline constexpr std::size_t most_askers = 8;
+std::optional<base::entry_id> ahead_in_line(const std::vector<base::entry_id>& others,
+                                            const base::entry_id& self, const std::string& duty);
+
+} // namespace camphorrail::entries
--- a/src/entries/line_up_tests.cpp
+++ b/src/entries/line_up_tests.cpp
@@ -1,4 +1,4 @@
-#include "proxy/line_up.h"
+#include "entries/line_up.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +6,7 @@
 
 using namespace camphorrail;
 
-TEST_CASE("entries agree on who has a duty", "[proxy]") {
+TEST_CASE("entries agree on who has a duty", "[entries]") {
     std::vector<base::entry_id> all;
     all.reserve(20);
     for (int each = 0; each < 20; ++each) {
@@ -15,7 +15,7 @@
     const auto place_of = [&all](const base::entry_id& self, const std::string& duty) {
         auto others = all;
         std::erase(others, self);
-        return proxy::place_in_line(others, self, duty);
+        return entries::place_in_line(others, self, duty);
     };
     std::set<std::size_t> places;
     std::set<std::string> first;
@@ -43,7 +43,7 @@
             auto others = all;
             std::erase(others, self);
             std::erase_if(others, [&](const auto& id) { return place_of(id, "duty") == 0; });
-            CHECK(proxy::place_in_line(others, self, "duty") == 0);
+            CHECK(entries::place_in_line(others, self, "duty") == 0);
         }
     }
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "adapters/http_client.h"
+#include "adapters/http_platform.h"
 #include "adapters/logging.h"
 #include "process/operators_port.h"
 
@@ -30,7 +31,7 @@
 entry::entry(settings::entry_settings given)
     : settings(std::move(given)),
       timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
-      platform_calls(std::make_shared<adapters::platform_calls>()),
+      platform_calls(std::make_shared<adapters::platform_budget>()),
       links(this->loop, this->settings.id, this->config, this->metrics),
       incarnation(this->loop.clock().wall_ms()) {
     this->router.random.state = static_cast<std::uint64_t>(this->incarnation);
@@ -74,11 +75,12 @@
         follow(this->router, this->config.current());
         this->links.beat();
     });
-    this->config.follow(
-        this->loop,
-        adapters::make_http_platform(this->loop.base(), this->settings.platform.endpoint,
-                                     this->settings.platform.timeout, this->platform_calls),
-        this->settings.platform.poll);
+    this->config.follow(this->loop,
+                        adapters::counted(adapters::make_http_platform(
+                                              this->loop.base(), this->settings.platform.endpoint,
+                                              this->settings.platform.timeout),
+                                          this->loop, this->platform_calls),
+                        this->settings.platform.poll);
     this->loop.every(process::heartbeat_period, [this] { this->beat(); });
     if (!this->settings.vm_list.empty()) {
         this->loop.every(vm_list_period, [this] { this->read_vm_list(); });
@@ -243,10 +245,7 @@
                       static_cast<double>(this->callers->open_exchanges()));
     this->metrics.set("camphorrail_config_version",
                       static_cast<double>(this->config.version().value));
-    this->metrics.set("camphorrail_platform_calls",
-                      static_cast<double>(this->platform_calls->reads), {{"kind", "read"}});
-    this->metrics.set("camphorrail_platform_calls",
-                      static_cast<double>(this->platform_calls->writes), {{"kind", "write"}});
+    adapters::show_platform_calls(this->metrics, *this->platform_calls);
 }
 
 } // namespace camphorrail::entry
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "adapters/event_loop.h"
-#include "adapters/http_platform.h"
 #include "adapters/http_server.h"
 #include "adapters/metrics.h"
+#include "adapters/platform_budget.h"
 #include "adapters/timeline.h"
 #include "entry/agent_links.h"
 #include "entry/request_flow.h"
@@ -42,7 +42,7 @@
     adapters::event_loop loop;
     adapters::metrics metrics;
     adapters::timeline timeline;
-    std::shared_ptr<adapters::platform_calls> platform_calls;
+    std::shared_ptr<adapters::platform_budget> platform_calls;
     process::config_keeper config;
     agent_links links;
     router_state router;
--- a/src/ports/platform.h
+++ b/src/ports/platform.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
 struct snapshot {
     std::int64_t revision = 0;
     std::vector<stored_value> values;
+    // Calls that it took.
+    std::int64_t pages = 1;
 };
 
 // Condition on one key: its last change must be this revision; 0 means that it must not exist.
@@ -64,10 +67,17 @@
     bool forgotten = false;
 };
 
+enum class freshness { newest, may_be_old };
+
 // The platform's key-value service as the core needs it. Every answer may fail with
 // platform_unreachable, which says nothing about whether a write took effect.
 struct platform {
     std::function<void(std::string prefix, std::function<void(base::result<snapshot>)>)> read;
+    // One key's item; nothing where there is no such key. A read that may be old costs the platform
+    // far less, and may lag by seconds.
+    std::function<void(std::string key, freshness wanted,
+                       std::function<void(base::result<std::optional<stored_value>>)>)>
+        read_key;
     // The revision of a key's last change, without its value; 0 where there is no such key.
     std::function<void(std::string key, std::function<void(base::result<std::int64_t>)>)> revision;
     std::function<void(transaction, std::function<void(base::result<committed>)>)> commit;
--- a/src/proxy/kv_store_follower.cpp
+++ b/src/proxy/kv_store_follower.cpp
@@ -1,8 +1,8 @@
 #include "proxy/kv_store_follower.h"
 
 #include "adapters/http_client.h"
+#include "entries/line_up.h"
 #include "proxy/control_call.h"
-#include "proxy/line_up.h"
 
 #include <utility>
 
@@ -66,7 +66,7 @@
 
 bool kv_store_follower::is_our_turn(const std::string& address, const followed_store& store) const {
     const std::size_t place =
-        place_in_line(this->linked_entries(), this->context.settings.id, address);
+        entries::place_in_line(this->linked_entries(), this->context.settings.id, address);
     const auto known = this->context.state.kept.find(address);
     const bool down = known != this->context.state.kept.end() && known->second.down;
     const auto unheard = this->context.now() - store.told_at;
--- a/src/proxy/leadership.cpp
+++ b/src/proxy/leadership.cpp
@@ -1,6 +1,9 @@
 #include "proxy/leadership.h"
 
 #include "base/hash.h"
+#include "entries/line_up.h"
+
+#include <algorithm>
 
 namespace camphorrail::proxy {
 
@@ -11,14 +14,24 @@
 // A quarter of the shortest lease that survives two lost renewals.
 constexpr base::milliseconds renewal_period{700};
 constexpr base::milliseconds campaign_period{500};
+// Entries ask for the vacant lead in the order of their line, so that one asks and the others hear
+// of it; with all at once, a hundred took a lease each. The last ones do so in time even where all
+// before them are cut off from the store.
+constexpr base::milliseconds campaign_step{250};
+constexpr base::milliseconds longest_campaign_wait{3000};
+// Links stand by then; before, each entry takes itself for the first in line.
+constexpr base::milliseconds first_campaign{1000};
+const std::string duty = "leader";
 // Entries that see the leader's key go at the same time ask one after the other.
 constexpr std::uint64_t campaign_spread_ms = 300;
 constexpr std::int64_t lease_seconds = 3;
 
 } // namespace
 
-leadership::leadership(entry_context& context, ports::platform platform)
-    : context(context), platform(std::move(platform)) {}
+leadership::leadership(entry_context& context, ports::platform platform,
+                       std::function<std::vector<base::entry_id>()> linked_entries)
+    : context(context), platform(std::move(platform)), linked_entries(std::move(linked_entries)),
+      next_campaign(context.now() + first_campaign) {}
 
 std::string leadership::name() const {
     return this->context.settings.id.value + "@" + this->context.settings.peer_listen;
@@ -109,6 +122,7 @@
     if (this->asking) {
         return;
     }
+    this->note_vacancy();
     if (this->held && now >= this->next_renewal) {
         this->renew();
     } else if (!this->held && !this->context.state.stopping && now >= this->next_campaign) {
@@ -116,17 +130,34 @@
     }
 }
 
+void leadership::note_vacancy() {
+    const auto& store = this->context.state.store;
+    const bool now_vacant = store.revision > 0 && store.items.count(this->leader_key()) == 0;
+    if (!now_vacant) {
+        this->vacant_since.reset();
+    } else if (!this->vacant_since) {
+        this->vacant_since = this->context.now();
+    }
+}
+
+// Whether all that come before this entry in line have had their turn to take the vacant lead.
+bool leadership::is_our_turn() const {
+    const auto place = static_cast<std::int64_t>(
+        entries::place_in_line(this->linked_entries(), this->context.settings.id, duty));
+    const auto wait = std::min(campaign_step * place, longest_campaign_wait);
+    return this->vacant_since && this->context.now() - *this->vacant_since >= wait;
+}
+
 void leadership::campaign() {
     const base::instant now = this->context.now();
+    if (!this->is_our_turn()) {
+        return;
+    }
     const auto spread = base::milliseconds(
         base::stable_hash(this->name(),
                           static_cast<std::uint64_t>(now.time_since_epoch().count())) %
         campaign_spread_ms);
     this->next_campaign = now + campaign_period + spread;
-    const auto& store = this->context.state.store;
-    if (store.revision == 0 || store.items.count(this->leader_key()) > 0) {
-        return;
-    }
     this->asking = true;
     this->platform.grant_lease(lease_seconds, [this, now](base::result<std::int64_t> lease) {
         this->asking = false;
--- a/src/proxy/leadership.h
+++ b/src/proxy/leadership.h
@@ -8,13 +8,16 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorrail::proxy {
 
 // One entry at a time gives orders to upstreams, by a lease in the platform's store.
 class leadership {
 public:
-    leadership(entry_context& context, ports::platform platform);
+    // `linked_entries`: those that a link stands to.
+    leadership(entry_context& context, ports::platform platform,
+               std::function<std::vector<base::entry_id>()> linked_entries);
 
     // Looks whether there is something to take over or to renew.
     void tick();
@@ -30,6 +33,8 @@
     [[nodiscard]] std::string name() const;
 
 private:
+    void note_vacancy();
+    [[nodiscard]] bool is_our_turn() const;
     void campaign();
     void claim(std::int64_t lease, base::instant asked);
     void renew();
@@ -42,6 +47,7 @@
 
     entry_context& context;
     ports::platform platform;
+    std::function<std::vector<base::entry_id>()> linked_entries;
     std::optional<weights::term> held;
     bool asking = false;
     // The store holds that this entry orders in this term.
@@ -52,6 +58,8 @@
     std::map<std::string, base::instant> seen_ended;
     base::instant next_renewal{};
     base::instant next_campaign{};
+    // Since when nobody leads, as far as this entry knows.
+    std::optional<base::instant> vacant_since;
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -198,7 +198,8 @@
         return read_view(read);
     }
     if (kind == "changes") {
-        return peer_store_changes{read.at(1).get<std::int64_t>(), read.at(2).get<bool>(),
+        return peer_store_changes{read.at(1).get<std::int64_t>(),
+                                  read.at(2).get<std::set<std::string>>(),
                                   read_changes(read.at(3))};
     }
     if (kind == "reads") {
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -9,6 +9,7 @@
 #include "ports/platform.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -100,9 +101,9 @@
 struct peer_store_changes {
     // The sender's revision before.
     std::int64_t after = 0;
-    // Some of it is too large to be told by a few to all, and the items are left out: whoever hears
-    // of it reads the store itself.
-    bool large = false;
+    // Items whose values are too large to be told by a few to all, and are left out of `changes`:
+    // whoever hears of them reads these keys from the store.
+    std::set<std::string> large;
     ports::changes changes;
 };
 
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -43,12 +43,12 @@
 TEST_CASE("what entries tell of the store's changes survives the way", "[proxy]") {
     proxy::peer_store_changes told;
     told.after = 41;
-    told.large = true;
+    told.large = {"a"};
     told.changes = {43, {{{"a", "\xff", 42}, false}, {{"b", "", 43}, true}}};
     const auto read = proxy::decode(proxy::encode(told));
     const auto& got = std::get<proxy::peer_store_changes>(read.value());
     CHECK(got.after == 41);
-    CHECK(got.large);
+    CHECK(got.large == told.large);
     CHECK(got.changes.revision == 43);
     REQUIRE(got.changes.items.size() == 2);
     CHECK(got.changes.items[0].item.value == "\xff");
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -1,5 +1,8 @@
 #include "proxy/peers.h"
 
+#include "entries/line_up.h"
+#include "proxy/store_follower.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -9,14 +12,18 @@
 
 using adapters::importance;
 
-// An entry that vanishes leaves the list after this long; a renewal costs a tenth of a call.
-constexpr std::int64_t lease_seconds = 8;
-constexpr base::milliseconds registration_period{2500};
+// An entry that vanishes leaves the list after this long. Who is there is known by links; the list
+// only says whom to link to, and how many share the retry budget. Renewals cost a tenth of a call,
+// and with 100 entries every 2.5 s they were as dear as all that followed the store.
+constexpr std::int64_t lease_seconds = 16;
+constexpr base::milliseconds renewal_period{5000};
+// After a call for the list that failed.
+constexpr base::milliseconds registration_retry{2500};
 constexpr base::milliseconds connect_pause{700};
-// An entry that follows the store asks others when its own proofs fail: well above their period,
-// well below the age that ends service. One that does not asks all the time.
-constexpr base::milliseconds ask_after_age{1600};
-constexpr base::milliseconds ask_after_age_unfollowed{600};
+// The entry that proves for all asks others when its own proofs fail: well above their period, well
+// below the age that ends service. The others ask all the time.
+constexpr base::milliseconds ask_after_age_proving{1600};
+constexpr base::milliseconds ask_after_age{600};
 constexpr base::milliseconds ask_period{300};
 // An entry that answers no ask for this long is cut off too, or its link has fallen silent.
 constexpr base::milliseconds ask_patience{900};
@@ -99,8 +106,10 @@
     this->connect_to_new();
     this->tell_load();
     const auto age = mirror::age(this->context.state.store, now);
-    const auto longest = this->follows_store() ? ask_after_age : ask_after_age_unfollowed;
-    if (now >= this->next_ask && (!age || *age > longest)) {
+    const auto longest = this->proves_store() ? ask_after_age_proving : ask_after_age;
+    const bool wants_proof = !age || *age > longest;
+    if (now >= this->next_ask && !this->awaits_store() && (wants_proof || this->ask_wanted)) {
+        this->ask_wanted = false;
         this->ask_for_store();
     }
     if (const auto entries = this->count(); entries != this->last_count) {
@@ -111,23 +120,32 @@
 }
 
 void peers::register_self() {
-    this->next_registration = this->context.now() + registration_period;
-    this->registering = true;
     const std::string key = this->list_prefix() + this->context.settings.id.value;
     const auto& items = this->context.state.store.items;
     const auto found = items.find(key);
     const bool there =
         found != items.end() && found->second.value == this->context.settings.peer_listen;
+    this->registering = true;
     if (this->lease != 0 && there) {
-        this->platform.keep_lease(this->lease, [this](base::result<bool> kept) {
-            this->registering = false;
-            if (kept.has_value() && !kept.value()) {
-                this->lease = 0;
-                this->next_registration = this->context.now();
-            }
-        });
-        return;
+        this->renew_place();
+    } else {
+        this->take_place(key);
     }
+}
+
+void peers::renew_place() {
+    this->next_registration = this->context.now() + renewal_period;
+    this->platform.keep_lease(this->lease, [this](base::result<bool> kept) {
+        this->registering = false;
+        if (kept.has_value() && !kept.value()) {
+            this->lease = 0;
+            this->next_registration = this->context.now();
+        }
+    });
+}
+
+void peers::take_place(const std::string& key) {
+    this->next_registration = this->context.now() + registration_retry;
     this->platform.grant_lease(lease_seconds, [this, key](base::result<std::int64_t> granted) {
         this->registering = false;
         if (!granted.has_value()) {
@@ -249,30 +267,40 @@
     }
 }
 
-// Asks the linked entries in turn, a few at a time, until one has a fresh view.
+// Asks the entry ahead in line, and another one by turns for where that one knows nothing new.
 void peers::ask_for_store() {
-    const base::instant now = this->context.now();
-    this->next_ask = now + ask_period;
+    this->next_ask = this->context.now() + ask_period;
     this->drop_silent();
-    constexpr int most_asks = 2;
-    int asks = 0;
+    const auto ahead =
+        entries::ahead_in_line(this->linked(), this->context.settings.id, store_duty_name);
+    if (ahead) {
+        const auto found = std::find_if(this->links.begin(), this->links.end(), [&](auto& each) {
+            return each.second.open && each.second.id == *ahead;
+        });
+        if (found != this->links.end() && found->second.asked == 0) {
+            this->ask(found->second);
+        }
+    }
     // Once through all links, from the one after the last that was asked.
     auto next = this->links.upper_bound(this->last_asked);
-    for (std::size_t seen = 0; seen < this->links.size() && asks < most_asks; ++seen) {
+    for (std::size_t seen = 0; seen < this->links.size(); ++seen) {
         next = next == this->links.end() ? this->links.begin() : next;
         auto& [key, each] = *next;
         ++next;
-        if (!each.open || each.asked != 0) {
-            continue;
+        if (each.open && each.asked == 0) {
+            this->last_asked = key;
+            this->ask(each);
+            return;
         }
-        ++asks;
-        this->last_asked = key;
-        each.asked = ++this->last_ask;
-        each.asked_at = now;
-        each.link->send(encode(peer_store_ask{each.asked, this->context.state.store.revision}));
     }
 }
 
+void peers::ask(peer_link& of) {
+    of.asked = ++this->last_ask;
+    of.asked_at = this->context.now();
+    of.link->send(encode(peer_store_ask{of.asked, this->context.state.store.revision}));
+}
+
 void peers::drop_silent() {
     const base::instant now = this->context.now();
     std::vector<link_key> silent;
@@ -365,27 +393,13 @@
 }
 
 void peers::take(link_key key, const peer_store_changes& message) {
-    auto& store = this->context.state.store;
-    if (message.large) {
-        if (message.changes.revision > store.revision) {
-            this->read_store();
-        }
+    if (this->store_told(message)) {
         return;
     }
-    if (message.after > store.revision) {
-        // Something before it was missed; whoever is asked next tells all.
-        this->next_ask = this->context.now();
-        auto& from = this->links.at(key);
-        if (from.asked == 0) {
-            from.asked = ++this->last_ask;
-            from.asked_at = this->context.now();
-            from.link->send(encode(peer_store_ask{from.asked, store.revision}));
-        }
-        return;
-    }
-    const auto changed = mirror::take_changes(store, message.changes);
-    if (!changed.empty()) {
-        this->store_changed(changed);
+    // Something before it was missed; whoever tells of it knows all.
+    auto& from = this->links.at(key);
+    if (from.asked == 0) {
+        this->ask(from);
     }
 }
 
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -24,6 +24,8 @@
     // store's contents where our own proof grows old.
     void tick();
     void tell(const peer_message& message);
+    // Asks for the store's contents at the next tick, whatever the age of our proof.
+    void ask_soon() { this->ask_wanted = true; }
     // Leaves the list.
     void resign();
     [[nodiscard]] std::int64_t count() const;
@@ -35,11 +37,14 @@
     std::function<void(const peer_weights&)> weights_changed;
     std::function<void(const peer_named&)> named_weights_told;
     std::function<void(const base::entry_id& from, const peer_kept&)> kept_told;
-    // Another entry says that something large has changed in the store.
-    std::function<void()> read_store;
-    // Whether this entry follows the store itself, and so needs others' proofs only when it fails
-    // to.
-    std::function<bool()> follows_store;
+    // Takes what an entry that follows the store tells of it; false where something before it was
+    // not heard of.
+    std::function<bool(const peer_store_changes&)> store_told;
+    // Whether what was told is still being read; nobody is asked for it meanwhile.
+    std::function<bool()> awaits_store;
+    // Whether this entry proves the store's contents for all, and so needs others' proofs only when
+    // it fails to.
+    std::function<bool()> proves_store;
     // What a new link is told beside who we are.
     std::function<std::vector<peer_message>()> greeting;
     // The number of entries has changed.
@@ -59,10 +64,13 @@
     using link_key = std::int64_t;
 
     void register_self();
+    void renew_place();
+    void take_place(const std::string& key);
     void connect_to_new();
     void tell_load();
     void tell_reads();
     void ask_for_store();
+    void ask(peer_link& of);
     void drop_silent();
     void greet(peer_link& to);
     void add(const adapters::link_ptr& link, base::entry_id id);
@@ -91,6 +99,7 @@
     bool registering = false;
     base::instant next_registration{};
     base::instant next_ask{};
+    bool ask_wanted = false;
     // The link that was asked last; the next one is asked next.
     link_key last_asked = 0;
     std::int64_t last_ask = 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -71,10 +71,16 @@
                   this->take_weights_of({upstream, model, version});
                   this->others.tell(peer_weights{upstream, model, version});
               }},
-      platform_calls(std::make_shared<adapters::platform_calls>()),
-      store_calls(this->platform.make_store(this->loop.base(), this->settings.platform.endpoint,
-                                            this->settings.platform.timeout, this->platform_calls)),
-      store(this->context, this->store_calls), leader(this->context, this->store_calls),
+      platform_calls(std::make_shared<adapters::platform_budget>()),
+      store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
+                                                                  this->settings.platform.endpoint,
+                                                                  this->settings.platform.timeout),
+                                        this->loop, this->platform_calls,
+                                        [this](adapters::platform_call kind, base::micros wait) {
+                                            this->note_held_back(kind, wait);
+                                        })),
+      store(this->context, this->store_calls), news(this->context, this->store_calls),
+      leader(this->context, this->store_calls, [this] { return this->others.linked(); }),
       loader(this->context,
              {[this] { return this->leader.may_order(); }, [this] { return this->leader.name(); },
               [this] { return this->leader.fence(); }}),
@@ -139,14 +145,36 @@
         this->log.flush();
         return 1;
     }
+    this->connect_parts();
+    this->store.start();
+    this->loop.every(tick_period, [this] { this->tick(); });
+    this->loop.run();
+    this->log.line(importance::keep, "stopped")
+        .number("flows", static_cast<std::int64_t>(this->flows.size()));
+    this->log.flush();
+    return 0;
+}
+
+void proxy::note_held_back(adapters::platform_call kind, base::micros wait) {
+    this->log.line(importance::keep, "store_call_held_back")
+        .text("call", std::string(adapters::name_of(kind)))
+        .span("for_ms", wait);
+}
+
+void proxy::connect_parts() {
     this->store.linked_entries = [this] { return this->others.linked(); };
     this->store.tell = [this](const peer_store_changes& message) { this->others.tell(message); };
-    this->others.read_store = [this] { this->store.read_again(); };
-    this->others.follows_store = [this] { return this->store.following(); };
+    this->others.store_told = [this](const peer_store_changes& told) {
+        return this->news.take(told) != store_news::outcome::missed;
+    };
+    this->others.awaits_store = [this] { return this->news.reading(); };
+    this->news.unreadable = [this] { this->others.ask_soon(); };
+    this->others.proves_store = [this] { return this->store.proving(); };
     this->store.changed = [this](const std::set<std::string>& keys) {
         this->on_store_change(keys);
     };
     this->others.store_changed = this->store.changed;
+    this->news.changed = this->store.changed;
     this->others.weights_changed = [this](const peer_weights& told) {
         this->take_weights_of(told);
     };
@@ -157,13 +185,6 @@
     this->others.greeting = [this] { return this->kv_stores.whole_views(); };
     this->kv_stores.tell = [this](const peer_kept& message) { this->others.tell(message); };
     this->others.count_changed = [this] { this->set_retry_budgets(); };
-    this->store.start();
-    this->loop.every(tick_period, [this] { this->tick(); });
-    this->loop.run();
-    this->log.line(importance::keep, "stopped")
-        .number("flows", static_cast<std::int64_t>(this->flows.size()));
-    this->log.flush();
-    return 0;
 }
 
 bool proxy::ready() const {
@@ -466,12 +487,7 @@
         "camphorrail_config_version",
         this->state.config == nullptr ? 0.0 : static_cast<double>(this->state.config->version));
     this->metrics.set("camphorrail_open_requests", static_cast<double>(this->flows.size()));
-    this->metrics.set("camphorrail_platform_calls",
-                      static_cast<double>(this->platform_calls->reads), {{"kind", "read"}});
-    this->metrics.set("camphorrail_platform_calls",
-                      static_cast<double>(this->platform_calls->writes), {{"kind", "write"}});
-    this->metrics.set("camphorrail_platform_calls",
-                      static_cast<double>(this->platform_calls->failed), {{"kind", "failed"}});
+    adapters::show_platform_calls(this->metrics, *this->platform_calls);
     this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
     this->metrics.set("camphorrail_connections_opened",
                       static_cast<double>(this->connections.opened()));
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -2,9 +2,9 @@
 
 #include "adapters/event_log.h"
 #include "adapters/event_loop.h"
-#include "adapters/http_platform.h"
 #include "adapters/http_server.h"
 #include "adapters/metrics.h"
+#include "adapters/platform_budget.h"
 #include "adapters/timeline.h"
 #include "proxy/caller_server.h"
 #include "proxy/context.h"
@@ -13,6 +13,7 @@
 #include "proxy/peers.h"
 #include "proxy/request_flow.h"
 #include "proxy/store_follower.h"
+#include "proxy/store_news.h"
 #include "proxy/weights_loader.h"
 
 #include <map>
@@ -26,8 +27,7 @@
 struct proxy_platform {
     ports::dialect words;
     std::function<ports::platform(event_base*, const std::string& address,
-                                  base::milliseconds timeout,
-                                  std::shared_ptr<adapters::platform_calls>)>
+                                  base::milliseconds timeout)>
         make_store;
 };
 
@@ -42,6 +42,8 @@
 
 private:
     [[nodiscard]] bool listen();
+    void connect_parts();
+    void note_held_back(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
     void on_store_change(const std::set<std::string>& keys);
     void take_config();
@@ -73,9 +75,10 @@
     entry_state state;
     connection_pool connections;
     entry_context context;
-    std::shared_ptr<adapters::platform_calls> platform_calls;
+    std::shared_ptr<adapters::platform_budget> platform_calls;
     ports::platform store_calls;
     store_follower store;
+    store_news news;
     leadership leader;
     weights_loader loader;
     peers others;
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -1,6 +1,6 @@
 #include "proxy/store_follower.h"
 
-#include "proxy/line_up.h"
+#include "entries/line_up.h"
 
 namespace camphorrail::proxy {
 
@@ -10,17 +10,6 @@
 
 // The longest that the store lets a watch wait is 30 s.
 constexpr base::milliseconds watch_wait{20000};
-constexpr base::milliseconds watch_retry{150};
-// After a failed proof the next one comes sooner: each second without a proof counts against the
-// age that requests may be served by.
-constexpr base::milliseconds proof_retry{400};
-// So many entries follow the store. One may be cut off and another one ending.
-constexpr std::size_t followers = 3;
-// Without a proof for so long an entry follows the store itself, and for a while after: well below
-// the age that ends service, and above what a proof takes over another entry.
-constexpr base::milliseconds too_old{2200};
-constexpr base::seconds follow_at_least{5};
-const std::string duty = "store";
 // A configuration of 70 teams takes 50 KB. Told by three entries to nineteen each, three of them in
 // a row filled links of 10 Mbit/s for two seconds.
 constexpr std::size_t most_told_bytes = 4096;
@@ -30,113 +19,101 @@
 } // namespace
 
 store_follower::store_follower(entry_context& context, ports::platform platform)
-    : context(context), platform(std::move(platform)),
-      next_proof(context.loop.base(), [this] { this->prove(); }),
-      next_watch(context.loop.base(), [this] { this->watch(); }) {}
+    : context(context), platform(std::move(platform)) {
+    this->rules.proof_period = context.settings.platform.poll;
+}
 
 void store_follower::start() {
-    this->read_all();
+    this->tick();
+}
+
+entries::store_duty_view store_follower::view() const {
+    return {
+        entries::place_in_line(this->linked_entries(), this->context.settings.id, store_duty_name),
+        mirror::age(this->context.state.store, this->context.now()), this->context.now()};
 }
 
-bool store_follower::is_our_turn() const {
-    const auto age = mirror::age(this->context.state.store, this->context.now());
-    const bool stale = !age || *age > too_old;
-    return stale ||
-           place_in_line(this->linked_entries(), this->context.settings.id, duty) < followers;
+bool store_follower::proving() const {
+    return this->view().place == 0;
 }
 
 void store_follower::tick() {
-    if (!this->read_once) {
-        return;
+    const bool before = this->duty.following;
+    const auto due = entries::next_store_calls(this->duty, this->view(), this->rules);
+    this->note_following(before);
+    if (due.read) {
+        this->read_all();
     }
-    const base::instant now = this->context.now();
-    if (this->is_our_turn()) {
-        this->follow_until = now + follow_at_least;
+    if (due.watch) {
+        this->watch();
+    }
+    if (due.prove) {
+        this->prove();
     }
-    const bool follow = now < this->follow_until;
-    if (follow == this->is_following) {
+}
+
+void store_follower::note_following(bool before) {
+    if (this->duty.following == before) {
         return;
     }
-    this->is_following = follow;
-    this->context.log.line(importance::keep, follow ? "store_followed" : "store_left")
+    this->context.log.line(importance::keep, before ? "store_left" : "store_followed")
         .number("revision", this->context.state.store.revision)
         .span("config_age_ms", logged_config_age(this->context));
-    if (follow) {
-        this->read_all();
-    } else {
-        // The watch under way tells once more, late perhaps, but nothing wrong.
-        ++this->generation;
-        this->next_watch.clear();
-        this->next_proof.clear();
-    }
 }
 
 void store_follower::apply(std::int64_t revision_before, const std::set<std::string>& keys) {
-    if (keys.empty()) {
-        return;
+    if (this->duty.following) {
+        this->tell_changes(revision_before);
     }
-    if (this->is_following) {
-        this->tell_changes(revision_before, keys);
+    if (!keys.empty()) {
+        this->changed(keys);
     }
-    this->changed(keys);
 }
 
-void store_follower::tell_changes(std::int64_t revision_before,
-                                  const std::set<std::string>& keys) const {
-    const auto& store = this->context.state.store;
-    peer_store_changes told{revision_before, false, {store.revision, {}}};
-    std::size_t bytes = 0;
-    for (const auto& key : keys) {
-        const auto found = store.items.find(key);
-        const bool deleted = found == store.items.end();
-        told.changes.items.push_back(
-            {deleted ? ports::stored_value{key, "", store.revision} : found->second, deleted});
-        bytes += told.changes.items.back().item.value.size();
+// All that is newer than the revision before, and not only what was news here: a large value that
+// this entry has read itself may be newer than its mirror's revision. Left out, others would take
+// the later revision for theirs without it, and serve by an old configuration.
+void store_follower::tell_changes(std::int64_t revision_before) const {
+    auto since = mirror::changes_since(this->context.state.store, revision_before);
+    if (!since || since->revision == revision_before) {
+        return;
     }
-    if (bytes > most_told_bytes) {
-        told.large = true;
-        told.changes.items.clear();
+    peer_store_changes told{revision_before, {}, std::move(*since)};
+    for (auto& each : told.changes.items) {
+        if (each.item.value.size() > most_told_bytes) {
+            told.large.insert(each.item.key);
+            each.item.value.clear();
+        }
     }
     this->tell(told);
 }
 
 void store_follower::read_all() {
-    if (this->reading) {
-        return;
-    }
-    this->reading = true;
     const base::instant began = this->context.now();
     this->platform.read(all_keys, [this, began](base::result<ports::snapshot> read) {
-        this->reading = false;
-        this->note_answer(read.has_value());
-        if (!read.has_value()) {
-            this->prove_later(proof_retry);
-            return;
+        const bool first = !this->duty.read_once;
+        if (read.has_value()) {
+            auto& store = this->context.state.store;
+            const std::int64_t before = store.revision;
+            this->apply(before, mirror::take_snapshot(store, read.value(), began));
         }
-        const bool first = !this->read_once;
-        this->read_once = true;
-        auto& store = this->context.state.store;
-        const std::int64_t before = store.revision;
-        this->apply(before, mirror::take_snapshot(store, read.value(), began));
-        this->watch_suspected = false;
-        if (first) {
+        entries::note_store_read(this->duty, read.has_value(), this->view(), this->rules);
+        this->note_answer(read.has_value());
+        if (read.has_value() && first) {
             this->context.log.line(importance::keep, "store_read")
                 .number("revision", read.value().revision)
                 .number("items", static_cast<std::int64_t>(read.value().values.size()));
         }
-        this->watch();
-        this->prove_later(this->context.settings.platform.poll);
     });
 }
 
 void store_follower::watch() {
-    if (!this->is_following) {
-        return;
-    }
     const std::int64_t mine = ++this->generation;
     this->platform.watch(all_keys, this->context.state.store.revision, watch_wait,
                          [this, mine](base::result<ports::changes> told) {
-                             if (told.has_value() && !told.value().forgotten) {
+                             const bool answered = told.has_value();
+                             const bool forgotten = answered && told.value().forgotten;
+                             if (answered && !forgotten) {
                                  auto& store = this->context.state.store;
                                  const std::int64_t before = store.revision;
                                  this->apply(before, mirror::take_changes(store, told.value()));
@@ -144,15 +121,12 @@
                              if (mine != this->generation) {
                                  return;
                              }
-                             if (!told.has_value()) {
-                                 this->next_watch.set(watch_retry);
-                             } else if (told.value().forgotten) {
+                             if (forgotten) {
                                  this->context.log.line(importance::keep, "store_history_lost")
                                      .number("revision", this->context.state.store.revision);
-                                 this->read_all();
-                             } else {
-                                 this->watch();
                              }
+                             entries::note_watch_end(this->duty, answered, forgotten, this->view(),
+                                                     this->rules);
                          });
 }
 
@@ -165,6 +139,9 @@
     const auto config = items.find(this->context.words.operators_config_key);
     if (config != items.end()) {
         expect(config->second);
+    } else {
+        // Before the first configuration its absence is what is proved.
+        check.expectations.push_back({this->context.words.operators_config_key, 0});
     }
     for (const auto& item :
          mirror::items_below(this->context.state.store, this->context.words.named_weights_prefix)) {
@@ -173,57 +150,31 @@
     return check;
 }
 
-void store_follower::prove_later(base::micros delay) {
-    if (this->is_following) {
-        this->next_proof.set(delay);
-    }
-}
-
 void store_follower::prove() {
-    const auto check = this->operators_part();
-    if (check.expectations.empty()) {
-        this->read_all();
-        return;
-    }
     const base::instant began = this->context.now();
-    this->platform.commit(check, [this, began](base::result<ports::committed> answer) {
-        this->note_answer(answer.has_value());
-        if (!answer.has_value()) {
-            this->prove_later(proof_retry);
-            return;
-        }
-        auto& store = this->context.state.store;
-        const bool unchanged = answer.value().applied;
-        if (unchanged) {
-            mirror::prove(store, began);
-        }
-        // The store is ahead of us for a second time in a row: the watch tells nothing any more.
-        const bool behind = unchanged && answer.value().revision > store.revision;
-        if (!unchanged || (behind && this->watch_suspected)) {
-            this->read_all();
-            return;
-        }
-        this->watch_suspected = behind;
-        this->prove_later(this->context.settings.platform.poll);
-    });
+    this->platform.commit(
+        this->operators_part(), [this, began](base::result<ports::committed> answer) {
+            auto& store = this->context.state.store;
+            entries::proof_outcome outcome;
+            outcome.answered = answer.has_value();
+            outcome.unchanged = outcome.answered && answer.value().applied;
+            outcome.behind = outcome.unchanged && answer.value().revision > store.revision;
+            if (outcome.unchanged) {
+                mirror::prove(store, began);
+            }
+            entries::note_proof(this->duty, outcome, this->view(), this->rules);
+            this->note_answer(outcome.answered);
+        });
 }
 
 void store_follower::note_answer(bool answered) {
-    const bool before = this->reachable();
-    this->failures = answered ? 0 : this->failures + 1;
-    if (answered == before) {
+    if (answered == this->reachable) {
         return;
     }
+    this->reachable = answered;
     this->context.log.line(importance::keep, answered ? "store_regained" : "store_lost")
         .number("revision", this->context.state.store.revision)
         .span("config_age_ms", logged_config_age(this->context));
-    if (answered && this->read_once) {
-        // The watch may have been cut without a sign.
-        this->watch();
-    }
-    if (this->reachable_changed) {
-        this->reachable_changed(answered);
-    }
 }
 
 } // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/store_follower_tests.cpp
@@ -0,0 +1,51 @@
+#include "proxy/store_follower.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+// An entry that follows the store has read a large value that is newer than its mirror's revision,
+// on another entry's word. The watch then tells of that value, which is no news here, together with
+// a later change. Told of the later change alone, the others would take its revision for theirs
+// without ever having the value: they refused callers of a new route for good.
+TEST_CASE("others are told all that is newer than before, also what was no news here", "[proxy]") {
+    tests::proxy_world world;
+    auto& store = world.state.store;
+    store.items["config"] = {"config", "c", 12};
+    store.items["old"] = {"old", "o", 9};
+    store.revision = 11;
+    ports::platform platform;
+    platform.read = [](const std::string&, auto done) {
+        done(ports::snapshot{11, {{"config", "c", 12}, {"old", "o", 9}}});
+    };
+    platform.commit = [](const ports::transaction&, auto done) {
+        done(ports::committed{true, 11});
+    };
+    std::function<void(base::result<ports::changes>)> watch;
+    platform.watch = [&](const std::string&, std::int64_t, base::milliseconds, auto done) {
+        watch = std::move(done);
+    };
+    proxy::store_follower follower(world.entry(), platform);
+    std::vector<proxy::peer_store_changes> told;
+    follower.linked_entries = [] { return std::vector<base::entry_id>{}; };
+    follower.tell = [&](const proxy::peer_store_changes& message) { told.push_back(message); };
+    follower.changed = [](const std::set<std::string>&) {};
+    follower.start();
+    REQUIRE(world.run_until([&] {
+        world.move_clock(base::milliseconds(50));
+        follower.tick();
+        return watch != nullptr;
+    }));
+    told.clear();
+
+    watch(ports::changes{13, {{{"config", "c", 12}, false}, {{"late", "l", 13}, false}}, false});
+    REQUIRE(told.size() == 1);
+    CHECK(told.front().after == 11);
+    CHECK(told.front().changes.revision == 13);
+    std::set<std::string> keys;
+    for (const auto& each : told.front().changes.items) {
+        keys.insert(each.item.key);
+    }
+    CHECK(keys == std::set<std::string>{"config", "late"});
+}
--- /dev/null
+++ b/src/proxy/store_news.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "proxy/context.h"
+#include "proxy/peer_messages.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorrail::proxy {
+
+// Takes into the mirror what entries that follow the platform's store tell of it.
+//
+// A large value, as a configuration of many teams, is named and not told: its few tellers would
+// fill their links with it. Each entry reads such a key itself, by a read that may be old and costs
+// a tenth, and asks again where what came is older than what was told.
+class store_news {
+public:
+    store_news(entry_context& context, ports::platform platform);
+
+    enum class outcome { taken, reading, missed };
+    // `missed`: something before it was not heard of, so it could not be taken.
+    outcome take(const peer_store_changes& told);
+    // A large value is being read. Until it is there, a whole view would bring it over a link.
+    [[nodiscard]] bool reading() const { return this->current.has_value(); }
+
+    // Told after the mirror has changed, with the keys.
+    std::function<void(const std::set<std::string>&)> changed;
+    // A large value could not be read; other entries are to be asked.
+    std::function<void()> unreadable;
+
+private:
+    void apply(const peer_store_changes& told);
+    void read_next();
+    void take_value(const std::string& key, int attempt,
+                    const base::result<std::optional<ports::stored_value>>& read);
+    void read(const std::string& key, int attempt);
+    void take_waiting();
+
+    entry_context& context;
+    ports::platform platform;
+    // What waits for its large values, and what was told meanwhile.
+    std::optional<peer_store_changes> current;
+    std::deque<peer_store_changes> waiting;
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/store_news_tests.cpp
@@ -0,0 +1,112 @@
+#include "proxy/store_news.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace camphorrail;
+
+namespace {
+
+using outcome = proxy::store_news::outcome;
+
+// An entry that is told of the store, and a store that answers its reads when the test says.
+struct news_world {
+    struct asked_key {
+        std::string key;
+        ports::freshness wanted;
+        std::function<void(base::result<std::optional<ports::stored_value>>)> done;
+    };
+
+    tests::proxy_world world;
+    std::deque<asked_key> asked;
+    std::set<std::string> changed;
+    int unreadable = 0;
+    proxy::store_news news;
+
+    news_world() : news(this->world.entry(), this->store()) {
+        this->world.state.store.revision = 10;
+        this->news.changed = [this](const std::set<std::string>& keys) {
+            this->changed.insert(keys.begin(), keys.end());
+        };
+        this->news.unreadable = [this] { ++this->unreadable; };
+    }
+
+    ports::platform store() {
+        ports::platform made;
+        made.read_key = [this](std::string key, ports::freshness wanted, auto done) {
+            this->asked.push_back({std::move(key), wanted, std::move(done)});
+        };
+        return made;
+    }
+
+    void answer(base::result<std::optional<ports::stored_value>> with) {
+        const auto done = std::move(this->asked.front().done);
+        this->asked.pop_front();
+        done(std::move(with));
+    }
+
+    [[nodiscard]] std::string value_of(const std::string& key) const {
+        const auto found = this->world.state.store.items.find(key);
+        return found == this->world.state.store.items.end() ? "" : found->second.value;
+    }
+};
+
+proxy::peer_store_changes small(std::int64_t after, const std::string& key) {
+    return {after, {}, {after + 1, {{{key, "small", after + 1}, false}}}};
+}
+
+proxy::peer_store_changes large(std::int64_t after, const std::string& key) {
+    return {after, {key}, {after + 1, {{{key, "", after + 1}, false}}}};
+}
+
+} // namespace
+
+TEST_CASE("small changes are taken as told", "[proxy]") {
+    news_world world;
+    CHECK(world.news.take(small(10, "a")) == outcome::taken);
+    CHECK(world.value_of("a") == "small");
+    CHECK(world.asked.empty());
+    CHECK(world.news.take(small(13, "b")) == outcome::missed);
+    CHECK(world.value_of("b").empty());
+}
+
+// The operators write a configuration of many teams, and right after it something small. An entry
+// that took the later change without the large one would count itself up to date and serve by the
+// old configuration for good.
+TEST_CASE("a large value is read by each entry itself, and what follows waits for it", "[proxy]") {
+    news_world world;
+    CHECK(world.news.take(large(10, "config")) == outcome::reading);
+    CHECK(world.news.take(small(11, "b")) == outcome::reading);
+    CHECK(world.world.state.store.revision == 10);
+    REQUIRE(world.asked.size() == 1);
+    CHECK(world.asked.front().wanted == ports::freshness::may_be_old);
+
+    SECTION("until it is there") {
+        world.answer(std::optional(ports::stored_value{"config", "much", 11}));
+        CHECK(world.value_of("config") == "much");
+        CHECK(world.value_of("b") == "small");
+        CHECK(world.world.state.store.revision == 12);
+        CHECK(world.changed == std::set<std::string>{"b", "config"});
+        CHECK_FALSE(world.news.reading());
+    }
+    SECTION("and is asked for again where what came is older than what was told") {
+        for (int old = 0; old < 3; ++old) {
+            world.answer(std::optional(ports::stored_value{"config", "old", 9}));
+            CHECK(world.value_of("config").empty());
+            REQUIRE(world.world.run_until([&] { return !world.asked.empty(); }));
+        }
+        CHECK(world.asked.front().wanted == ports::freshness::newest);
+        world.answer(std::optional(ports::stored_value{"config", "newer", 14}));
+        CHECK(world.value_of("config") == "newer");
+        // What was told up to here; the newer item does not make the entry newer in all.
+        CHECK(world.world.state.store.revision == 12);
+    }
+    SECTION("and other entries are asked where the store turns this one away") {
+        world.answer(base::code::platform_unreachable);
+        CHECK(world.unreadable == 1);
+        CHECK_FALSE(world.news.reading());
+        CHECK(world.world.state.store.revision == 10);
+    }
+}
