Leave an upstream at once whose address another one has taken

Cause: an engine that crashes starts again under a new id at its old address within a second; its old entry stands in the list for three heartbeats. Change: of listed entries with one address the one that was written last counts (a process that has ended writes nothing more); the others are withdrawn, and said once in the log. The fixture of upstream_list_tests gave all its engines one address; each has its own now, the checks are as they were.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -290,6 +290,16 @@
         }
     }
     this->unreadable = list.unreadable;
+    for (const auto& [id, by] : list.replaced) {
+        fleet::withdraw(this->state.fleet, id);
+        this->connections.forget(id);
+        if (this->replaced.count(id) == 0) {
+            this->log.line(importance::keep, "upstream_replaced")
+                .text("upstream", id.value)
+                .text("by", by.value);
+        }
+    }
+    this->replaced = list.replaced;
     kvcache::assign_lanes(this->state.fleet, this->state.lanes, this->context.now(), {});
     const auto tell = [this](const char* event, const std::vector<base::upstream_id>& ids) {
         for (const auto& id : ids) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -95,6 +95,8 @@
     bool was_ready = false;
     // Entries of the platform's list that could not be read, as last logged.
     std::map<base::upstream_id, std::int64_t> unreadable;
+    // Listed upstreams whose address another one has taken, as last logged.
+    std::map<base::upstream_id, base::upstream_id> replaced;
     // The named weights have been read once; what comes later was named in this process's life.
     bool weights_read = false;
 };
--- a/src/proxy/upstream_list.cpp
+++ b/src/proxy/upstream_list.cpp
@@ -10,31 +10,64 @@
     return one.incarnation != base::upstream_incarnation{};
 }
 
+// An entry of the list, and the store's revision at which it was last written.
+struct list_entry {
+    ports::listed_upstream upstream;
+    std::int64_t revision = 0;
+};
+
+// Leaves out the entries that no upstream has written.
+void leave_out_foreign(std::vector<list_entry>& entries, upstream_list& list) {
+    const auto saying = static_cast<std::size_t>(
+        std::count_if(entries.begin(), entries.end(),
+                      [](const auto& each) { return says_its_start(each.upstream); }));
+    if (2 * saying <= entries.size()) {
+        return;
+    }
+    for (const auto& each : entries) {
+        if (!says_its_start(each.upstream)) {
+            list.unreadable[each.upstream.id] = each.revision;
+        }
+    }
+    std::erase_if(entries, [](const auto& each) { return !says_its_start(each.upstream); });
+}
+
+// A process that has ended writes nothing any more, so the entry that was written last is the one
+// that has the address now.
+void leave_out_replaced(std::vector<list_entry>& entries, upstream_list& list) {
+    std::map<std::string, const list_entry*> holders;
+    for (const auto& each : entries) {
+        auto& holder = holders[each.upstream.address];
+        holder = holder == nullptr || holder->revision < each.revision ? &each : holder;
+    }
+    for (const auto& each : entries) {
+        const auto* holder = holders.at(each.upstream.address);
+        if (holder != &each) {
+            list.replaced[each.upstream.id] = holder->upstream.id;
+        }
+    }
+    std::erase_if(entries,
+                  [&](const auto& each) { return list.replaced.count(each.upstream.id) > 0; });
+}
+
 } // namespace
 
 upstream_list read_upstream_list(const mirror::store_mirror& store, const ports::dialect& words) {
     upstream_list list;
-    std::vector<std::int64_t> revisions;
+    std::vector<list_entry> entries;
     for (const auto& item : mirror::items_below(store, words.upstreams_prefix)) {
         auto read = words.read_upstream(item.key, item.value);
         if (read.has_value()) {
-            list.upstreams.push_back(std::move(read.value()));
-            revisions.push_back(item.mod_revision);
+            entries.push_back({std::move(read.value()), item.mod_revision});
         } else {
             list.unreadable[{item.key.substr(words.upstreams_prefix.size())}] = item.mod_revision;
         }
     }
-    const auto saying = static_cast<std::size_t>(
-        std::count_if(list.upstreams.begin(), list.upstreams.end(), says_its_start));
-    if (2 * saying <= list.upstreams.size()) {
-        return list;
-    }
-    for (std::size_t at = 0; at < list.upstreams.size(); ++at) {
-        if (!says_its_start(list.upstreams[at])) {
-            list.unreadable[list.upstreams[at].id] = revisions[at];
-        }
+    leave_out_foreign(entries, list);
+    leave_out_replaced(entries, list);
+    for (auto& each : entries) {
+        list.upstreams.push_back(std::move(each.upstream));
     }
-    std::erase_if(list.upstreams, [](const auto& each) { return !says_its_start(each); });
     return list;
 }
 
--- a/src/proxy/upstream_list.h
+++ b/src/proxy/upstream_list.h
@@ -15,6 +15,9 @@
     // Entries that no upstream has written, by the id that they stand under, with the revision of
     // the store at which they were written.
     std::map<base::upstream_id, std::int64_t> unreadable;
+    // Upstreams whose address another one has taken since, by the id of that one. They have ended
+    // without a word, and stand in the list until their entries lapse.
+    std::map<base::upstream_id, base::upstream_id> replaced;
 };
 
 // Reads the list from what is known of the store. Where most upstreams say when they started, an
--- a/src/proxy/upstream_list_tests.cpp
+++ b/src/proxy/upstream_list_tests.cpp
@@ -1,3 +1,4 @@
+#include "fleet/fleet.h"
 #include "platform/dialect.h"
 #include "proxy/upstream_list.h"
 
@@ -7,9 +8,10 @@
 
 namespace {
 
-std::string entry(const std::string& born) {
-    return R"({"service":"pool","address":"10.0.0.1:8080","zone":"a","version":"v1","slots":8,
-               "state":"ready","coldLeftMs":0,"seq":1)" +
+// `NAME` stands for the part of the address that is the engine's own.
+std::string entry(const std::string& born, const std::string& address = "NAME") {
+    return R"({"service":"pool","address":")" + address +
+           R"(","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1)" +
            (born.empty() ? "" : ",\"born\":" + born) + "}";
 }
 
@@ -18,8 +20,14 @@
     mirror::store_mirror store;
     std::int64_t revision = 0;
 
-    void put(const std::string& id, const std::string& value) {
+    // Each engine has an address of its own, but for those that the test gives one.
+    void put(const std::string& id, std::string value) {
         const std::string key = this->words.upstreams_prefix + id;
+        if (const auto at = value.find("NAME"); at != std::string::npos) {
+            value.replace(at, 4,
+                          "10.0.0." + id.substr(id.size() - std::min<std::size_t>(1, id.size())) +
+                              ":8080");
+        }
         this->store.items[key] = {key, value, ++this->revision};
     }
     proxy::upstream_list read() { return proxy::read_upstream_list(this->store, this->words); }
@@ -61,3 +69,40 @@
     CHECK(list.upstreams.size() == 2);
     CHECK(list.unreadable.count({"i-2"}) == 1);
 }
+
+// Engines crash, and others start at their addresses a second later; the entries of the first stand
+// in the list for three heartbeats more. Each of a hundred callers' requests that still went to the
+// old names was turned away by the new engine, and some came back refused.
+TEST_CASE("an upstream whose address another one has taken is left at once", "[proxy]") {
+    listed_store listed;
+    listed.put("i-1", entry("17", "10.0.0.1:8080"));
+    listed.put("i-2", entry("18", "10.0.0.2:8080"));
+    REQUIRE(listed.read().upstreams.size() == 2);
+    listed.put("i-9", entry("19", "10.0.0.1:8080"));
+    const auto list = listed.read();
+    REQUIRE(list.upstreams.size() == 2);
+    CHECK(list.replaced.at({"i-1"}) == base::upstream_id{"i-9"});
+
+    SECTION("whichever name sorts first") {
+        listed.put("i-0", entry("20", "10.0.0.1:8080"));
+        const auto later = listed.read();
+        CHECK(later.upstreams.size() == 2);
+        CHECK(later.replaced.size() == 2);
+        CHECK(later.replaced.at({"i-9"}) == base::upstream_id{"i-0"});
+    }
+    SECTION("and gets nothing, also where no other is left") {
+        fleet::fleet state;
+        const base::instant now{base::seconds(100)};
+        listed.store.items.erase(listed.words.upstreams_prefix + "i-2");
+        listed.store.items.erase(listed.words.upstreams_prefix + "i-9");
+        fleet::take_list(state, listed.read().upstreams, now);
+        listed.put("i-9", entry("19", "10.0.0.1:8080"));
+        const auto after = listed.read();
+        fleet::take_list(state, after.upstreams, now);
+        for (const auto& [id, by] : after.replaced) {
+            fleet::withdraw(state, id);
+        }
+        const auto left = fleet::candidates(state, {"pool"}, now, {}, {{"i-9"}});
+        CHECK(left.empty());
+    }
+}
