Log the longest pause between the events of an answer

Callers hold an answer for late whose events pause for longer than its route allows, and no log line said so.

--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -71,6 +71,7 @@
         return;
     }
     this->count_first_byte();
+    this->note_pause();
     if (this->state == answer_state::none) {
         this->state = answer_state::streaming;
         this->exchange->start(this->current->head.status, caller_fields(this->current->head));
@@ -102,6 +103,15 @@
     }
 }
 
+// Callers hold an answer for late whose events pause, however early it began.
+void request_flow::note_pause() {
+    const base::instant now = this->context.now();
+    if (this->state == answer_state::streaming) {
+        this->longest_pause = std::max<base::micros>(this->longest_pause, now - this->last_events);
+    }
+    this->last_events = now;
+}
+
 // Nothing where the upstream changed weights meanwhile: it was not the prompt that took so long.
 latency::first_byte_sample request_flow::shown_by_attempt() const {
     const auto& choice = this->current->choice;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -356,6 +356,7 @@
         .text("outcome", outcome)
         .number("status", status)
         .span("first_byte_ms", this->first_byte.value_or(base::micros(0)))
+        .span("longest_pause_ms", this->longest_pause)
         .span("total_ms", this->age())
         .number("begun", this->begun)
         .number("sent_again", this->sent_again);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -84,6 +84,7 @@
     bool leave_silent_upstream(bool dead);
     void note_heard();
     void count_first_byte();
+    void note_pause();
     void note_prompt_read();
     [[nodiscard]] latency::first_byte_sample shown_by_attempt() const;
     void note_prompt_sent();
@@ -126,6 +127,9 @@
     // When the watch for silence is to look next.
     base::instant silence_due{};
     std::optional<base::micros> first_byte;
+    // When the caller was last sent events, and the longest it has waited for further ones.
+    base::instant last_events{};
+    base::micros longest_pause{0};
 };
 
 } // namespace camphorrail::proxy
