Use all stores of a zone, and forget what an engine cached with its old weights

Cause: store_of took the first store of the home's zone, so with six stores in five zones one was never named. Caches were not forgotten when an engine changed its weights, though forget_reader's comment said so; parts of old weights counted as filling its memory. Change: the prompt picks among the stores of the zone. note_weights (moved out of proxy.cpp) and the list's changes forget what the engine had cached.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -87,6 +87,9 @@
             begin_life(one, each.incarnation);
             change.restarted.push_back(each.id);
         }
+        if (!is_new && one.listed.models != each.models) {
+            change.reweighted.push_back(each.id);
+        }
         one.listed = each;
         one.id_hash = base::stable_hash(each.id.value);
         one.missing_since.reset();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -70,6 +70,8 @@
     std::vector<base::upstream_id> removed;
     // They started again under their ids.
     std::vector<base::upstream_id> restarted;
+    // They hold other weights than before, and nothing that they had cached.
+    std::vector<base::upstream_id> reweighted;
 };
 
 // Takes the platform's list as it now is.
--- a/src/kvcache/placement_tests.cpp
+++ b/src/kvcache/placement_tests.cpp
@@ -1,5 +1,6 @@
 #include "kvcache/lanes.h"
 #include "kvcache/placement.h"
+#include "kvcache/prompt_sources.h"
 
 #include <catch2/catch.hpp>
 
@@ -418,3 +419,29 @@
         CHECK(entry.place(chain).fetch_from == first.save_to);
     }
 }
+
+// Six stores in five availability zones: the second one of a zone was never named, and with 100
+// entries before 160 engines the links of the others were what prompts waited for.
+TEST_CASE("stores of one availability zone share its prompts", "[kvcache]") {
+    world grown(30);
+    auto more = stores;
+    more.push_back({"10.9.9.4:1", {"a"}, 1'200'000, 350'000});
+    std::map<std::string, int> named;
+    const auto& home = grown.state.members.at({"e0"});
+    REQUIRE(home.listed.zone.value == "a");
+    for (int history = 0; history < 100; ++history) {
+        const auto chain = chain_of(history);
+        const std::vector<const fleet::member*> members;
+        const kvcache::prompt_request request{space, chain, grown.pool, members,
+                                              base::milliseconds(400)};
+        const kvcache::placement_view view{
+            grown.beliefs, grown.copies, more, now, {}, grown.model, {}};
+        const auto* store = kvcache::store_of(request, view, &home);
+        REQUIRE(store != nullptr);
+        CHECK(store == kvcache::store_of(request, view, &home));
+        ++named[store->address];
+    }
+    REQUIRE(named.size() == 2);
+    CHECK(named.at("10.9.9.1:1") > 25);
+    CHECK(named.at("10.9.9.4:1") > 25);
+}
--- a/src/kvcache/prompt_sources.cpp
+++ b/src/kvcache/prompt_sources.cpp
@@ -115,17 +115,19 @@
 const routes::kv_store* store_of(const prompt_request& request, const placement_view& view,
                                  const fleet::member* home) {
     std::vector<const routes::kv_store*> up;
+    std::vector<const routes::kv_store*> near_home;
     for (const auto& each : view.stores) {
         const auto known = view.copies.find(each.address);
         if (known != view.copies.end() && known->second.down) {
             continue;
         }
+        up.push_back(&each);
         if (home != nullptr && each.zone == home->listed.zone) {
-            return &each;
+            near_home.push_back(&each);
         }
-        up.push_back(&each);
     }
-    return up.empty() ? nullptr : up[request.chain.levels.back().key % up.size()];
+    const auto& among = near_home.empty() ? up : near_home;
+    return among.empty() ? nullptr : among[request.chain.levels.back().key % among.size()];
 }
 
 prompt_source best_source(const candidate& target, const prompt_request& request,
--- a/src/kvcache/prompt_sources.h
+++ b/src/kvcache/prompt_sources.h
@@ -21,8 +21,9 @@
 std::int64_t held_by(const candidate& target, const prompt_request& request,
                      const placement_view& view);
 
-// The store that keeps a prompt: the one in the zone of its home, since moves between zones take
-// twice as long; every entry and engine finds it there. Null where there is none.
+// The store that keeps a prompt: one in the zone of its home, since moves between zones take twice
+// as long; of several there the prompt picks one, so that all their links are used. Every entry and
+// engine finds it there. Null where there is none.
 const routes::kv_store* store_of(const prompt_request& request, const placement_view& view,
                                  const fleet::member* home);
 
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -65,6 +65,24 @@
     }
 }
 
+void note_weights(entry_context& context, const base::upstream_instance& upstream,
+                  const base::model_id& model, std::int64_t version) {
+    auto* one = fleet::find_instance(context.state.fleet, upstream);
+    if (one == nullptr) {
+        return;
+    }
+    for (auto& [name, held] : one->listed.models) {
+        if (name == model && held < version) {
+            held = version;
+            one->busy_until = context.now();
+            kvcache::forget_reader(context.state.cache, upstream.id);
+            context.log.line(adapters::importance::keep, "upstream_weights")
+                .text("upstream", upstream.id.value)
+                .number("version", version);
+        }
+    }
+}
+
 void forget_earlier_life(entry_context& context, const base::upstream_instance& now_in) {
     context.connections.forget(now_in.id);
     kvcache::forget_reader(context.state.cache, now_in.id);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -85,6 +85,11 @@
 // How long a request may still begin on weights after newer ones were named.
 base::micros longest_outdated(const settings::proxy_settings& settings);
 
+// Notes that an upstream holds a newer version of a model's weights. It has dropped all that it had
+// cached for the one before, which would else count as filling its memory.
+void note_weights(entry_context& context, const base::upstream_instance& upstream,
+                  const base::model_id& model, std::int64_t version);
+
 // Voids what hangs on an upstream's earlier life outside the fleet: its idle connections, which are
 // dead, and what it was believed to have cached.
 void forget_earlier_life(entry_context& context, const base::upstream_instance& now_in);
--- /dev/null
+++ b/src/proxy/context_tests.cpp
@@ -0,0 +1,42 @@
+#include "proxy/context.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+// An engine loads new weights and drops all that it had cached. An entry that counted the old parts
+// as held took the engine's memory for full, and the parts read since for yielded: prompts were
+// fetched from stores, or read again, that the engine had.
+TEST_CASE("an engine's cache is forgotten with its weights", "[proxy]") {
+    tests::proxy_world world;
+    world.add_engine("engine", [](const auto&) { return tests::engine_script{}; });
+    auto& member = world.state.fleet.members.at({"engine"});
+    member.listed.models = {{{"m"}, 1}};
+    constexpr std::uint64_t prompt = 9;
+    constexpr std::int64_t room = 10000;
+    const auto read_at = [&](std::int64_t weights) {
+        kvcache::prompt_read read;
+        read.levels = {{prompt, 4000}};
+        read.weights = weights;
+        read.by = fleet::instance_of(member);
+        kvcache::note_read(world.state.cache, read, room, world.entry().now());
+    };
+    const auto holds = [&](std::int64_t weights) {
+        return kvcache::holds_level(world.state.cache, {"engine"},
+                                    kvcache::key_at(prompt, weights));
+    };
+    read_at(1);
+    REQUIRE(holds(1));
+
+    SECTION("when it holds newer ones") {
+        proxy::note_weights(world.entry(), fleet::instance_of(member), {"m"}, 2);
+        CHECK_FALSE(holds(1));
+        read_at(2);
+        CHECK(holds(2));
+    }
+    SECTION("but not on late news of those that it holds") {
+        proxy::note_weights(world.entry(), fleet::instance_of(member), {"m"}, 1);
+        CHECK(holds(1));
+    }
+}
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -68,7 +68,7 @@
               },
               [this](const base::upstream_instance& upstream, const base::model_id& model,
                      std::int64_t version) {
-                  this->take_weights_of({upstream, model, version});
+                  note_weights(this->context, upstream, model, version);
                   this->others.tell(peer_weights{upstream, model, version});
               }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
@@ -176,7 +176,7 @@
     this->others.store_changed = this->store.changed;
     this->news.changed = this->store.changed;
     this->others.weights_changed = [this](const peer_weights& told) {
-        this->take_weights_of(told);
+        note_weights(this->context, told.upstream, told.model, told.version);
     };
     this->others.named_weights_told = [this](const peer_named& told) { this->take_named(told); };
     this->others.kept_told = [this](const base::entry_id& from, const peer_kept& told) {
@@ -248,22 +248,6 @@
     this->set_retry_budgets();
 }
 
-void proxy::take_weights_of(const peer_weights& told) {
-    auto* one = fleet::find_instance(this->state.fleet, told.upstream);
-    if (one == nullptr) {
-        return;
-    }
-    for (auto& [model, version] : one->listed.models) {
-        if (model == told.model && version < told.version) {
-            version = told.version;
-            one->busy_until = this->context.now();
-            this->log.line(importance::keep, "upstream_weights")
-                .text("upstream", told.upstream.id.value)
-                .number("version", told.version);
-        }
-    }
-}
-
 void proxy::set_retry_budgets() {
     if (this->state.config == nullptr) {
         return;
@@ -320,6 +304,9 @@
     for (const auto& id : change.restarted) {
         forget_earlier_life(this->context, fleet::instance_of(this->state.fleet.members.at(id)));
     }
+    for (const auto& id : change.reweighted) {
+        kvcache::forget_reader(this->state.cache, id);
+    }
     for (const auto& id : change.removed) {
         this->connections.forget(id);
         kvcache::forget_reader(this->state.cache, id);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -50,7 +50,6 @@
     void take_upstreams();
     void assign_lanes();
     void take_named_weights();
-    void take_weights_of(const peer_weights& told);
     void take_named(const peer_named& told);
     void set_retry_budgets();
     void tick();
