--- /dev/null
+++ b/src/entries/relays.cpp
@@ -0,0 +1,44 @@
+#include "entries/relays.h"
+
+#include "base/hash.h"
+#include "routing/rendezvous.h"
+
+#include <map>
+#include <string>
+
+namespace camphorrail::entries {
+
+namespace {
+
+constexpr base::seconds relay_term{2};
+
+} // namespace
+
+relays choose_relays(const std::vector<linked_entry>& linked, const base::entry_id& self,
+                     const base::availability_zone& zone, base::instant now) {
+    const auto term = now.time_since_epoch() / relay_term;
+    const std::uint64_t key = base::stable_hash(self.value, static_cast<std::uint64_t>(term));
+    struct pick {
+        std::uint64_t score = 0;
+        const linked_entry* entry = nullptr;
+    };
+    relays chosen;
+    std::map<base::availability_zone, pick> picks;
+    for (const auto& each : linked) {
+        if (each.zone == zone) {
+            chosen.near.push_back(each.id);
+            continue;
+        }
+        auto& best = picks[each.zone];
+        const std::uint64_t score = routing::score(base::stable_hash(each.id.value), key);
+        if (best.entry == nullptr || score > best.score) {
+            best = {score, &each};
+        }
+    }
+    for (const auto& [other, best] : picks) {
+        chosen.far.push_back(best.entry->id);
+    }
+    return chosen;
+}
+
+} // namespace camphorrail::entries
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -174,6 +174,21 @@
     return all;
 }
 
+std::int64_t unread_tokens(const member& one, base::instant now, double tokens_a_ms) {
+    double told = 0.0;
+    double told_ms = 0.0;
+    for (const auto& [entry, load] : one.elsewhere) {
+        if (now <= load.until) {
+            const auto tokens = static_cast<double>(load.work.unread_tokens);
+            const std::chrono::duration<double, std::milli> age = now - load.told_at;
+            told += tokens;
+            told_ms += tokens * age.count();
+        }
+    }
+    const double read = told > 0.0 ? tokens_a_ms * told_ms / told : 0.0;
+    return one.ours.unread_tokens + static_cast<std::int64_t>(std::max(0.0, told - read));
+}
+
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules) {
     const std::int64_t known = all_work(one, now).in_flight;
     if (!one.load || now - one.load_at > rules.load_lifetime) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -18,6 +18,7 @@
 struct entry_load {
     workload work;
     base::instant until{};
+    base::instant told_at{};
 };
 
 // What an entry knows of one upstream: what the platform lists, and what its own requests show.
@@ -122,6 +123,11 @@
 // What all entries have under way at a member, as far as they have told lately.
 workload all_work(const member& one, base::instant now);
 
+// Prompt tokens that probably wait at a member to be read, which reads `tokens_a_ms`. What others
+// told is read meanwhile: with a hundred entries that tell twice a second, most of it has been by
+// the time that it is counted, and prompts left their homes for queues that were long gone.
+std::int64_t unread_tokens(const member& one, base::instant now, double tokens_a_ms);
+
 // How many requests a member probably holds, ours and those of other entries.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
 
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -46,11 +46,16 @@
     return std::max(0.0, wanted - room) * turnover;
 }
 
+std::int64_t unread_at(const fleet::member& one, const placement_view& view) {
+    const double token_ms = latency::reading_ms(view.model, {1.0, 0.0, 0.0});
+    return fleet::unread_tokens(one, view.now, token_ms > 0.0 ? 1.0 / token_ms : 0.0);
+}
+
 // How long the prompt will probably wait at an engine before it is read.
 double expected_wait_ms(const fleet::member& one, const prompt_request& request,
                         const placement_view& view) {
     const auto work = fleet::all_work(one, view.now);
-    const latency::reading_work ahead{0.0, static_cast<double>(work.unread_tokens), 0.0};
+    const latency::reading_work ahead{0.0, static_cast<double>(unread_at(one, view)), 0.0};
     return latency::reading_ms(view.model, ahead) + slots_ms(one, work, 1.0, view.costs) +
            memory_ms(work, 1.0, request, view.costs);
 }
@@ -214,6 +219,7 @@
     chosen.salt = make_salt(request.space, best.target->weights);
     chosen.fetch_from = std::move(best.source.address);
     chosen.to_read = best.to_read;
+    chosen.unread_there = unread_at(*best.target->engine, view);
     chosen.wait_ms = best.wait_ms;
     chosen.fetch_ms = best.fetch_ms;
     chosen.first_byte_ms = best.first_byte_ms;
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -85,6 +85,8 @@
     std::string save_to;
     // Tokens that the target will probably read.
     std::int64_t to_read = 0;
+    // Tokens that wait there already, over all entries.
+    std::int64_t unread_there = 0;
     // How long it will probably wait there before it is read, for its fetch, and until its first
     // event in all, in milliseconds.
     double wait_ms = 0.0;
--- /dev/null
+++ b/src/proxy/load_exchange.cpp
@@ -0,0 +1,143 @@
+#include "proxy/load_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+// So long for each entry that is told, so that what an entry sends and reads does not grow with
+// their number: with 300 that told each other ten times a second it was 1.1 MB a second.
+constexpr base::milliseconds period_each{5};
+// Twenty entries that told each other every 350 ms all sent to the same idle engine before one
+// heard of the others.
+constexpr base::milliseconds least_period{40};
+// A report is believed until two further whole ones have failed to come.
+constexpr int believed_periods = 3;
+constexpr base::milliseconds least_belief{500};
+
+bool same_work(const fleet::workload& left, const fleet::workload& right) {
+    return left.in_flight == right.in_flight && left.unread_tokens == right.unread_tokens &&
+           left.held_tokens == right.held_tokens && left.unrepeatable == right.unrepeatable &&
+           left.short_prompts == right.short_prompts;
+}
+
+base::milliseconds whole_period(std::size_t linked) {
+    return std::max(period_each * static_cast<std::int64_t>(linked), least_period);
+}
+
+bool is_empty(const told_load& load) {
+    return load.items.empty() && load.transfers.empty() && load.reads.empty();
+}
+
+} // namespace
+
+base::milliseconds load_exchange::period(const entries::relays& to) {
+    const auto count = static_cast<std::int64_t>(to.near.size() + to.far.size());
+    return std::max(period_each * count, least_period);
+}
+
+told_load load_exchange::own_load(std::size_t linked) {
+    const base::instant now = this->context.now();
+    told_load load;
+    load.from = this->context.settings.id;
+    load.period = whole_period(linked);
+    load.whole = now >= this->next_whole;
+    if (load.whole) {
+        this->next_whole = now + load.period;
+    }
+    std::map<base::upstream_id, load_item> telling;
+    for (const auto& [id, one] : this->context.state.fleet.members) {
+        const auto before = this->told.find(id);
+        const bool known = before != this->told.end();
+        if (one.ours.in_flight == 0 && !known) {
+            continue;
+        }
+        const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
+        const load_item item{fleet::instance_of(one), one.ours, heard};
+        const bool is_news = !known || !same_work(before->second.work, item.work);
+        if (is_news || (load.whole && one.ours.in_flight > 0)) {
+            load.items.push_back(item);
+        }
+        if (one.ours.in_flight > 0) {
+            telling[id] = item;
+        }
+    }
+    this->told = std::move(telling);
+    for (const auto& [store, ms] : std::exchange(this->context.state.untold_transfers, {})) {
+        load.transfers.push_back({store, ms});
+    }
+    load.reads = std::exchange(this->context.state.untold_reads, {});
+    return load;
+}
+
+std::vector<told_load> load_exchange::relayed_loads() {
+    const base::instant now = this->context.now();
+    std::vector<told_load> loads;
+    for (auto& each : std::exchange(this->to_relay, {})) {
+        each.load.age += std::chrono::duration_cast<base::milliseconds>(now - each.heard_at);
+        loads.push_back(std::move(each.load));
+    }
+    return loads;
+}
+
+load_exchange::news load_exchange::collect(std::size_t linked) {
+    news made;
+    auto own = this->own_load(linked);
+    // One last message says that nothing is left.
+    const bool says_something = !is_empty(own) || (own.whole && this->told_something);
+    if (own.whole) {
+        this->told_something = !own.items.empty();
+    }
+    auto relayed = this->relayed_loads();
+    if (says_something) {
+        made.far = peer_load{{own}};
+        relayed.insert(relayed.begin(), std::move(own));
+    }
+    if (!relayed.empty()) {
+        made.near = peer_load{std::move(relayed)};
+    }
+    return made;
+}
+
+void load_exchange::take(const peer_load& message, bool passes_on) {
+    for (const auto& load : message.all) {
+        this->take_load(load);
+    }
+    if (passes_on && !message.all.empty()) {
+        this->to_relay.push_back({message.all.front(), this->context.now()});
+    }
+}
+
+void load_exchange::take_load(const told_load& load) {
+    const base::instant now = this->context.now();
+    const base::instant until = now + std::max(load.period * believed_periods, least_belief);
+    auto& state = this->context.state;
+    if (load.whole) {
+        for (auto& [id, one] : state.fleet.members) {
+            one.elsewhere.erase(load.from);
+        }
+    }
+    for (const auto& item : load.items) {
+        auto* one = fleet::find_instance(state.fleet, item.upstream);
+        if (one == nullptr) {
+            continue;
+        }
+        if (item.work.in_flight > 0) {
+            one->elsewhere[load.from] = {item.work, until, now - load.age};
+        } else {
+            one->elsewhere.erase(load.from);
+        }
+        // With many entries each hears little of an upstream; together they know whether it lives.
+        one->heard_at = std::max<base::instant>(one->heard_at, now - load.age - item.heard_ago);
+    }
+    for (const auto& each : load.transfers) {
+        kvcache::note_transfer(state.kept[each.store], each.ms, now);
+    }
+    for (const auto& read : load.reads) {
+        note_prompt_read(this->context, read);
+    }
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/load_exchange.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "entries/relays.h"
+#include "proxy/context.h"
+#include "proxy/peer_messages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// What entries tell each other of their requests: what waits at each upstream, and which prompts
+// were read where. Entries that send prompts to the same homes would else each see only their part
+// of what waits there, and all overload the same engine at once.
+//
+// Said as `entries/relays.h` tells: to the entries of the own zone, and to one of each other zone,
+// which passes it on. Mostly only what has changed is told, and all of it now and then, since a
+// relay may be lost with what it had not passed on.
+class load_exchange {
+public:
+    explicit load_exchange(entry_context& context) : context(context) {}
+
+    // How long until something is to be told again.
+    [[nodiscard]] static base::milliseconds period(const entries::relays& to);
+    // What the entries of the own zone are to hear now, with what is passed on, and the relays of
+    // other zones; nothing where there is no news. `linked`: entries that a link stands to.
+    struct news {
+        std::optional<peer_load> near;
+        std::optional<peer_load> far;
+    };
+    news collect(std::size_t linked);
+    // Takes what was heard from an entry. `passes_on`: it is of another zone, and ours relies on
+    // this entry to hear of it.
+    void take(const peer_load& message, bool passes_on);
+
+private:
+    told_load own_load(std::size_t linked);
+    std::vector<told_load> relayed_loads();
+    void take_load(const told_load& load);
+
+    struct relayed {
+        told_load load;
+        base::instant heard_at{};
+    };
+
+    entry_context& context;
+    // What was last told of each upstream.
+    std::map<base::upstream_id, load_item> told;
+    std::vector<relayed> to_relay;
+    base::instant next_whole{};
+    bool told_something = false;
+};
+
+} // namespace camphorrail::proxy
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -17,7 +17,7 @@
 }
 
 json to_json(const peer_hello& message) {
-    return {"hello", message.from.value};
+    return {"hello", message.from.value, message.zone.value};
 }
 
 json to_json(const peer_suspicion& message) {
@@ -29,20 +29,6 @@
     return {"weights", to_json(message.upstream), message.model.value, message.version};
 }
 
-json to_json(const peer_load& message) {
-    json items = json::array();
-    for (const auto& item : message.items) {
-        items.push_back({to_json(item.upstream), item.work.in_flight, item.work.unread_tokens,
-                         item.work.held_tokens, item.work.unrepeatable, item.work.short_prompts,
-                         item.heard_ago.count()});
-    }
-    json transfers = json::array();
-    for (const auto& each : message.transfers) {
-        transfers.push_back({each.store, each.ms});
-    }
-    return {"load", message.period.count(), items, transfers};
-}
-
 json to_json(const peer_named& message) {
     return {"named", message.model.value, message.version, message.age.count()};
 }
@@ -89,17 +75,43 @@
             read.at(3).get<double>()};
 }
 
-json to_json(const peer_reads& message) {
-    json items = json::array();
-    for (const auto& item : message.items) {
-        json levels = json::array();
-        for (const auto& level : item.levels) {
-            levels.push_back({level.key, level.tokens});
-        }
-        items.push_back({levels, item.own_tokens, item.weights, to_json(item.by), item.saved,
-                         to_json(item.shown)});
+json to_json(const kvcache::prompt_read& read) {
+    json levels = json::array();
+    for (const auto& level : read.levels) {
+        levels.push_back({level.key, level.tokens});
     }
-    return {"reads", items};
+    return {levels,           read.own_tokens, read.weights,
+            to_json(read.by), read.saved,      to_json(read.shown)};
+}
+
+json to_json(const load_item& item) {
+    return {to_json(item.upstream), item.work.in_flight,    item.work.unread_tokens,
+            item.work.held_tokens,  item.work.unrepeatable, item.work.short_prompts,
+            item.heard_ago.count()};
+}
+
+json to_json(const load_transfer& transfer) {
+    return {transfer.store, transfer.ms};
+}
+
+json to_json(const told_load& load);
+
+template <class Part>
+json list_of(const std::vector<Part>& parts) {
+    json list = json::array();
+    for (const auto& each : parts) {
+        list.push_back(to_json(each));
+    }
+    return list;
+}
+
+json to_json(const told_load& load) {
+    return {load.from.value,     load.age.count(),        load.period.count(), load.whole,
+            list_of(load.items), list_of(load.transfers), list_of(load.reads)};
+}
+
+json to_json(const peer_load& message) {
+    return {"load", list_of(message.all)};
 }
 
 json to_json(const peer_kept& message) {
@@ -110,25 +122,20 @@
     return {"kept", message.store, message.whole, message.down, parts};
 }
 
-peer_reads read_reads(const json& read) {
-    peer_reads reads;
-    for (const auto& item : read.at(1)) {
-        kvcache::prompt_read one;
-        for (const auto& level : item.at(0)) {
-            one.levels.push_back(
-                {level.at(0).get<std::uint64_t>(), level.at(1).get<std::int64_t>()});
-        }
-        if (one.levels.empty()) {
-            throw std::invalid_argument("a reading of nothing");
-        }
-        one.own_tokens = item.at(1).get<std::int64_t>();
-        one.weights = item.at(2).get<std::int64_t>();
-        one.by = read_instance(item.at(3));
-        one.saved = item.at(4).get<bool>();
-        one.shown = read_sample(item.at(5));
-        reads.items.push_back(std::move(one));
-    }
-    return reads;
+kvcache::prompt_read read_prompt_read(const json& read) {
+    kvcache::prompt_read one;
+    for (const auto& level : read.at(0)) {
+        one.levels.push_back({level.at(0).get<std::uint64_t>(), level.at(1).get<std::int64_t>()});
+    }
+    if (one.levels.empty()) {
+        throw std::invalid_argument("a reading of nothing");
+    }
+    one.own_tokens = read.at(1).get<std::int64_t>();
+    one.weights = read.at(2).get<std::int64_t>();
+    one.by = read_instance(read.at(3));
+    one.saved = read.at(4).get<bool>();
+    one.shown = read_sample(read.at(5));
+    return one;
 }
 
 peer_kept read_kept(const json& read) {
@@ -152,18 +159,35 @@
     return view;
 }
 
+load_item read_load_item(const json& read) {
+    const fleet::workload work{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>(),
+                               read.at(3).get<std::int64_t>(), read.at(4).get<std::int64_t>(),
+                               read.at(5).get<std::int64_t>()};
+    return {read_instance(read.at(0)), work, base::milliseconds(read.at(6).get<std::int64_t>())};
+}
+
+told_load read_told_load(const json& read) {
+    told_load load;
+    load.from = {read.at(0).get<std::string>()};
+    load.age = base::milliseconds(read.at(1).get<std::int64_t>());
+    load.period = base::milliseconds(read.at(2).get<std::int64_t>());
+    load.whole = read.at(3).get<bool>();
+    for (const auto& item : read.at(4)) {
+        load.items.push_back(read_load_item(item));
+    }
+    for (const auto& each : read.at(5)) {
+        load.transfers.push_back({each.at(0).get<std::string>(), each.at(1).get<double>()});
+    }
+    for (const auto& each : read.at(6)) {
+        load.reads.push_back(read_prompt_read(each));
+    }
+    return load;
+}
+
 peer_load read_load(const json& read) {
     peer_load load;
-    load.period = base::milliseconds(read.at(1).get<std::int64_t>());
-    for (const auto& item : read.at(2)) {
-        const fleet::workload work{item.at(1).get<std::int64_t>(), item.at(2).get<std::int64_t>(),
-                                   item.at(3).get<std::int64_t>(), item.at(4).get<std::int64_t>(),
-                                   item.at(5).get<std::int64_t>()};
-        load.items.push_back(
-            {read_instance(item.at(0)), work, base::milliseconds(item.at(6).get<std::int64_t>())});
-    }
-    for (const auto& each : read.at(3)) {
-        load.transfers.push_back({each.at(0).get<std::string>(), each.at(1).get<double>()});
+    for (const auto& each : read.at(1)) {
+        load.all.push_back(read_told_load(each));
     }
     return load;
 }
@@ -171,7 +195,7 @@
 peer_message read_message(const json& read) {
     const std::string kind = read.at(0).get<std::string>();
     if (kind == "hello") {
-        return peer_hello{{read.at(1).get<std::string>()}};
+        return peer_hello{{read.at(1).get<std::string>()}, {read.at(2).get<std::string>()}};
     }
     if (kind == "suspicion") {
         return peer_suspicion{read_instance(read.at(1)),
@@ -202,9 +226,6 @@
                                   read.at(2).get<std::set<std::string>>(),
                                   read_changes(read.at(3))};
     }
-    if (kind == "reads") {
-        return read_reads(read);
-    }
     if (kind == "kept") {
         return read_kept(read);
     }
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -20,6 +20,7 @@
 // The first message on a link: who is at the other end.
 struct peer_hello {
     base::entry_id from;
+    base::availability_zone zone;
 };
 
 // An upstream takes nothing new for a while.
@@ -38,28 +39,38 @@
     std::int64_t version = 0;
 };
 
-// What the sender has under way at upstreams, those with nothing left out.
-struct peer_load {
-    struct item {
-        base::upstream_instance upstream;
-        fleet::workload work;
-        // How long ago the upstream last sent the sender a byte.
-        base::milliseconds heard_ago{0};
-    };
-    // It is told again within this time.
+// What an entry has under way at one upstream; nothing in flight where that has ended.
+struct load_item {
+    base::upstream_instance upstream;
+    fleet::workload work;
+    // How long ago the upstream last sent that entry a byte.
+    base::milliseconds heard_ago{0};
+};
+
+// What an entry has ordered of a store of kept KV cache since it last told.
+struct load_transfer {
+    std::string store;
+    double ms = 0.0;
+};
+
+// What one entry has under way at upstreams, and what its requests have had read since it last
+// told.
+struct told_load {
+    base::entry_id from;
+    // How long ago it said so, where another entry passes it on.
+    base::milliseconds age{0};
+    // It tells all again within this time.
     base::milliseconds period{0};
-    std::vector<item> items;
-    // What the sender has ordered of the stores of kept KV cache since it last told.
-    struct transfer {
-        std::string store;
-        double ms = 0.0;
-    };
-    std::vector<transfer> transfers;
+    // All upstreams at which it has something under way, or those where that has changed.
+    bool whole = false;
+    std::vector<load_item> items;
+    std::vector<load_transfer> transfers;
+    std::vector<kvcache::prompt_read> reads;
 };
 
-// Prompts that the sender's requests have had read.
-struct peer_reads {
-    std::vector<kvcache::prompt_read> items;
+// The sender's own load, and those of entries of other zones that it passes on.
+struct peer_load {
+    std::vector<told_load> all;
 };
 
 // What a store of kept KV cache holds, by its own events: all of it, or what has changed.
@@ -107,9 +118,8 @@
     ports::changes changes;
 };
 
-using peer_message =
-    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named, peer_store_ask,
-                 peer_store_view, peer_reads, peer_kept, peer_store_changes>;
+using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
+                                  peer_store_ask, peer_store_view, peer_kept, peer_store_changes>;
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/proxy/peer_messages_tests.cpp
@@ -21,11 +21,19 @@
     REQUIRE(got.changes.items.size() == 1);
     CHECK(got.changes.items[0].item.value == view.changes.items[0].item.value);
 
-    const auto load = proxy::decode(proxy::encode(proxy::peer_load{
-        base::milliseconds(100), {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}));
-    CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.unread_tokens == 900);
-    CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.held_tokens == 1900);
-    CHECK(std::get<proxy::peer_load>(load.value()).items.at(0).work.unrepeatable == 1);
+    proxy::told_load told;
+    told.from = {"entry-3"};
+    told.age = base::milliseconds(70);
+    told.whole = true;
+    told.items = {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}};
+    const auto load = proxy::decode(proxy::encode(proxy::peer_load{{{}, told}}));
+    const auto& relayed = std::get<proxy::peer_load>(load.value()).all.at(1);
+    CHECK(relayed.from.value == "entry-3");
+    CHECK(relayed.age == base::milliseconds(70));
+    CHECK(relayed.whole);
+    CHECK(relayed.items.at(0).work.unread_tokens == 900);
+    CHECK(relayed.items.at(0).work.held_tokens == 1900);
+    CHECK(relayed.items.at(0).work.unrepeatable == 1);
     const auto suspicion = proxy::decode(proxy::encode(
         proxy::peer_suspicion{{{"e1"}, {17}}, base::milliseconds(250), "silent", true}));
     CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).why == "silent");
@@ -62,8 +70,10 @@
     told.by = {{"e1"}, {17}};
     told.saved = true;
     told.shown = {{2890.0, 400.0, 1.5}, 62.5};
-    const auto reads = proxy::decode(proxy::encode(proxy::peer_reads{{told}}));
-    const auto& read = std::get<proxy::peer_reads>(reads.value()).items.at(0);
+    proxy::told_load load;
+    load.reads = {told};
+    const auto reads = proxy::decode(proxy::encode(proxy::peer_load{{load}}));
+    const auto& read = std::get<proxy::peer_load>(reads.value()).all.at(0).reads.at(0);
     CHECK(read.levels.at(1).key == ~0ULL);
     CHECK(read.levels.at(1).tokens == 3780);
     CHECK(read.shown.work.to_read == 2890.0);
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -27,15 +27,6 @@
 constexpr base::milliseconds ask_period{300};
 // An entry that answers no ask for this long is cut off too, or its link has fallen silent.
 constexpr base::milliseconds ask_patience{900};
-// Each tick with up to five other entries, ten times a second with twenty: when those told each
-// other every 350 ms, all of them sent to the same idle engine before one heard of the others. With
-// more entries less often, so that what an entry sends and reads does not grow with their number:
-// with 300 that told each other ten times a second it was 1.1 MB a second.
-constexpr base::milliseconds load_period{5};
-constexpr base::milliseconds least_load_period{40};
-// A report is believed until two further ones have failed to come.
-constexpr int believed_periods = 3;
-constexpr base::milliseconds least_belief{500};
 // A configuration of 350 routes beside a list of 2,000 upstreams is below 1 MB.
 constexpr std::size_t max_message_bytes = 8U << 20U;
 
@@ -60,7 +51,8 @@
 } // namespace
 
 peers::peers(entry_context& context, ports::platform platform)
-    : context(context), platform(std::move(platform)) {}
+    : context(context), platform(std::move(platform)), loads(context),
+      load_timer(context.loop.base(), [this] { this->tell_load(); }) {}
 
 std::string peers::list_prefix() const {
     return this->context.words.own_prefix + "entries/";
@@ -95,6 +87,7 @@
     this->listener = adapters::listen_for_links(
         this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
         [this](const adapters::link_ptr& link) { this->add(link, {}); });
+    this->tell_load();
     return this->listener != nullptr;
 }
 
@@ -104,7 +97,6 @@
         this->register_self();
     }
     this->connect_to_new();
-    this->tell_load();
     const auto age = mirror::age(this->context.state.store, now);
     const auto longest = this->proves_store() ? ask_after_age_proving : ask_after_age;
     const bool wants_proof = !age || *age > longest;
@@ -181,7 +173,7 @@
 
 void peers::greet(peer_link& to) {
     to.open = true;
-    to.link->send(encode(peer_hello{this->context.settings.id}));
+    to.link->send(encode(peer_hello{this->context.settings.id, this->context.settings.zone}));
     const base::instant now = this->context.now();
     for (const auto& [model, history] : this->context.state.weights) {
         for (const auto& [version, seen] : history.seen) {
@@ -197,7 +189,7 @@
 
 void peers::add(const adapters::link_ptr& link, base::entry_id id) {
     const link_key key = ++this->last_link;
-    this->links[key] = {link, std::move(id), false, 0, {}};
+    this->links[key] = {link, std::move(id), {}, false, 0, {}};
     // What is sent before a link stands is lost.
     link->opened.connect([this, key] {
         const auto found = this->links.find(key);
@@ -232,38 +224,32 @@
     }
 }
 
-// Entries that send prompts to the same homes would each see only their part of what waits there,
-// and all overload the same engine at once.
 void peers::tell_load() {
-    const base::instant now = this->context.now();
-    if (now < this->next_load) {
-        return;
-    }
-    const auto entries = static_cast<std::int64_t>(this->links.size());
-    peer_load load;
-    load.period = std::max(load_period * entries, least_load_period);
-    this->next_load = now + load.period;
-    for (const auto& [id, one] : this->context.state.fleet.members) {
-        if (one.ours.in_flight > 0) {
-            const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
-            load.items.push_back({fleet::instance_of(one), one.ours, heard});
+    std::vector<entries::linked_entry> linked;
+    for (const auto& [key, each] : this->links) {
+        if (each.open && !each.id.empty()) {
+            linked.push_back({each.id, each.zone});
         }
     }
-    for (const auto& [store, ms] : std::exchange(this->context.state.untold_transfers, {})) {
-        load.transfers.push_back({store, ms});
+    const auto& settings = this->context.settings;
+    const auto relays =
+        entries::choose_relays(linked, settings.id, settings.zone, this->context.now());
+    this->load_timer.set(load_exchange::period(relays));
+    const auto news = this->loads.collect(linked.size());
+    if (news.near) {
+        this->tell_to(relays.near, encode(*news.near));
     }
-    // One last message says that nothing is left.
-    if (!load.items.empty() || this->load_told) {
-        this->tell(load);
+    if (news.far) {
+        this->tell_to(relays.far, encode(*news.far));
     }
-    this->load_told = !load.items.empty();
-    this->tell_reads();
 }
 
-void peers::tell_reads() {
-    auto& untold = this->context.state.untold_reads;
-    if (!untold.empty()) {
-        this->tell(peer_reads{std::exchange(untold, {})});
+void peers::tell_to(const std::vector<base::entry_id>& entries, const std::string& bytes) {
+    const std::set<base::entry_id> wanted(entries.begin(), entries.end());
+    for (const auto& [key, each] : this->links) {
+        if (each.open && wanted.count(each.id) > 0) {
+            each.link->send(bytes);
+        }
     }
 }
 
@@ -330,6 +316,7 @@
 
 void peers::take(link_key key, const peer_hello& message) {
     this->links.at(key).id = message.from;
+    this->links.at(key).zone = message.zone;
     this->context.log.line(importance::keep, "entry_link_stands").text("entry", message.from.value);
 }
 
@@ -358,36 +345,15 @@
 }
 
 void peers::take(link_key key, const peer_load& message) {
-    const auto& entry = this->links.at(key).id;
-    const base::instant now = this->context.now();
-    const base::instant until = now + std::max(message.period * believed_periods, least_belief);
-    for (auto& [id, one] : this->context.state.fleet.members) {
-        one.elsewhere.erase(entry);
-    }
-    for (const auto& item : message.items) {
-        if (auto* found = fleet::find_instance(this->context.state.fleet, item.upstream)) {
-            auto& one = *found;
-            one.elsewhere[entry] = {item.work, until};
-            // With many entries each hears little of an upstream; together they know whether it
-            // lives.
-            one.heard_at = std::max<base::instant>(one.heard_at, now - item.heard_ago);
-        }
-    }
-    for (const auto& each : message.transfers) {
-        kvcache::note_transfer(this->context.state.kept[each.store], each.ms, now);
-    }
+    const auto& from = this->links.at(key);
+    const bool is_far = !from.zone.empty() && from.zone != this->context.settings.zone;
+    this->loads.take(message, is_far);
 }
 
 void peers::take(link_key /*key*/, const peer_named& message) {
     this->named_weights_told(message);
 }
 
-void peers::take(link_key /*key*/, const peer_reads& message) {
-    for (const auto& read : message.items) {
-        note_prompt_read(this->context, read);
-    }
-}
-
 void peers::take(link_key key, const peer_kept& message) {
     this->kept_told(this->links.at(key).id, message);
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "adapters/link.h"
+#include "adapters/timer.h"
 #include "proxy/context.h"
+#include "proxy/load_exchange.h"
 #include "proxy/peer_messages.h"
 
 #include <functional>
@@ -54,6 +56,7 @@
     struct peer_link {
         adapters::link_ptr link;
         base::entry_id id;
+        base::availability_zone zone;
         bool open = false;
         // The ask that is under way, and when it was sent.
         std::int64_t asked = 0;
@@ -68,7 +71,7 @@
     void take_place(const std::string& key);
     void connect_to_new();
     void tell_load();
-    void tell_reads();
+    void tell_to(const std::vector<base::entry_id>& entries, const std::string& bytes);
     void ask_for_store();
     void ask(peer_link& of);
     void drop_silent();
@@ -81,7 +84,6 @@
     void take(link_key key, const peer_weights& message);
     void take(link_key key, const peer_load& message);
     void take(link_key key, const peer_named& message);
-    void take(link_key key, const peer_reads& message);
     void take(link_key key, const peer_kept& message);
     void take(link_key key, const peer_store_changes& message);
     void take(link_key key, const peer_store_ask& message);
@@ -104,8 +106,8 @@
     link_key last_asked = 0;
     std::int64_t last_ask = 0;
     std::int64_t last_count = 0;
-    bool load_told = false;
-    base::instant next_load{};
+    load_exchange loads;
+    adapters::timer load_timer;
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -66,7 +66,7 @@
     linked_world linked;
     REQUIRE(linked.tick_until([&] { return !linked.heard.empty(); }));
     linked.other->send("no message");
-    linked.other->send(proxy::encode(proxy::peer_load{base::milliseconds(100), {}}));
+    linked.other->send(proxy::encode(proxy::peer_load{}));
     REQUIRE(linked.tick_until([&] { return linked.others.linked().empty(); }));
     // It links itself anew.
     CHECK(linked.tick_until([&] { return linked.heard.size() >= 2; }));
@@ -134,13 +134,16 @@
         const base::upstream_instance of{{"engine"}, {incarnation}};
         linked.other->send(proxy::encode(
             proxy::peer_suspicion{of, base::milliseconds(60000), "unreachable", false}));
-        linked.other->send(proxy::encode(proxy::peer_load{
-            base::milliseconds(60000), {{of, {2, 900, 1900, 0}, base::milliseconds(0)}}}));
+        proxy::told_load load;
+        load.from = {"zz"};
+        load.period = base::milliseconds(60000);
+        load.items = {{of, {2, 900, 1900, 0}, base::milliseconds(0)}};
         kvcache::prompt_read read;
         read.levels = {{prompt, 500}};
         read.weights = weights;
         read.by = of;
-        linked.other->send(proxy::encode(proxy::peer_reads{{read}}));
+        load.reads = {read};
+        linked.other->send(proxy::encode(proxy::peer_load{{load}}));
         linked.other->send(proxy::encode(proxy::peer_named{{"m"}, incarnation, {}}));
     };
     std::int64_t last_named = 0;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -136,7 +136,7 @@
     choice.save_to = std::move(made.save_to);
     choice.to_read = made.to_read;
     choice.why = made.is_home ? "home" : "least_cost";
-    choice.unread_there = fleet::all_work(target, now).unread_tokens;
+    choice.unread_there = made.unread_there;
     choice.wait_ms = made.wait_ms;
     choice.fetch_ms = made.fetch_ms;
     choice.first_byte_ms = made.first_byte_ms;
--- a/tests/fuzz_tests.cpp
+++ b/tests/fuzz_tests.cpp
@@ -103,13 +103,12 @@
              "limits":{"headerBytes":1},"tenants":[{"name":"t","keys":["k"]}]})",
          [](const auto& text) { (void)platform::read_configuration(text); }},
         {"entries' loads",
-         proxy::encode(
-             proxy::peer_load{base::milliseconds(100),
-                              {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}),
+         proxy::encode(proxy::peer_load{
+             {{.items = {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}}}),
          [](const auto& text) { (void)proxy::decode(text); }},
         {"entries' readings",
-         proxy::encode(
-             proxy::peer_reads{{{{{1, 2520}, {2, 3780}}, 90, 4, {{"e1"}, {17}}, true, {}}}}),
+         proxy::encode(proxy::peer_load{
+             {{.reads = {{{{1, 2520}, {2, 3780}}, 90, 4, {{"e1"}, {17}}, true, {}}}}}}),
          [](const auto& text) { (void)proxy::decode(text); }},
         {"entries' views of the store",
          proxy::encode(proxy::peer_store_view{7, true, base::micros(5), true, {42, {}}}),
