--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -144,10 +144,13 @@
     std::vector<const candidate*> few;
     const std::size_t most = is_long(chain) ? looked_at_long : looked_at_short;
     for (const auto* engine : by_prompt) {
+        if (few.size() == most) {
+            break;
+        }
         const auto found =
             std::find_if(candidates.begin(), candidates.end(),
                          [engine](const auto& each) { return each.engine == engine; });
-        if (found != candidates.end() && few.size() < most) {
+        if (found != candidates.end()) {
             few.push_back(&*found);
         }
     }
