--- a/src/entries/line_up.h
+++ b/src/entries/line_up.h
@@ -17,8 +17,8 @@
 
 // The entry that this one asks first for what the first in line knows; nothing for the first
 // itself. Those behind it form a tree, so that none is asked by more than `most_askers`, however
-// many entries there are: with 100 that all asked the first, its answers would have taken a fifth
-// of a weak VM's processor.
+// many entries there are: what all asked of the first would grow with the fleet, and the first may
+// be the weakest VM.
 inline constexpr std::size_t most_askers = 8;
 std::optional<base::entry_id> ahead_in_line(const std::vector<base::entry_id>& others,
                                             const base::entry_id& self, const std::string& duty);
--- a/src/entries/relays.cpp
+++ b/src/entries/relays.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+// Longer than a load is told again in the largest fleets, shorter than a frozen VM takes to wake.
 constexpr base::seconds relay_term{2};
 
 } // namespace
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -13,8 +13,8 @@
 using adapters::importance;
 
 // An entry that vanishes leaves the list after this long. Who is there is known by links; the list
-// only says whom to link to, and how many share the retry budget. Renewals cost a tenth of a call,
-// and with 100 entries every 2.5 s they were as dear as all that followed the store.
+// only says whom to link to, and how many share the retry budget. Renewals cost a tenth of a call:
+// of 100 entries every 2.5 s, four calls a second, as much as following the store takes.
 constexpr std::int64_t lease_seconds = 16;
 constexpr base::milliseconds renewal_period{5000};
 // After a call for the list that failed.
