Log the size of prompts, and by which list an upstream was chosen

Two incidents could not be told apart from logs: whether large prompts are refused, late or lost, and whether a request that reached an upstream after its leaving was chosen by a late list, a wrong one, or as a last resort.

overloaded, sent and ended name the prompt's tokens; sent names the store's revision and how long the list has lacked the upstream; changes of the list name who told of them.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -170,11 +170,14 @@
     this->others.awaits_store = [this] { return this->news.reading(); };
     this->news.unreadable = [this] { this->others.ask_soon(); };
     this->others.proves_store = [this] { return this->store.proving(); };
-    this->store.changed = [this](const std::set<std::string>& keys) {
-        this->on_store_change(keys);
+    const auto take_news = [this](const char* told_by) {
+        return [this, told_by](const std::set<std::string>& keys) {
+            this->on_store_change(keys, told_by);
+        };
     };
-    this->others.store_changed = this->store.changed;
-    this->news.changed = this->store.changed;
+    this->store.changed = take_news("store");
+    this->news.changed = take_news("entry");
+    this->others.store_changed = take_news("entry_asked");
     this->others.weights_changed = [this](const peer_weights& told) {
         note_weights(this->context, told.upstream, told.model, told.version);
     };
@@ -207,7 +210,7 @@
     flow->begin();
 }
 
-void proxy::on_store_change(const std::set<std::string>& keys) {
+void proxy::on_store_change(const std::set<std::string>& keys, const char* told_by) {
     this->leader.note_store_change();
     bool upstreams = false;
     for (const auto& key : keys) {
@@ -218,7 +221,7 @@
     }
     this->take_named_weights();
     if (upstreams) {
-        this->take_upstreams();
+        this->take_upstreams(told_by);
     }
     this->note_readiness();
 }
@@ -260,7 +263,7 @@
     }
 }
 
-void proxy::take_upstreams() {
+void proxy::take_upstreams(const char* told_by) {
     const auto list = read_upstream_list(this->state.store, this->platform.words);
     const auto change = fleet::take_list(this->state.fleet, list.upstreams, this->context.now());
     for (const auto& [id, revision] : list.unreadable) {
@@ -285,7 +288,8 @@
     }
     this->replaced = list.replaced;
     kvcache::assign_lanes(this->state.fleet, this->state.lanes, this->context.now(), {});
-    const auto tell = [this](const char* event, const std::vector<base::upstream_id>& ids) {
+    const auto tell = [this, told_by](const char* event,
+                                      const std::vector<base::upstream_id>& ids) {
         for (const auto& id : ids) {
             const auto& one = this->state.fleet.members.at(id);
             this->log.line(importance::keep, event)
@@ -295,7 +299,8 @@
                 .flag("leaving", one.listed.leaving)
                 .number("incarnation", one.listed.incarnation.value)
                 .number("weights", one.listed.models.empty() ? 0 : one.listed.models[0].second)
-                .number("revision", this->state.store.revision);
+                .number("revision", this->state.store.revision)
+                .text("told_by", told_by);
         }
     };
     tell("upstream_added", change.added);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -45,9 +45,10 @@
     void connect_parts();
     void note_held_back(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
-    void on_store_change(const std::set<std::string>& keys);
+    // `told_by`: who brought the news, for the log.
+    void on_store_change(const std::set<std::string>& keys, const char* told_by);
     void take_config();
-    void take_upstreams();
+    void take_upstreams(const char* told_by);
     void assign_lanes();
     void take_named_weights();
     void take_named(const peer_named& told);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -8,6 +8,7 @@
 #include "proxy/request_limits.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace camphorrail::proxy {
@@ -34,6 +35,12 @@
     return base::stable_hash(shares ? facts.parts[facts.parts.size() - 2].id : facts.request_id);
 }
 
+std::int64_t prompt_tokens(const ports::caller_request& facts) {
+    return std::accumulate(
+        facts.parts.begin(), facts.parts.end(), std::int64_t{0},
+        [](std::int64_t sum, const auto& part) { return sum + part.size.value; });
+}
+
 } // namespace
 
 http::fields caller_fields(const http::response_head& head) {
@@ -108,6 +115,15 @@
     return this->context.now() - this->exchange->arrived;
 }
 
+// How long the platform's list has lacked the upstream, as logs show it; -1 where it is listed.
+base::micros request_flow::unlisted_for(const base::upstream_id& id) const {
+    constexpr base::milliseconds listed{-1};
+    const auto& members = this->context.state.fleet.members;
+    const auto found = members.find(id);
+    const bool missing = found != members.end() && found->second.missing_since;
+    return missing ? this->context.now() - *found->second.missing_since : base::micros(listed);
+}
+
 const char* request_flow::kind_name() const {
     if (this->request.route == nullptr) {
         return "none";
@@ -155,7 +171,10 @@
         .text("request", this->facts.request_id)
         .text("route", this->request.route->name)
         .text("best_upstream", choice.id.value)
+        .number("prompt_tokens", choice.chain.all_tokens())
+        .number("to_read", choice.to_read)
         .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
+        .number("expected_first_byte_ms", static_cast<std::int64_t>(choice.first_byte_ms))
         .number("target_ms", this->wanted.target.count())
         .number("unread_there", choice.unread_there);
     this->refuse(base::code::overloaded, base::ran::not_run,
@@ -191,12 +210,15 @@
         .text("kind", this->kind_name())
         .text("upstream", choice.id.value)
         .text("why", choice.why)
+        .number("store_revision", this->context.state.store.revision)
+        .span("unlisted_ms", this->unlisted_for(choice.id))
         .number("weights", choice.weights)
         .text("fetch_from", choice.fetch_from)
         .number("config_version", this->request.config->version)
         .span("config_age_ms", logged_config_age(this->context))
         .number("time_left_ms", terms.time_left.count())
         .number("rank", terms.priority)
+        .number("prompt_tokens", choice.chain.all_tokens())
         .number("to_read", choice.to_read)
         .number("unread_there", choice.unread_there)
         .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
@@ -355,6 +377,7 @@
         .text("request", this->facts.request_id)
         .text("outcome", outcome)
         .number("status", status)
+        .number("prompt_tokens", prompt_tokens(this->facts))
         .span("first_byte_ms", this->first_byte.value_or(base::micros(0)))
         .span("longest_pause_ms", this->longest_pause)
         .span("total_ms", this->age())
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -96,6 +96,7 @@
 
     [[nodiscard]] base::milliseconds time_left() const;
     [[nodiscard]] base::micros age() const;
+    [[nodiscard]] base::micros unlisted_for(const base::upstream_id& id) const;
     [[nodiscard]] const char* kind_name() const;
     // Null where the upstream has started again since, or is gone.
     [[nodiscard]] fleet::member* member_of_attempt() const;
