--- /dev/null
+++ b/src/kvcache/size_fairness_tests.cpp
@@ -0,0 +1,121 @@
+#include "base/random.h"
+#include "kvcache/overload.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <vector>
+
+using namespace camphorrail;
+
+namespace {
+
+constexpr base::milliseconds target{1000};
+// Callers leave after this long without a first event.
+constexpr int patience_ms = 4000;
+constexpr double tokens_a_ms = 61.0;
+constexpr std::size_t engine_count = 6;
+// A third more than the engines can read, for as long as the day lasts.
+constexpr double overload = 1.35;
+constexpr int span_ms = 60000;
+
+// A tenth of the prompts are large, two tenths are of middle size.
+enum size_class : std::size_t { ordinary, middle, large };
+constexpr std::array<std::int64_t, 3> tokens_of{5000, 15000, 32000};
+constexpr double mean_tokens = 0.7 * 5000 + 0.2 * 15000 + 0.1 * 32000;
+
+struct prompt {
+    size_class size = ordinary;
+    int arrived_ms = 0;
+    bool came_back = false;
+};
+
+struct tally {
+    int asked = 0;
+    int served = 0;
+
+    [[nodiscard]] double share() const { return static_cast<double>(this->served) / this->asked; }
+};
+
+struct outcome {
+    std::array<tally, 3> by_size;
+    tally all;
+};
+
+// The entry's decision: whether a prompt is taken by an engine that is busy for `wait_ms`.
+struct entry {
+    bool takes(const prompt& one, double wait_ms) {
+        const double own_ms = static_cast<double>(tokens_of[one.size]) / tokens_a_ms;
+        return !kvcache::is_overloaded(wait_ms + own_ms, wait_ms, target);
+    }
+};
+
+size_class draw_size(base::random_source& random) {
+    const double drawn = base::unit(random);
+    return drawn < 0.7 ? ordinary : drawn < 0.9 ? middle : large;
+}
+
+// Engines that read one prompt after the other, and callers who come back once after a refusal.
+outcome run_day() {
+    base::random_source random{11};
+    entry taking;
+    std::array<double, engine_count> busy_until{};
+    std::vector<prompt> returning;
+    outcome result;
+    double next_ms = 0.0;
+    std::uint64_t number = 0;
+    const auto end = [&result](const prompt& one, bool served) {
+        for (auto* each : {&result.by_size[one.size], &result.all}) {
+            each->asked += 1;
+            each->served += served ? 1 : 0;
+        }
+    };
+    const auto arrive = [&](prompt one, int now) {
+        auto& first_free = *std::min_element(busy_until.begin(), busy_until.end());
+        const double wait_ms = std::max(0.0, first_free - now);
+        if (taking.takes(one, wait_ms)) {
+            const double own_ms = static_cast<double>(tokens_of[one.size]) / tokens_a_ms;
+            first_free = now + wait_ms + own_ms;
+            end(one, wait_ms + own_ms <= patience_ms);
+        } else if (one.came_back) {
+            end(one, false);
+        } else {
+            one.came_back = true;
+            one.arrived_ms =
+                now + static_cast<int>(kvcache::come_back_after(++number * 7919).count());
+            returning.push_back(one);
+        }
+    };
+    const double between_ms =
+        mean_tokens / tokens_a_ms / static_cast<double>(engine_count) / overload;
+    for (int now = 0; now < span_ms; ++now) {
+        for (; next_ms <= now; next_ms += base::exponential(random, between_ms)) {
+            arrive({draw_size(random), now, false}, now);
+        }
+        for (std::size_t at = 0; at < returning.size();) {
+            if (returning[at].arrived_ms > now) {
+                ++at;
+                continue;
+            }
+            const prompt back = returning[at];
+            returning.erase(returning.begin() + static_cast<std::ptrdiff_t>(at));
+            arrive(back, now);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+// Callers of the largest tenth of a route's prompts are refused, come back when told to, and are
+// refused again, for as long as a pool is behind, while nearly all others are answered: a prompt is
+// refused where it would come late, and theirs are late after the shortest wait.
+TEST_CASE("a pool that stays behind does not serve the ordinary prompts alone", "[kvcache]") {
+    const auto day = run_day();
+    CAPTURE(day.all.share(), day.by_size[ordinary].share(), day.by_size[middle].share(),
+            day.by_size[large].share());
+    CHECK(day.by_size[large].share() >= 0.5 * day.all.share());
+    CHECK(day.by_size[middle].share() >= 0.5 * day.all.share());
+}
--- a/src/mirror/store_mirror_tests.cpp
+++ b/src/mirror/store_mirror_tests.cpp
@@ -86,3 +86,44 @@
         CHECK(here.removed.size() <= 256);
     }
 }
+
+// An upstream vanishes from the store, and right before it had written there. An entry hears of its
+// going from one that watches, and only then gets the answer of another one that it had asked
+// before, which still names it. Taken over, the upstream would be in the list for good: nothing
+// tells of its going a second time, and callers' requests go to one that has left.
+TEST_CASE("what has gone does not come back by older news", "[mirror]") {
+    mirror::store_mirror state;
+    mirror::take_snapshot(state, {10, {{"up/a", "a", 9}}}, at(1));
+    mirror::take_changes(state, {13, {{{"up/a", "", 13}, true}}});
+    REQUIRE(state.items.empty());
+
+    SECTION("told by another entry or a watch") {
+        CHECK(mirror::take_changes(state, {12, {{{"up/a", "b", 12}}}}).empty());
+        CHECK(state.items.empty());
+    }
+    SECTION("also where its going was told before its coming") {
+        mirror::take_changes(state, {15, {{{"up/b", "", 15}, true}}});
+        CHECK(mirror::take_changes(state, {14, {{{"up/b", "b", 14}}}}).empty());
+        CHECK(state.items.empty());
+    }
+    SECTION("and is there again once it has been written anew") {
+        CHECK_FALSE(mirror::take_changes(state, {16, {{{"up/a", "c", 16}}}}).empty());
+        CHECK(state.items.at("up/a").value == "c");
+    }
+}
+
+// The store is read in pages, and an upstream goes between two of them. Its going is told once
+// more by the watch, when the reader no longer has it. Passed over there, it was left out of what
+// the reader tells others: they took the later revision for theirs, and kept the upstream.
+TEST_CASE("what has gone is told to others whether it was known here or not", "[mirror]") {
+    mirror::store_mirror here;
+    mirror::take_snapshot(here, {10, {{"up/a", "a", 9}}}, at(1));
+    mirror::store_mirror there = here;
+    mirror::take_snapshot(here, {10, {}}, at(2));
+    mirror::take_changes(here, {12, {{{"up/a", "", 12}, true}}});
+    const auto since = mirror::changes_since(here, there.revision);
+    REQUIRE(since);
+    mirror::take_changes(there, *since);
+    CHECK(there.revision == 12);
+    CHECK(there.items.empty());
+}
