Remember what has gone from the store, held here or not

Callers' requests could go to an upstream that had left, from one entry, until the upstream ended: that entry's list held it at a revision at which others knew it to be gone.

Cause: a removal was noted only where the key was still held. An entry that reads the store in pages may miss the key already (noted at the revision of the first page), and the watch then tells of the removal at its own, later revision. Passed over, it was left out of what the entry tells others from the first revision on; they took the later revision for theirs and kept the upstream, and nothing names it a second time.

Now a removal is noted at its own revision whoever holds what, so all that tell of a revision tell of it. Test red before, green now.

--- a/src/mirror/store_mirror.cpp
+++ b/src/mirror/store_mirror.cpp
@@ -10,7 +10,8 @@
 constexpr std::size_t most_removed = 256;
 
 void note_removed(store_mirror& state, const std::string& key, std::int64_t revision) {
-    state.removed[key] = revision;
+    auto& removed_at = state.removed[key];
+    removed_at = std::max(removed_at, revision);
     if (state.removed.size() <= most_removed) {
         return;
     }
@@ -34,14 +35,20 @@
     return true;
 }
 
+// A removal is noted also where the key is not held. A reading of the store in pages may have
+// missed the key already; left out of what others are told, they would keep it at our revision, and
+// send requests to an upstream that has left.
 bool erase(store_mirror& state, const ports::stored_value& item) {
     const auto found = state.items.find(item.key);
-    if (found == state.items.end() || found->second.mod_revision >= item.mod_revision) {
+    const bool held = found != state.items.end();
+    if (held && found->second.mod_revision >= item.mod_revision) {
         return false;
     }
-    state.items.erase(found);
+    if (held) {
+        state.items.erase(found);
+    }
     note_removed(state, item.key, item.mod_revision);
-    return true;
+    return held;
 }
 
 } // namespace
