Pass over news of what has gone since

Callers' requests could go to an upstream that had left, from one entry, until the upstream ended.

Cause: an entry merges what its watch, other entries that watch, and answers to its own questions tell, each over a connection of its own. Where an answer that still names the upstream came after the news of its removal, the mirror took it as new: the removal was remembered only to be told to others, and not held against older news. The entry's revision was past both, so nothing told of the removal again.

Now an item older than the removal of its key is passed over, whoever tells it. Test red before, green now.

--- a/src/mirror/store_mirror.cpp
+++ b/src/mirror/store_mirror.cpp
@@ -22,9 +22,14 @@
     state.removed.erase(oldest);
 }
 
+// News that were longer on their way than those of the key's removal are passed over. Nothing would
+// tell of the removal a second time, and an upstream that has left would stay in the list.
 bool put(store_mirror& state, const ports::stored_value& item) {
     const auto removed = state.removed.find(item.key);
-    if (removed != state.removed.end() && removed->second < item.mod_revision) {
+    if (removed != state.removed.end()) {
+        if (removed->second >= item.mod_revision) {
+            return false;
+        }
         state.removed.erase(removed);
     }
     auto& held = state.items[item.key];
