Take prompts of a size that overload refuses too often

Cause: a prompt is refused where its first event is expected after the target, its own reading included, so the longer it is, the shorter the wait from which on it is refused. In overload the wait settles where the largest are refused at each try and the others at hardly any, and nothing bounded that.

Now an entry remembers the last hundred prompts of each route. Where of those as large as one or larger less than half as large a share was taken as of all, it is taken, unless it would wait for the whole target: then all sizes are refused. Each entry bounds it by what itself decides, so nothing has to be agreed.

--- a/src/kvcache/size_fairness_tests.cpp
+++ b/src/kvcache/size_fairness_tests.cpp
@@ -1,5 +1,6 @@
 #include "base/random.h"
 #include "kvcache/overload.h"
+#include "kvcache/size_fairness.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,9 +47,13 @@
 
 // The entry's decision: whether a prompt is taken by an engine that is busy for `wait_ms`.
 struct entry {
+    kvcache::size_record record;
+
     bool takes(const prompt& one, double wait_ms) {
-        const double own_ms = static_cast<double>(tokens_of[one.size]) / tokens_a_ms;
-        return !kvcache::is_overloaded(wait_ms + own_ms, wait_ms, target);
+        const std::int64_t tokens = tokens_of[one.size];
+        const double own_ms = static_cast<double>(tokens) / tokens_a_ms;
+        return kvcache::judge_prompt(this->record, {tokens, wait_ms, wait_ms + own_ms, target},
+                                     {}) != kvcache::prompt_verdict::refused;
     }
 };
 
@@ -118,4 +123,47 @@
             day.by_size[large].share());
     CHECK(day.by_size[large].share() >= 0.5 * day.all.share());
     CHECK(day.by_size[middle].share() >= 0.5 * day.all.share());
+    // The others pay for it with few places.
+    CHECK(day.all.share() > 0.85);
+}
+
+TEST_CASE("a prompt is refused for its size only as long as its like are taken", "[kvcache]") {
+    const kvcache::size_fairness_rules rules;
+    kvcache::size_record record;
+    const auto judge = [&](std::int64_t tokens, double wait_ms, double first_byte_ms) {
+        return kvcache::judge_prompt(record, {tokens, wait_ms, first_byte_ms, target}, rules);
+    };
+    const auto come = [&](int count, std::int64_t tokens, bool taken) {
+        record.prompts.insert(record.prompts.end(), count, {tokens, taken});
+    };
+    constexpr std::int64_t small = 1000;
+    constexpr std::int64_t big = 30000;
+
+    SECTION("and always where so few came that nothing is known") {
+        come(20, small, true);
+        come(5, big, false);
+        CHECK(judge(big, 600, 1100) == kvcache::prompt_verdict::refused);
+    }
+    SECTION("as while half as many of them are taken as of all") {
+        come(45, small, true);
+        come(5, big, true);
+        come(3, big, false);
+        CHECK(judge(big, 600, 1100) == kvcache::prompt_verdict::refused);
+    }
+    SECTION("else it is taken, unless it would wait for the whole target") {
+        come(45, small, true);
+        come(1, big, true);
+        come(9, big, false);
+        CHECK(judge(big, 1000, 1500) == kvcache::prompt_verdict::refused);
+        CHECK(judge(big, 600, 1100) == kvcache::prompt_verdict::taken_for_its_size);
+        CHECK(judge(small, 990, 1010) == kvcache::prompt_verdict::refused);
+    }
+    SECTION("and what came long ago does not count") {
+        come(50, big, false);
+        for (std::size_t each = 0; each < rules.remembered; ++each) {
+            CHECK(judge(small, 0, 50) == kvcache::prompt_verdict::taken);
+        }
+        CHECK(record.prompts.size() == rules.remembered);
+        CHECK(judge(big, 600, 1100) == kvcache::prompt_verdict::refused);
+    }
 }
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -8,6 +8,7 @@
 #include "kvcache/cache_beliefs.h"
 #include "kvcache/kept_copies.h"
 #include "kvcache/lanes.h"
+#include "kvcache/size_fairness.h"
 #include "latency/first_byte.h"
 #include "mirror/store_mirror.h"
 #include "ports/dialect.h"
@@ -35,6 +36,8 @@
     std::map<base::pool_id, latency::first_byte_model> latency;
     // How many engines of each pool are kept for short prompts.
     kvcache::lane_sizes lanes;
+    // What became of the last prompts, by the name of their route.
+    std::map<std::string, kvcache::size_record> prompt_sizes;
     // Milliseconds of the stores' links that this entry has ordered and not told others of yet.
     std::map<std::string, double> untold_transfers;
     // Prompts that this entry's requests have had read and that it has not told others of yet.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -249,6 +249,16 @@
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
     this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
     this->set_retry_budgets();
+    this->forget_dropped_routes();
+}
+
+void proxy::forget_dropped_routes() {
+    std::set<std::string> names;
+    for (const auto& route : this->state.config->routes) {
+        names.insert(route.name);
+    }
+    std::erase_if(this->state.prompt_sizes,
+                  [&names](const auto& each) { return names.count(each.first) == 0; });
 }
 
 void proxy::set_retry_budgets() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -48,6 +48,7 @@
     // `told_by`: who brought the news, for the log.
     void on_store_change(const std::set<std::string>& keys, const char* told_by);
     void take_config();
+    void forget_dropped_routes();
     void take_upstreams(const char* told_by);
     void assign_lanes();
     void take_named_weights();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -154,13 +154,36 @@
                       std::nullopt);
         return;
     }
-    if (choice->overloaded && this->is_untouched()) {
+    if (this->is_untouched() && !this->is_taken(*choice)) {
         this->refuse_in_overload(*choice);
         return;
     }
     this->send_to(std::move(*choice));
 }
 
+// Whether a request that no upstream has had yet is taken, or refused in overload. Calls without a
+// prompt wait at no engine.
+bool request_flow::is_taken(const upstream_choice& choice) {
+    const std::int64_t tokens = choice.chain.all_tokens();
+    if (tokens == 0) {
+        return true;
+    }
+    auto& record = this->context.state.prompt_sizes[this->request.route->name];
+    const auto verdict = kvcache::judge_prompt(
+        record, {tokens, choice.wait_ms, choice.first_byte_ms, this->wanted.target}, {});
+    if (verdict == kvcache::prompt_verdict::taken_for_its_size) {
+        this->context.log.line(importance::keep, "taken_for_its_size")
+            .text("request", this->facts.request_id)
+            .text("route", this->request.route->name)
+            .number("prompt_tokens", tokens)
+            .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
+            .number("expected_first_byte_ms", static_cast<std::int64_t>(choice.first_byte_ms))
+            .number("target_ms", this->wanted.target.count());
+        this->context.metrics.count("camphorrail_prompts_taken_for_their_size_total");
+    }
+    return verdict != kvcache::prompt_verdict::refused;
+}
+
 // Whether no upstream has had it yet.
 bool request_flow::is_untouched() const {
     return this->begun == 0 && this->sent_again == 0 && this->unreachable == 0;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -53,6 +53,7 @@
 
     void send_attempt();
     [[nodiscard]] bool is_untouched() const;
+    bool is_taken(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
     void send_to(upstream_choice choice);
     [[nodiscard]] ports::attempt_terms terms_of(const upstream_choice& choice) const;
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -446,6 +446,28 @@
     }
 }
 
+// While a pool is behind, callers of the largest prompts are refused at each try and the others at
+// none, since the largest are late after the shortest wait. One whose size has been refused too
+// often is taken, though it will be late.
+TEST_CASE("prompts of a size that is refused too often are taken", "[proxy][flow]") {
+    prompt_world world(one_event);
+    constexpr std::int64_t prompt_tokens = 9190;
+    // A wait of three quarters of the target, and less than half of it to read.
+    world.upstream().ours.unread_tokens = 15000;
+    auto& record = world.state.prompt_sizes["stream"];
+    for (int small = 0; small < 40; ++small) {
+        record.prompts.push_back({prompt_tokens / 4, true});
+    }
+    const bool refused_before = GENERATE(true, false);
+    for (int large = 0; large < 10; ++large) {
+        record.prompts.push_back({prompt_tokens, !refused_before});
+    }
+    const int status = world.call(prompt("stream", "r1")).heads.at(0).status;
+    CHECK(status == (refused_before ? 200 : 429));
+    CHECK(record.prompts.back().tokens == prompt_tokens);
+    CHECK(record.prompts.back().taken == refused_before);
+}
+
 // The stream's first engine broke off after some events. Refusing it now would lose what its caller
 // has already got.
 TEST_CASE("a stream that has begun goes on also in overload", "[proxy][flow]") {
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -1,6 +1,5 @@
 #include "proxy/upstream_choice.h"
 
-#include "kvcache/overload.h"
 #include "kvcache/placement.h"
 
 #include <algorithm>
@@ -141,7 +140,6 @@
     choice.fetch_ms = made.fetch_ms;
     choice.first_byte_ms = made.first_byte_ms;
     choice.transfers = store_transfers(config, pool->second, made, chain);
-    choice.overloaded = kvcache::is_overloaded(made.first_byte_ms, made.wait_ms, request.target);
     choice.chain = std::move(chain);
     const auto since =
         outdated_since(history_of(context.state, request.prompt->model), choice.weights);
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -42,8 +42,6 @@
     double first_byte_ms = 0.0;
     // What it takes of the links of stores of kept KV cache, by their addresses, in milliseconds.
     std::vector<std::pair<std::string, double>> transfers;
-    // It would wait there for too long to be taken on now.
-    bool overloaded = false;
     // By when the upstream must have begun, since its weights are outdated.
     std::optional<base::instant> begin_by;
     // What decided it, for the log.
