A test that has an upstream's leaving wait behind a large value, red

Callers' requests go to an upstream beyond the bound after its leaving, where the entry reads a large configuration when the news comes: it is kept until the value is there, up to five reads and 0.6 s of pauses.

--- a/src/proxy/store_news_tests.cpp
+++ b/src/proxy/store_news_tests.cpp
@@ -110,3 +110,26 @@
         CHECK(world.world.state.store.revision == 10);
     }
 }
+
+// An upstream leaves right after operators have written a large configuration. An entry that reads
+// it over a slow link, or from a store whose reads lag, hears of the leaving meanwhile. Kept until
+// the value is there, the news came a second and more late, and requests went to the upstream
+// beyond the bound that holds from the store's acknowledgement.
+TEST_CASE("an upstream's leaving does not wait for a large value", "[proxy]") {
+    news_world world;
+    auto together = large(10, "config");
+    together.changes.items.push_back({{"up/a", "leaving", 11}, false});
+    CHECK(world.news.take(together) == outcome::reading);
+    CHECK(world.value_of("up/a") == "leaving");
+    CHECK(world.news.take(small(11, "up/b")) == outcome::reading);
+    CHECK(world.value_of("up/b") == "small");
+    CHECK(world.changed == std::set<std::string>{"up/a", "up/b"});
+    // The entry does not know all up to there yet.
+    CHECK(world.world.state.store.revision == 10);
+
+    SECTION("also where that can't be read") {
+        world.answer(base::code::platform_unreachable);
+        CHECK(world.value_of("up/b") == "small");
+        CHECK(world.world.state.store.revision == 10);
+    }
+}
