Take small news while a large value is read

Callers' requests could go to an upstream that had said it leaves beyond the bound on that.

Cause: an entry that is told of a large value, as a configuration of many teams, reads it from the store by itself, and kept all news that came with it or after it until the value was there: up to five reads over its own link, with pauses. An upstream's leaving needs nothing of that value.

Now what was told with its value is taken at once; only the revision, up to which the entry knows all, waits. The mirror allows items newer than its revision already, since readings in pages bring some.

--- a/src/proxy/store_news.cpp
+++ b/src/proxy/store_news.cpp
@@ -23,6 +23,7 @@
     if (this->current) {
         const bool known = told.changes.revision <= this->current->changes.revision;
         if (!known && this->waiting.size() < most_waiting) {
+            this->apply_small(told);
             this->waiting.push_back(told);
         }
         return outcome::reading;
@@ -38,10 +39,24 @@
         return outcome::taken;
     }
     this->current = told;
+    this->apply_small(told);
     this->read_next();
     return outcome::reading;
 }
 
+// Takes what was told with its value, and not the revision, up to which something is still missing.
+// Behind a large value, an upstream's leaving came so late that requests went there beyond the
+// bound. Items may always be newer than the mirror's revision.
+void store_news::apply_small(const peer_store_changes& told) {
+    peer_store_changes small;
+    for (const auto& each : told.changes.items) {
+        if (told.large.count(each.item.key) == 0) {
+            small.changes.items.push_back(each);
+        }
+    }
+    this->apply(small);
+}
+
 void store_news::apply(const peer_store_changes& told) {
     const auto keys = mirror::take_changes(this->context.state.store, told.changes);
     if (!keys.empty()) {
--- a/src/proxy/store_news.h
+++ b/src/proxy/store_news.h
@@ -33,6 +33,7 @@
 
 private:
     void apply(const peer_store_changes& told);
+    void apply_small(const peer_store_changes& told);
     void read_next();
     void take_value(const std::string& key, int attempt,
                     const base::result<std::optional<ports::stored_value>>& read);
