A test that sends requests to an upstream that has left, red

The log says how: the upstream vanished from the list without having said that it leaves; 1.2 s later the first entry heard of it, behind the configuration; another 1.1 s later a failed call was repeated there, as a last resort, while others of the pool were listed.

--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -83,6 +83,38 @@
     CHECK(fleet::candidates(state, {"pool"}, at(13), {}, {}).size() == 1);
 }
 
+// Callers' calls that one service had failed were repeated at another one, which had left three
+// seconds before. It had said nothing of its leaving and vanished from the list; the news came
+// late, behind a large configuration, and from then on it was a last resort for as long as the
+// bound allows from the leaving itself. The log of a repeat says for how long the list had lacked
+// it.
+TEST_CASE("an upstream that vanishes beside others has left", "[fleet]") {
+    fleet::fleet state;
+    const fleet::fleet_rules rules;
+    const auto now = [&](int millis, std::vector<base::upstream_id> except = {}) {
+        return names(fleet::candidates(state, {"pool"}, at(millis), rules, except));
+    };
+    fleet::take_list(state, {upstream("one"), upstream("two"), upstream("three")}, at(0));
+    fleet::take_list(state, {upstream("two"), upstream("three")}, at(10));
+    CHECK(now(11) == ids{"three", "two"});
+    CHECK(now(11, {{"two"}, {"three"}}).empty());
+    state.members.at({"two"}).busy_until = at(100);
+    state.members.at({"three"}).busy_until = at(100);
+    CHECK(now(11).empty());
+
+    SECTION("also where those leave too") {
+        auto leaving = upstream("two");
+        leaving.leaving = true;
+        fleet::take_list(state, {leaving}, at(12));
+        CHECK(now(13).empty());
+    }
+    // While the platform's store is away the entries of a whole pool run out, and are back soon.
+    SECTION("but not where the whole pool vanishes") {
+        fleet::take_list(state, {}, at(12));
+        CHECK(now(13) == ids{"one", "three", "two"});
+    }
+}
+
 TEST_CASE("new requests go to upstreams that nothing speaks against", "[fleet]") {
     fleet::fleet state;
     const fleet::fleet_rules rules;
