Count an upstream that vanishes beside others as gone

Callers' requests reached an upstream more than the bound after it had left.

The bound counts from when the store took the change.

The last resort is for lists that run out while the platform's store is away, and then the whole pool vanishes. So it holds for that alone; beside others that are listed, one that vanishes has left.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -145,8 +145,13 @@
     std::vector<member*> fit;
     std::vector<member*> suspected;
     std::vector<member*> vanished;
+    bool any_listed = false;
     for (auto& [id, one] : state.members) {
-        if (one.listed.pool != pool || contains(except, id)) {
+        if (one.listed.pool != pool) {
+            continue;
+        }
+        any_listed = any_listed || !one.missing_since;
+        if (contains(except, id)) {
             continue;
         }
         if (is_fit(one, now)) {
@@ -161,7 +166,13 @@
     if (!fit.empty()) {
         return fit;
     }
-    return suspected.empty() ? vanished : suspected;
+    if (!suspected.empty()) {
+        return suspected;
+    }
+    // One that vanishes while the list has others of its pool has left, perhaps seconds ago: news
+    // come late behind a large configuration, and requests reached it beyond the bound. Entries run
+    // out all at once where the platform's store is away.
+    return any_listed ? std::vector<member*>{} : vanished;
 }
 
 workload all_work(const member& one, base::instant now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -57,7 +57,7 @@
 
 struct fleet_rules {
     membership::health_rules health;
-    // How long a member that has vanished from the list may still serve when nothing else is there.
+    // How long a pool that has vanished from the list as a whole may still serve.
     // Below the platform's bound on new requests to an upstream that left, less the list's lag.
     base::micros missing_grace = base::milliseconds(1400);
     // What an upstream said of its load says nothing any more after this long.
@@ -114,8 +114,8 @@
 bool is_fit(const member& one, base::instant now);
 
 // The members of a pool that a new request may go to: the fit ones; where there are none, those
-// that are only suspected; where there are none either, those that vanished a moment ago. `except`
-// are left out.
+// that are only suspected; where the whole pool vanished a moment ago, all of it. `except` are left
+// out.
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
                                 const fleet_rules& rules,
                                 const std::vector<base::upstream_id>& except);
