Take a request back whose upstream leaves before it has left itself

Callers' requests reached an upstream more than the bound after it had said that it leaves.

Cause: an upstream was chosen once, and the request sent whenever its connection stood. On a VM whose turn is long that took up to a second, and the news of the leaving, which came meanwhile, was not looked at.

Now the request flow is asked when a new connection stands, before a byte leaves; where the list has meanwhile lost the upstream, the call is taken back and another one chosen. Nothing has left, so that is no repeat, also of calls that may run once, and no fault of the upstream.

--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -13,6 +13,20 @@
 // Each costs at most the time that a connection may take.
 constexpr int most_unreachable = 4;
 
+const char* name_of(call_failure why) {
+    switch (why) {
+    case call_failure::never_sent:
+        return "unreachable";
+    case call_failure::taken_back:
+        return "upstream_left";
+    case call_failure::malformed:
+        return "malformed_answer";
+    case call_failure::broken:
+        break;
+    }
+    return "connection_broke";
+}
+
 } // namespace
 
 void request_flow::watch_for_silence() {
@@ -41,9 +55,7 @@
 void request_flow::failed(call_failure why) {
     const auto held = this->shared_from_this();
     const auto upstream = instance_of(this->current->choice);
-    const char* name = why == call_failure::never_sent  ? "unreachable"
-                       : why == call_failure::malformed ? "malformed_answer"
-                                                        : "connection_broke";
+    const char* name = name_of(why);
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
@@ -56,20 +68,23 @@
     const auto* one = this->member_of_attempt();
     const bool ordered =
         why == call_failure::broken && one != nullptr && one->changing_until > this->context.now();
-    if (!ordered) {
+    const bool upstreams_fault = why != call_failure::taken_back && !ordered;
+    if (upstreams_fault) {
         note_upstream_failure(this->context, upstream, name);
     }
     this->cancel_attempt();
     this->wanted.tried.push_back(upstream.id);
-    if (why != call_failure::never_sent) {
+    if (why != call_failure::never_sent && why != call_failure::taken_back) {
         ++this->begun;
         this->send_again_or_end(name);
         return;
     }
     // Nothing has left, so nothing is repeated.
     ++this->unreachable;
-    // A connection that can't be made says more than an answer that fails.
-    note_upstream_failure(this->context, upstream, name);
+    if (upstreams_fault) {
+        // A connection that can't be made says more than an answer that fails.
+        note_upstream_failure(this->context, upstream, name);
+    }
     if (this->unreachable < most_unreachable) {
         this->send_attempt();
     } else {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -258,6 +258,7 @@
     this->current->connection = this->context.connections.take(
         sent.id, sent.address, once ? base::micros(once_longest_idle) : any_longest_idle);
     if (auto* one = this->member_of_attempt()) {
+        this->current->last_resort = !fleet::is_listed(*one);
         fleet::begin_work(one->ours, this->work_of_attempt());
     }
     const auto all_tokens = sent.chain.all_tokens();
@@ -274,26 +275,38 @@
         this->weights_timer.set(*sent.begin_by - this->current->sent_at);
     }
     const std::weak_ptr<request_flow> weak = this->weak_from_this();
-    this->current->connection->call(std::move(bytes), {[weak](const http::response_head& answer) {
-                                                           const auto held = weak.lock();
-                                                           return held != nullptr &&
-                                                                  held->started(answer);
-                                                       },
-                                                       [weak](std::string piece) {
-                                                           if (const auto held = weak.lock()) {
-                                                               held->received(std::move(piece));
-                                                           }
-                                                       },
-                                                       [weak] {
-                                                           if (const auto held = weak.lock()) {
-                                                               held->ended();
-                                                           }
-                                                       },
-                                                       [weak](call_failure why) {
-                                                           if (const auto held = weak.lock()) {
-                                                               held->failed(why);
-                                                           }
-                                                       }});
+    this->current->connection->call(std::move(bytes),
+                                    {[weak](const http::response_head& answer) {
+                                         const auto held = weak.lock();
+                                         return held != nullptr && held->started(answer);
+                                     },
+                                     [weak](std::string piece) {
+                                         if (const auto held = weak.lock()) {
+                                             held->received(std::move(piece));
+                                         }
+                                     },
+                                     [weak] {
+                                         if (const auto held = weak.lock()) {
+                                             held->ended();
+                                         }
+                                     },
+                                     [weak](call_failure why) {
+                                         if (const auto held = weak.lock()) {
+                                             held->failed(why);
+                                         }
+                                     },
+                                     [weak] {
+                                         const auto held = weak.lock();
+                                         return held != nullptr && held->may_leave();
+                                     }});
+}
+
+// Whether the attempt, whose connection stands only now, may still go to its upstream. On a VM
+// whose turn is long, that takes up to a second, in which the list may say that the upstream
+// leaves; sent then, it reached the upstream beyond the bound on that.
+bool request_flow::may_leave() const {
+    const auto* one = this->member_of_attempt();
+    return one != nullptr && (fleet::is_listed(*one) || this->current->last_resort);
 }
 
 // Notes what the request will have the upstream hold, and what it takes of a store's link.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -41,6 +41,8 @@
         bool begun = false;
         // It has said nothing for so long that others were warned.
         bool suspected = false;
+        // It was chosen although the list lacked it.
+        bool last_resort = false;
     };
 
     struct whole_answer {
@@ -53,6 +55,7 @@
 
     void send_attempt();
     [[nodiscard]] bool is_untouched() const;
+    [[nodiscard]] bool may_leave() const;
     bool is_taken(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
     void send_to(upstream_choice choice);
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -84,6 +84,10 @@
     const auto self = static_cast<upstream_connection*>(raw)->shared_from_this();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         adapters::watch_for_silence(bufferevent_getfd(socket), upstream_silence);
+        if (self->events.still_wanted && !self->events.still_wanted()) {
+            self->fail(call_failure::taken_back);
+            return;
+        }
         self->connected();
         return;
     }
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -17,6 +17,8 @@
 enum class call_failure {
     // No byte of it has left: it can't have run.
     never_sent,
+    // The same, and not for a fault of the upstream: it was taken back before it left.
+    taken_back,
     // The connection broke or fell silent.
     broken,
     // What came back was no answer to it.
@@ -31,6 +33,8 @@
     std::function<void(std::string bytes)> received;
     std::function<void()> ended;
     std::function<void(call_failure)> failed;
+    // Asked when a new connection stands, before the first byte leaves: false takes the call back.
+    std::function<bool()> still_wanted;
 };
 
 // One connection to an upstream; one call at a time.
