Split the entry's file by job, and work out once what an engine holds

The best source of a prompt is handed what the engine holds, which its caller has worked out already.

--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -103,7 +103,7 @@
     made.to_read = chain.all_tokens();
     if (chain.shared_tokens() >= least_tracked_tokens) {
         const std::int64_t held = held_by(*made.target, request, view);
-        made.source = best_source(*made.target, request, view, store);
+        made.source = best_source(*made.target, request, view, store, held);
         made.fetch_ms = made.source.tokens > held ? made.source.fetch_ms : 0.0;
         made.to_read -= std::max(held, made.source.tokens);
     }
--- a/src/kvcache/prompt_sources.cpp
+++ b/src/kvcache/prompt_sources.cpp
@@ -59,9 +59,8 @@
 }
 
 prompt_source engine_source(const candidate& target, const prompt_request& request,
-                            const placement_view& view) {
+                            const placement_view& view, std::int64_t held) {
     const auto& levels = request.chain.levels;
-    const std::int64_t held = held_by(target, request, view);
     for (auto level = levels.rbegin(); level != levels.rend(); ++level) {
         const auto* reader = last_reader(*level, target, request, view, certainty::holds);
         if (reader != nullptr && level->tokens > held) {
@@ -131,8 +130,9 @@
 }
 
 prompt_source best_source(const candidate& target, const prompt_request& request,
-                          const placement_view& view, const routes::kv_store* store) {
-    auto from_engine = engine_source(target, request, view);
+                          const placement_view& view, const routes::kv_store* store,
+                          std::int64_t held) {
+    auto from_engine = engine_source(target, request, view, held);
     if (store == nullptr) {
         return from_engine;
     }
--- a/src/kvcache/prompt_sources.h
+++ b/src/kvcache/prompt_sources.h
@@ -30,9 +30,10 @@
 // The source with which the engine has read the prompt soonest. An engine that has read the prompt
 // lately goes before the stores, whose links all fetches and saves share, and those before reading
 // it anew. One is named also where the engine holds the prompt as far as is known: it fetches only
-// what it lacks.
+// what it lacks. `held`: what the target holds, in tokens; see held_by.
 prompt_source best_source(const candidate& target, const prompt_request& request,
-                          const placement_view& view, const routes::kv_store* store);
+                          const placement_view& view, const routes::kv_store* store,
+                          std::int64_t held);
 
 // Milliseconds that moving a token between two engines of a zone takes.
 double fetch_token_ms(const routes::pool& pool);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,9 +2,6 @@
 
 #include "kvcache/lanes.h"
 #include "process/operators_port.h"
-#include "proxy/upstream_list.h"
-
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -29,9 +26,6 @@
 constexpr base::milliseconds exit_margin{700};
 // What giving up the lead and writing the last log lines takes.
 constexpr base::milliseconds resign_time{150};
-// Part of the shared retry budget that the entries use together. The rest is for entries that start
-// or vanish meanwhile, and for calls that are counted late.
-constexpr double retry_share = 0.7;
 
 std::string read_file(const std::string& file) {
     std::ifstream input(file);
@@ -210,152 +204,6 @@
     flow->begin();
 }
 
-void proxy::on_store_change(const std::set<std::string>& keys, const char* told_by) {
-    this->leader.note_store_change();
-    bool upstreams = false;
-    for (const auto& key : keys) {
-        upstreams = upstreams || key.starts_with(this->platform.words.upstreams_prefix);
-    }
-    if (keys.count(this->platform.words.operators_config_key) > 0) {
-        this->take_config();
-    }
-    this->take_named_weights();
-    if (upstreams) {
-        this->take_upstreams(told_by);
-    }
-    this->note_readiness();
-}
-
-void proxy::take_config() {
-    const auto found = this->state.store.items.find(this->platform.words.operators_config_key);
-    if (found == this->state.store.items.end()) {
-        return;
-    }
-    auto read = this->platform.words.read_config(found->second.value);
-    if (!read.has_value()) {
-        // The one in force stays: half a configuration would refuse callers that are allowed.
-        this->log.line(importance::keep, "config_unreadable")
-            .number("revision", found->second.mod_revision);
-        return;
-    }
-    if (this->state.config != nullptr && read.value().version <= this->state.config->version) {
-        return;
-    }
-    this->log.line(importance::keep, "config_in_force")
-        .number("version", read.value().version)
-        .number("before", this->state.config == nullptr ? 0 : this->state.config->version)
-        .number("revision", found->second.mod_revision)
-        .number("routes", static_cast<std::int64_t>(read.value().routes.size()))
-        .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
-    this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
-    this->set_retry_budgets();
-    this->forget_dropped_routes();
-}
-
-void proxy::forget_dropped_routes() {
-    std::set<std::string> names;
-    for (const auto& route : this->state.config->routes) {
-        names.insert(route.name);
-    }
-    std::erase_if(this->state.prompt_sizes,
-                  [&names](const auto& each) { return names.count(each.first) == 0; });
-}
-
-void proxy::set_retry_budgets() {
-    if (this->state.config == nullptr) {
-        return;
-    }
-    const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entries, 1));
-    for (const auto& [id, pool] : this->state.config->pools) {
-        auto& window = this->state.retries[id];
-        window.more = std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
-        window.a_request = this->settings.bounds.retry_ratio * retry_share;
-    }
-}
-
-void proxy::take_upstreams(const char* told_by) {
-    const auto list = read_upstream_list(this->state.store, this->platform.words);
-    const auto change = fleet::take_list(this->state.fleet, list.upstreams, this->context.now());
-    for (const auto& [id, revision] : list.unreadable) {
-        fleet::withdraw(this->state.fleet, id);
-        // Said once for each entry that can't be read, however often the list is read again.
-        if (const auto said = this->unreadable.find(id);
-            said == this->unreadable.end() || said->second != revision) {
-            this->log.line(importance::keep, "upstream_unreadable")
-                .text("upstream", id.value)
-                .number("revision", revision);
-        }
-    }
-    this->unreadable = list.unreadable;
-    for (const auto& [id, by] : list.replaced) {
-        fleet::withdraw(this->state.fleet, id);
-        this->connections.forget(id);
-        if (this->replaced.count(id) == 0) {
-            this->log.line(importance::keep, "upstream_replaced")
-                .text("upstream", id.value)
-                .text("by", by.value);
-        }
-    }
-    this->replaced = list.replaced;
-    kvcache::assign_lanes(this->state.fleet, this->state.lanes, this->context.now(), {});
-    const auto tell = [this, told_by](const char* event,
-                                      const std::vector<base::upstream_id>& ids) {
-        for (const auto& id : ids) {
-            const auto& one = this->state.fleet.members.at(id);
-            this->log.line(importance::keep, event)
-                .text("upstream", id.value)
-                .text("pool", one.listed.pool.value)
-                .text("address", one.listed.address)
-                .flag("leaving", one.listed.leaving)
-                .number("incarnation", one.listed.incarnation.value)
-                .number("weights", one.listed.models.empty() ? 0 : one.listed.models[0].second)
-                .number("revision", this->state.store.revision)
-                .text("told_by", told_by);
-        }
-    };
-    tell("upstream_added", change.added);
-    tell("upstream_changed", change.changed);
-    tell("upstream_unlisted", change.removed);
-    for (const auto& id : change.restarted) {
-        forget_earlier_life(this->context, fleet::instance_of(this->state.fleet.members.at(id)));
-    }
-    for (const auto& id : change.reweighted) {
-        kvcache::forget_reader(this->state.cache, id);
-    }
-    for (const auto& id : change.removed) {
-        this->connections.forget(id);
-        kvcache::forget_reader(this->state.cache, id);
-    }
-}
-
-void proxy::take_named_weights() {
-    for (const auto& item :
-         mirror::items_below(this->state.store, this->platform.words.named_weights_prefix)) {
-        const auto read = this->platform.words.read_named_weights(item.value);
-        if (!read.has_value()) {
-            this->log.line(importance::keep, "weights_unreadable").text("key", item.key);
-            continue;
-        }
-        const auto& named = read.value();
-        auto& history = this->state.weights[named.model];
-        const bool is_new = this->weights_read
-                                ? note_named(history, named.version, this->context.now())
-                                : note_found(history, named.version);
-        if (is_new) {
-            this->log.line(importance::keep, "weights_named")
-                .text("model", named.model.value)
-                .number("version", named.version)
-                .number("revision", item.mod_revision)
-                .flag("dated", this->weights_read);
-        }
-    }
-    this->weights_read = true;
-}
-
-void proxy::take_named(const peer_named& told) {
-    note_told(this->state.weights[told.model], told.version, this->context.now() - told.age);
-}
-
 void proxy::note_readiness() {
     const bool now_ready = this->ready();
     if (now_ready != this->was_ready) {
@@ -459,65 +307,4 @@
     }
 }
 
-nlohmann::json proxy::status() const {
-    nlohmann::json upstreams = nlohmann::json::array();
-    for (const auto& [id, one] : this->state.fleet.members) {
-        upstreams.push_back({{"id", id.value},
-                             {"pool", one.listed.pool.value},
-                             {"address", one.listed.address},
-                             {"fit", fleet::is_fit(one, this->context.now())},
-                             {"in_flight", one.ours.in_flight}});
-    }
-    const auto age = mirror::age(this->state.store, this->context.now());
-    return {{"id", this->settings.id.value},
-            {"ready", this->ready()},
-            {"config_version", this->state.config == nullptr ? 0 : this->state.config->version},
-            {"config_age_ms", age ? age->count() / 1000 : -1},
-            {"open_requests", this->flows.size()},
-            {"upstreams", upstreams}};
-}
-
-void proxy::refresh_weights_metric() {
-    double holding_newest = 0;
-    double holding_older = 0;
-    for (const auto& [model, history] : this->state.weights) {
-        for (const auto& [id, one] : this->state.fleet.members) {
-            const std::int64_t held = fleet::weights_of(one, model);
-            holding_newest += held > 0 && held >= newest(history) ? 1 : 0;
-            holding_older += held > 0 && held < newest(history) ? 1 : 0;
-        }
-    }
-    this->metrics.set("camphorrail_upstream_weights", holding_newest, {{"version", "newest"}});
-    this->metrics.set("camphorrail_upstream_weights", holding_older, {{"version", "older"}});
-}
-
-void proxy::refresh_metrics() {
-    const auto age = mirror::age(this->state.store, this->context.now());
-    this->metrics.set("camphorrail_config_age_seconds",
-                      age ? std::chrono::duration<double>(*age).count() : -1.0);
-    this->metrics.set(
-        "camphorrail_config_version",
-        this->state.config == nullptr ? 0.0 : static_cast<double>(this->state.config->version));
-    this->metrics.set("camphorrail_open_requests", static_cast<double>(this->flows.size()));
-    adapters::show_platform_calls(this->metrics, *this->platform_calls);
-    this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
-    this->metrics.set("camphorrail_connections_opened",
-                      static_cast<double>(this->connections.opened()));
-    for (const auto& [pool, window] : this->state.retries) {
-        this->metrics.set("camphorrail_retries_left",
-                          admission::retries_left(window, this->context.now()),
-                          {{"pool", pool.value}});
-    }
-    this->refresh_weights_metric();
-    std::int64_t fit = 0;
-    for (const auto& [id, one] : this->state.fleet.members) {
-        fit += fleet::is_fit(one, this->context.now()) ? 1 : 0;
-    }
-    this->metrics.set("camphorrail_upstreams", static_cast<double>(fit), {{"state", "fit"}});
-    this->metrics.set("camphorrail_upstreams",
-                      static_cast<double>(this->state.fleet.members.size()) -
-                          static_cast<double>(fit),
-                      {{"state", "unfit"}});
-}
-
 } // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/proxy_status.cpp
@@ -0,0 +1,69 @@
+#include "proxy/proxy.h"
+
+#include <nlohmann/json.hpp>
+
+// What operators are shown of an entry.
+namespace camphorrail::proxy {
+
+nlohmann::json proxy::status() const {
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const auto& [id, one] : this->state.fleet.members) {
+        upstreams.push_back({{"id", id.value},
+                             {"pool", one.listed.pool.value},
+                             {"address", one.listed.address},
+                             {"fit", fleet::is_fit(one, this->context.now())},
+                             {"in_flight", one.ours.in_flight}});
+    }
+    const auto age = mirror::age(this->state.store, this->context.now());
+    return {{"id", this->settings.id.value},
+            {"ready", this->ready()},
+            {"config_version", this->state.config == nullptr ? 0 : this->state.config->version},
+            {"config_age_ms", age ? age->count() / 1000 : -1},
+            {"open_requests", this->flows.size()},
+            {"upstreams", upstreams}};
+}
+
+void proxy::refresh_weights_metric() {
+    double holding_newest = 0;
+    double holding_older = 0;
+    for (const auto& [model, history] : this->state.weights) {
+        for (const auto& [id, one] : this->state.fleet.members) {
+            const std::int64_t held = fleet::weights_of(one, model);
+            holding_newest += held > 0 && held >= newest(history) ? 1 : 0;
+            holding_older += held > 0 && held < newest(history) ? 1 : 0;
+        }
+    }
+    this->metrics.set("camphorrail_upstream_weights", holding_newest, {{"version", "newest"}});
+    this->metrics.set("camphorrail_upstream_weights", holding_older, {{"version", "older"}});
+}
+
+void proxy::refresh_metrics() {
+    const auto age = mirror::age(this->state.store, this->context.now());
+    this->metrics.set("camphorrail_config_age_seconds",
+                      age ? std::chrono::duration<double>(*age).count() : -1.0);
+    this->metrics.set(
+        "camphorrail_config_version",
+        this->state.config == nullptr ? 0.0 : static_cast<double>(this->state.config->version));
+    this->metrics.set("camphorrail_open_requests", static_cast<double>(this->flows.size()));
+    adapters::show_platform_calls(this->metrics, *this->platform_calls);
+    this->metrics.set("camphorrail_log_lines_left_out", static_cast<double>(this->log.left_out()));
+    this->metrics.set("camphorrail_connections_opened",
+                      static_cast<double>(this->connections.opened()));
+    for (const auto& [pool, window] : this->state.retries) {
+        this->metrics.set("camphorrail_retries_left",
+                          admission::retries_left(window, this->context.now()),
+                          {{"pool", pool.value}});
+    }
+    this->refresh_weights_metric();
+    std::int64_t fit = 0;
+    for (const auto& [id, one] : this->state.fleet.members) {
+        fit += fleet::is_fit(one, this->context.now()) ? 1 : 0;
+    }
+    this->metrics.set("camphorrail_upstreams", static_cast<double>(fit), {{"state", "fit"}});
+    this->metrics.set("camphorrail_upstreams",
+                      static_cast<double>(this->state.fleet.members.size()) -
+                          static_cast<double>(fit),
+                      {{"state", "unfit"}});
+}
+
+} // namespace camphorrail::proxy
