--- a/src/kvcache/size_fairness.h
+++ b/src/kvcache/size_fairness.h
@@ -12,10 +12,10 @@
 //
 // A prompt is refused where it would come late, and the longer it takes to read, the shorter the
 // wait that makes it late. While a pool is behind, the largest are refused at each try and the
-// others hardly ever: a fifth of the callers of the largest got an answer, and nine tenths of all.
-// Refusing all sizes alike would cost the others more than it gives, since a large prompt that
-// comes late holds up several that would have been on time. So the larger ones are still refused
-// first, but only as long as they are taken at least half as often as all.
+// others hardly ever, and their callers get no answer for as long as it lasts. Refusing all sizes
+// alike would cost the others more than it gives, since a large prompt that comes late holds up
+// several that would have been on time. So the larger ones are still refused first, but only as
+// long as they are taken at least half as often as all.
 struct size_fairness_rules {
     // A prompt is owed a place when of those as large as it or larger, less than this part of the
     // share of all prompts was taken.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -154,16 +154,16 @@
                       std::nullopt);
         return;
     }
-    if (this->is_untouched() && !this->is_taken(*choice)) {
+    if (this->is_untouched() && !this->admit_prompt(*choice)) {
         this->refuse_in_overload(*choice);
         return;
     }
     this->send_to(std::move(*choice));
 }
 
-// Whether a request that no upstream has had yet is taken, or refused in overload. Calls without a
-// prompt wait at no engine.
-bool request_flow::is_taken(const upstream_choice& choice) {
+// Decides whether a request that no upstream has had yet is taken, or refused in overload, and
+// notes that for the prompts after it. Calls without a prompt wait at no engine.
+bool request_flow::admit_prompt(const upstream_choice& choice) {
     const std::int64_t tokens = choice.chain.all_tokens();
     if (tokens == 0) {
         return true;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -56,7 +56,7 @@
     void send_attempt();
     [[nodiscard]] bool is_untouched() const;
     [[nodiscard]] bool may_leave() const;
-    bool is_taken(const upstream_choice& choice);
+    bool admit_prompt(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
     void send_to(upstream_choice choice);
     [[nodiscard]] ports::attempt_terms terms_of(const upstream_choice& choice) const;
