Tell a crashed upstream from a broken connection, and name a request over its attempts

Logs could not distinguish the hypotheses about requests that crash upstreams. After an attempt has broken, one new connection to the upstream's address tells whether its process still listens (`upstream_crashed`), and `attempt_failed` carries a digest of path, caller and body, which stays the same while the `Request-Id` changes. Nothing is decided by it.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -17,6 +17,7 @@
 };
 
 using upstream_id = id<struct upstream_tag>;
+using request_digest = id<struct request_digest_tag>;
 using team_id = id<struct team_tag>;
 using model_id = id<struct model_tag>;
 using entry_id = id<struct entry_tag>;
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -15,6 +15,7 @@
 #include "proxy/admission.h"
 #include "proxy/connection_pool.h"
 #include "proxy/named_weights.h"
+#include "quarantine/request_identity.h"
 #include "settings/settings.h"
 
 #include <map>
@@ -48,6 +49,13 @@
     bool stopping = false;
 };
 
+// An attempt whose connection broke, or whose answer ended early, after it may have left.
+struct broken_attempt {
+    base::upstream_instance upstream;
+    std::string address;
+    quarantine::request_identity request;
+};
+
 // What every part of an entry works with.
 struct entry_context {
     adapters::event_loop& loop;
@@ -67,6 +75,8 @@
     // Notes, here and at other entries, which weights an upstream holds now.
     std::function<void(const base::upstream_instance&, const base::model_id&, std::int64_t version)>
         tell_weights;
+    // Notes an attempt that its upstream may have crashed under.
+    std::function<void(const broken_attempt&)> note_broken_attempt;
 };
 
 // The versions named for a model; none for a model that operators have not named. Callers name
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -64,7 +64,8 @@
                      std::int64_t version) {
                   note_weights(this->context, upstream, model, version);
                   this->others.tell(peer_weights{upstream, model, version});
-              }},
+              },
+              [this](const broken_attempt& broken) { this->crashes.note_broken(broken); }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
                                                                   this->settings.platform.endpoint,
@@ -78,7 +79,7 @@
       loader(this->context,
              {[this] { return this->leader.may_order(); }, [this] { return this->leader.name(); },
               [this] { return this->leader.fence(); }}),
-      others(this->context, this->store_calls),
+      others(this->context, this->store_calls), crashes(this->context),
       kv_stores(this->context, [this] { return this->others.linked(); }) {}
 
 bool proxy::listen() {
@@ -221,6 +222,7 @@
     this->note_readiness();
     this->exit_when_done();
     this->connections.sweep();
+    this->crashes.tick();
     this->others.tick();
     this->store.tick();
     this->kv_stores.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -8,6 +8,7 @@
 #include "adapters/timeline.h"
 #include "proxy/caller_server.h"
 #include "proxy/context.h"
+#include "proxy/crash_watch.h"
 #include "proxy/kv_store_follower.h"
 #include "proxy/leadership.h"
 #include "proxy/peers.h"
@@ -83,6 +84,7 @@
     leadership leader;
     weights_loader loader;
     peers others;
+    crash_watch crashes;
     kv_store_follower kv_stores;
     std::unique_ptr<caller_server> callers;
     std::unique_ptr<adapters::http_server> balancer;
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -56,6 +56,9 @@
     const auto held = this->shared_from_this();
     const auto upstream = instance_of(this->current->choice);
     const char* name = name_of(why);
+    const bool may_have_run = why == call_failure::broken || why == call_failure::malformed;
+    const auto identity =
+        may_have_run ? std::optional(this->identity()) : std::optional<quarantine::request_identity>();
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
@@ -63,7 +66,8 @@
         .text("why", name)
         .flag("answer_begun", this->current->answering)
         .text("last_event", this->events.last_event)
-        .span("after_ms", this->context.now() - this->current->sent_at);
+        .span("after_ms", this->context.now() - this->current->sent_at)
+        .text("digest", identity ? identity->digest.value : "");
     // An upstream that changes its weights cuts off what it can't finish, as ordered.
     const auto* one = this->member_of_attempt();
     const bool ordered =
@@ -72,6 +76,10 @@
     if (upstreams_fault) {
         note_upstream_failure(this->context, upstream, name);
     }
+    // One that leaves ends as it said it would.
+    if (identity && !ordered && one != nullptr && fleet::is_listed(*one)) {
+        this->context.note_broken_attempt({upstream, this->current->choice.address, *identity});
+    }
     this->cancel_attempt();
     this->wanted.tried.push_back(upstream.id);
     if (why != call_failure::never_sent && why != call_failure::taken_back) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -139,6 +139,12 @@
     return this->request.route->resumable ? "resumable_stream" : "stream";
 }
 
+quarantine::request_identity request_flow::identity() const {
+    const std::string_view caller =
+        this->request.team == nullptr ? this->facts.key : this->request.team->id.value;
+    return quarantine::identify({this->exchange->head.target, caller, this->exchange->body});
+}
+
 fleet::member* request_flow::member_of_attempt() const {
     return fleet::find_instance(this->context.state.fleet, instance_of(this->current->choice));
 }
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -105,6 +105,7 @@
     // Null where the upstream has started again since, or is gone.
     [[nodiscard]] fleet::member* member_of_attempt() const;
     [[nodiscard]] fleet::request_work work_of_attempt() const;
+    [[nodiscard]] quarantine::request_identity identity() const;
 
     entry_context& context;
     exchange_ptr exchange;
--- /dev/null
+++ b/src/quarantine/request_identity.cpp
@@ -0,0 +1,16 @@
+#include "quarantine/request_identity.h"
+
+#include "base/hash.h"
+
+#include <string>
+
+namespace camphorrail::quarantine {
+
+request_identity identify(const identified_parts& parts) {
+    // Each part's digest has the same length, so no part can reach into the next.
+    const std::string all = base::sha256_hex(parts.path) + base::sha256_hex(parts.caller) +
+                            base::sha256_hex(parts.body);
+    return {{base::sha256_hex(all)}, parts.body.size()};
+}
+
+} // namespace camphorrail::quarantine
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -195,8 +195,9 @@
               [this] { return adapters::boot_now() + this->moved; },
               [](const base::upstream_instance&, base::micros, const char*) {},
               [](const base::upstream_instance&, base::micros) {},
-              [](const base::upstream_instance&, const base::model_id&, std::int64_t) {}},
-      server(this->loop.base(),
+              [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
+              [this](const proxy::broken_attempt& broken) { this->crashes.note_broken(broken); }},
+      crashes(this->context), server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
                   this->flows.insert(flow);
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -2,6 +2,7 @@
 
 #include "platform/dialect.h"
 #include "proxy/caller_server.h"
+#include "proxy/crash_watch.h"
 #include "proxy/request_flow.h"
 
 #include <functional>
@@ -119,6 +120,7 @@
     adapters::metrics metrics;
     proxy::connection_pool connections;
     proxy::entry_context context;
+    proxy::crash_watch crashes;
     proxy::caller_server server;
     std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
     std::vector<std::unique_ptr<scripted_engine>> engines;
