--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -57,8 +57,8 @@
     const auto upstream = instance_of(this->current->choice);
     const char* name = name_of(why);
     const bool may_have_run = why == call_failure::broken || why == call_failure::malformed;
-    const auto identity =
-        may_have_run ? std::optional(this->identity()) : std::optional<quarantine::request_identity>();
+    const auto identity = may_have_run ? std::optional(this->identity())
+                                       : std::optional<quarantine::request_identity>();
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -81,6 +81,10 @@
                 this->left.clear();
                 return;
             }
+            if (next.what == engine_step::kind::crash) {
+                this->owner->crash();
+                return;
+            }
             if (next.what == engine_step::kind::reset) {
                 reset_on_close(this->socket);
             }
@@ -135,6 +139,13 @@
     }
 }
 
+void scripted_engine::crash() {
+    this->stop_listening();
+    for (const auto& each : this->open) {
+        each->release();
+    }
+}
+
 struct proxy_world::caller {
     bufferevent* socket = nullptr;
     http::response_reader reader{{}};
@@ -197,7 +208,8 @@
               [](const base::upstream_instance&, base::micros) {},
               [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
               [this](const proxy::broken_attempt& broken) { this->crashes.note_broken(broken); }},
-      crashes(this->context), server(this->loop.base(),
+      crashes(this->context),
+      server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
                   this->flows.insert(flow);
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -19,7 +19,7 @@
 
 // What a scripted engine does with one request, in order.
 struct engine_step {
-    enum class kind { send, close, reset, hang };
+    enum class kind { send, close, reset, hang, crash };
     kind what = kind::hang;
     std::string bytes;
 };
@@ -47,6 +47,9 @@
     [[nodiscard]] std::string address() const;
     // Refuses connections from now on.
     void stop_listening();
+    // Its process ends: all connections break, and nobody listens any more.
+    void crash();
+    [[nodiscard]] bool crashed() const { return this->listener == nullptr; }
 
     std::vector<engine_request> requests;
     int connections = 0;
