Hold back requests that crash the upstreams that run them

Cause: a broken attempt was held against its upstream alone. Nothing was kept of the request, whose id is new at each attempt, so each attempt was a first one for the bound on attempts and for the retry budget, at every entry. Class: blame goes to the place that failed, never to the work that made it fail.

What was under way at an upstream that crashed (its address refuses connections, or another one has its place) is now suspect, by a digest of path, caller and body. Entries tell each other. A suspect runs one copy at a time, where the fewest others run; a whole answer acquits it. After two crashes one after the other it is held back for ten minutes, or after three where another suspect was there both times. Crashes of several upstreams at once count against nobody. The hold is told to the others and stands in the platform's store, since all entries may start again at once; copies that wait for their turn are called off. The caller gets 503, not run, with the time that is left.

--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -39,6 +39,8 @@
     upstream_leaving = 308,
     caller_gone = 309,
     passed_on = 310,
+    quarantined = 311,
+    suspect_tried = 312,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -15,7 +15,7 @@
 #include "proxy/admission.h"
 #include "proxy/connection_pool.h"
 #include "proxy/named_weights.h"
-#include "quarantine/request_identity.h"
+#include "quarantine/quarantine.h"
 #include "settings/settings.h"
 
 #include <map>
@@ -44,6 +44,8 @@
     // Prompts that this entry's requests have had read and that it has not told others of yet.
     std::vector<kvcache::prompt_read> untold_reads;
     std::map<base::pool_id, admission::retry_window> retries;
+    // Requests that crash the upstreams that run them.
+    quarantine::quarantine quarantine;
     // Entries that share the retry budget, this one included.
     std::int64_t entries = 1;
     bool stopping = false;
@@ -53,7 +55,7 @@
 struct broken_attempt {
     base::upstream_instance upstream;
     std::string address;
-    quarantine::request_identity request;
+    quarantine::crash_victim victim;
 };
 
 // What every part of an entry works with.
--- a/src/proxy/crash_watch.cpp
+++ b/src/proxy/crash_watch.cpp
@@ -1,5 +1,8 @@
 #include "proxy/crash_watch.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace camphorrail::proxy {
 
 namespace {
@@ -8,55 +11,156 @@
 
 // A VM that is up refuses a connection within a round trip.
 constexpr base::milliseconds probe_limit{250};
-// A crashed upstream is replaced, or gone from the list, within this time.
+// A crashed upstream is replaced in the list within this time.
 constexpr base::seconds breakage_lifetime{6};
+// All connections to a crashed upstream break within this time.
+constexpr base::milliseconds gather_victims{20};
+// Crashes told in a row, and one more at each tick. When a hundred upstreams lose power at once,
+// nothing can be learned from it, and telling of each would fill the links between the entries.
+constexpr int most_tells = 10;
+constexpr std::size_t most_told_victims = 64;
 
 } // namespace
 
-crash_watch::crash_watch(entry_context& context) : context(context) {}
+crash_watch::crash_watch(entry_context& context)
+    : context(context), tell_timer(context.loop.base(), [this] { this->tell_crashes(); }),
+      tells_left(most_tells) {}
 
 void crash_watch::note_broken(const broken_attempt& broken_one) {
     auto& found = this->broken[broken_one.upstream];
-    const bool first = found.attempts.empty();
-    if (first) {
-        found.first_at = this->context.now();
+    if (found.crashed) {
+        this->add_victims(broken_one.upstream, found.first_at, {broken_one.victim});
+        return;
     }
-    found.attempts.push_back(broken_one);
-    if (first) {
-        this->probe(broken_one.upstream);
+    found.victims.push_back(broken_one.victim);
+    if (found.victims.size() == 1) {
+        found.address = broken_one.address;
+        found.first_at = this->context.now();
+        this->probe(broken_one.upstream, found);
     }
 }
 
-void crash_watch::probe(const base::upstream_instance& upstream) {
-    auto& found = this->broken.at(upstream);
+void crash_watch::probe(const base::upstream_instance& upstream, breakage& found) {
     found.probe = std::make_unique<adapters::address_probe>(
-        this->context.loop.base(), found.attempts.front().address, probe_limit,
-        [this, upstream](adapters::address_state state) { this->take_probe(upstream, state); });
+        this->context.loop.base(), found.address, probe_limit,
+        [this, upstream](adapters::address_state state) {
+            const auto known = this->broken.find(upstream);
+            if (known != this->broken.end() && state == adapters::address_state::refused) {
+                this->note_crash(upstream, known->second, "connection_refused");
+            }
+        });
 }
 
-void crash_watch::take_probe(const base::upstream_instance& upstream,
-                             adapters::address_state state) {
-    const auto found = this->broken.find(upstream);
-    if (found == this->broken.end()) {
-        return;
+void crash_watch::note_ended(const base::upstream_instance& ended) {
+    const auto known = this->broken.find(ended);
+    if (known != this->broken.end()) {
+        this->note_crash(ended, known->second, "replaced");
     }
-    found->second.crashed = state == adapters::address_state::refused;
-    if (!found->second.crashed) {
+}
+
+void crash_watch::note_crash(const base::upstream_instance& upstream, breakage& found,
+                             const char* seen_by) {
+    if (found.crashed) {
         return;
     }
+    found.crashed = true;
     this->context.log.line(importance::keep, "upstream_crashed")
         .text("upstream", upstream.id.value)
         .number("incarnation", upstream.incarnation.value)
-        .number("requests", static_cast<std::int64_t>(found->second.attempts.size()))
-        .span("after_ms", this->context.now() - found->second.first_at);
+        .number("requests", static_cast<std::int64_t>(found.victims.size()))
+        .text("seen_by", seen_by)
+        .span("after_ms", this->context.now() - found.first_at);
     this->context.metrics.count("camphorrail_upstream_crashes_total");
+    this->add_victims(upstream, found.first_at, std::exchange(found.victims, {}));
+}
+
+void crash_watch::add_victims(const base::upstream_instance& upstream, base::instant at,
+                              const std::vector<quarantine::crash_victim>& victims) {
+    const quarantine::crash_report report{upstream, at, victims};
+    quarantine::note_crash(this->context.state.quarantine, report, this->context.now(), {});
+    auto& told = this->untold[upstream];
+    told.upstream = upstream;
+    told.at = at;
+    told.victims.insert(told.victims.end(), victims.begin(), victims.end());
+    this->tell_timer.set(gather_victims);
+}
+
+void crash_watch::tell_crashes() {
+    for (auto& [upstream, report] : this->untold) {
+        if (this->tells_left == 0) {
+            this->context.metrics.count("camphorrail_upstream_crashes_untold_total");
+            continue;
+        }
+        --this->tells_left;
+        report.victims.resize(std::min(report.victims.size(), most_told_victims));
+        this->tell(told_crash(report, this->context.now()));
+    }
+    this->untold.clear();
+}
+
+void crash_watch::take(const base::entry_id& from, const peer_crash& told) {
+    const auto report = heard_crash(told, this->context.now());
+    quarantine::note_crash(this->context.state.quarantine, report, this->context.now(), {});
+    this->context.log.line(importance::keep, "upstream_crash_told")
+        .text("upstream", told.upstream.id.value)
+        .text("entry", from.value)
+        .number("requests", static_cast<std::int64_t>(told.victims.size()))
+        .span("age_ms", told.age);
+}
+
+void crash_watch::take(const base::entry_id& from, const peer_hold& told) {
+    this->adopt({told.request, told.left, 0}, from.value.c_str());
+}
+
+void crash_watch::take_written(const quarantine::hold& written) {
+    this->adopt(written, "store");
+}
+
+void crash_watch::adopt(const quarantine::hold& given, const char* told_by) {
+    auto& state = this->context.state.quarantine;
+    const base::instant now = this->context.now();
+    const auto digest = given.request.digest;
+    const bool known = quarantine::judge(state, digest, now, {}).what == quarantine::verdict::held;
+    quarantine::hold_back(state, given.request, given.span, now, {});
+    if (!known) {
+        this->log_hold(given, told_by);
+        this->held_back(given, false);
+    }
+}
+
+void crash_watch::log_hold(const quarantine::hold& begun, const char* told_by) {
+    this->context.log.line(importance::keep, "request_quarantined")
+        .text("digest", begun.request.digest.value)
+        .number("body_bytes", static_cast<std::int64_t>(begun.request.body_bytes))
+        .number("crashes", static_cast<std::int64_t>(begun.crashes))
+        .span("for_ms", begun.span)
+        .text("told_by", told_by);
+}
+
+std::vector<peer_message> crash_watch::greeting() const {
+    std::vector<peer_message> all;
+    for (const auto& one : quarantine::held(this->context.state.quarantine, this->context.now())) {
+        all.emplace_back(
+            peer_hold{one.request, std::chrono::duration_cast<base::milliseconds>(one.span)});
+    }
+    return all;
 }
 
 void crash_watch::tick() {
     const base::instant now = this->context.now();
+    this->tells_left = std::min(this->tells_left + 1, most_tells);
     std::erase_if(this->broken, [now](const auto& each) {
         return now - each.second.first_at > breakage_lifetime;
     });
+    auto& state = this->context.state.quarantine;
+    for (const auto& begun : quarantine::take_decisions(state, now, {})) {
+        this->log_hold(begun, "");
+        this->context.metrics.count("camphorrail_requests_quarantined_total");
+        this->tell(
+            peer_hold{begun.request, std::chrono::duration_cast<base::milliseconds>(begun.span)});
+        this->held_back(begun, true);
+    }
+    quarantine::expire(state, now, {});
 }
 
 } // namespace camphorrail::proxy
--- a/src/proxy/crash_watch_tests.cpp
+++ b/src/proxy/crash_watch_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr int engine_count = 8;
+constexpr std::size_t engine_count = 8;
 const std::string fatal_body = "fatal";
 
 // An engine that ends when it begins to run a certain request, and answers all others.
@@ -27,16 +28,12 @@
 // Engines that start again under new ids after each crash.
 struct crashing_pool {
     explicit crashing_pool(tests::proxy_world& world) : world(world) {
-        for (int each = 0; each < engine_count; ++each) {
-            this->start();
+        for (std::size_t each = 0; each < engine_count; ++each) {
+            const std::string id = "i-" + std::to_string(++this->starts);
+            this->running.emplace_back(id, &this->world.add_engine(id, crash_on_fatal));
         }
     }
 
-    void start() {
-        const std::string id = "i-" + std::to_string(++this->starts);
-        this->running.emplace_back(id, &this->world.add_engine(id, crash_on_fatal));
-    }
-
     // Gives the entry time to see what has ended, and puts another engine in each one's place.
     void settle() {
         constexpr int turns = 60;
@@ -54,6 +51,7 @@
         // Ejections and suspicions are over.
         this->world.move_clock(base::seconds(1));
         this->world.prove_config();
+        this->world.crash_watch().tick();
     }
 
     tests::proxy_world& world;
@@ -85,4 +83,123 @@
         REQUIRE(seen.heads.size() == 1);
         CHECK(seen.heads[0].status == 200);
     }
+    SECTION("and its caller learns that it has not run, and when to come back") {
+        const auto seen = world.call(tests::request(route, "again", fatal_body));
+        REQUIRE(seen.heads.size() == 1);
+        CHECK(seen.heads[0].status == 503);
+        CHECK(std::stod(std::string(http::value_of(seen.heads[0].all, "Retry-After"))) > 60);
+        CHECK(seen.bodies[0].find("\"quarantined\"") != std::string::npos);
+    }
+    SECTION("also at an entry that has only heard of it") {
+        tests::proxy_world other;
+        other.add_engine("i-1", crash_on_fatal);
+        for (const auto& message : world.told) {
+            const auto heard = proxy::decode(proxy::encode(message));
+            REQUIRE(heard.has_value());
+            if (const auto* hold = std::get_if<proxy::peer_hold>(&heard.value())) {
+                other.crash_watch().take({"entry-1"}, *hold);
+            }
+        }
+        const auto seen = other.call(tests::request(route, "elsewhere", fatal_body));
+        REQUIRE(seen.heads.size() == 1);
+        CHECK(seen.heads[0].status == 503);
+        CHECK(other.call(tests::request(route, "r2", "fine")).heads.at(0).status == 200);
+    }
+}
+
+// The failure: a caller has another team's request refused by sending the same bytes until they are
+// held back.
+TEST_CASE("a request that is held back is another team's request no more than before",
+          "[proxy][quarantine]") {
+    tests::proxy_world world;
+    world.config.teams.push_back({.id = {"south"}, .keys = {"k2"}});
+    routes::index(world.config);
+    world.prove_config();
+    world.add_engine("i-1", [](const engine_request& got) {
+        return engine_script{{step::kind::send, tests::answer(got.field("Request-Id"), "fine")}};
+    });
+    const auto identity = quarantine::identify({"/safe/x", "north", "same bytes"});
+    world.crash_watch().take({"entry-2"}, proxy::peer_hold{identity, base::minutes(5)});
+    const std::string of_north = tests::request("safe", "r1", "same bytes");
+    std::string of_south = tests::request("safe", "r2", "same bytes");
+    of_south.replace(of_south.find("k1"), 2, "k2");
+    CHECK(world.call(of_north).heads.at(0).status == 503);
+    CHECK(world.call(of_south).heads.at(0).status == 200);
+}
+
+// The failure: upstreams crash by themselves, five of eight at once, while one harmless request
+// comes all the time, and it is refused from then on.
+TEST_CASE("a request that many crashed upstreams had under way is served afterwards",
+          "[proxy][quarantine]") {
+    const std::string route = GENERATE(std::string("stream"), std::string("safe"));
+    CAPTURE(route);
+    tests::proxy_world world;
+    crashing_pool pool(world);
+    int number = 0;
+    const auto popular = [&] {
+        return tests::request(route, "popular-" + std::to_string(++number), "popular");
+    };
+    for (int round = 0; round < 4; ++round) {
+        // The five keep what they get until they crash.
+        std::vector<tests::scripted_engine*> failing;
+        for (std::size_t each = 0; each < 5; ++each) {
+            failing.push_back(pool.running.at(each).second);
+            failing.back()->answer_next_with({{step::kind::hang, {}}});
+        }
+        const auto reached = [&failing] {
+            return std::any_of(failing.begin(), failing.end(),
+                               [](const auto* each) { return !each->requests.empty(); });
+        };
+        for (int each = 0; each < 40 && !reached(); ++each) {
+            world.call_until(popular(), [&] {
+                return reached() || (!world.last_seen().heads.empty() && world.last_seen().whole);
+            });
+        }
+        REQUIRE(reached());
+        for (auto* each : failing) {
+            each->crash();
+        }
+        pool.settle();
+        for (int each = 0; each < 6; ++each) {
+            world.call(popular());
+        }
+    }
+    for (int each = 0; each < 10; ++each) {
+        const auto seen =
+            world.call(tests::request(route, "later-" + std::to_string(each), "popular"));
+        CHECK(seen.heads.at(0).status == 200);
+    }
+}
+
+TEST_CASE("a connection that breaks is not taken for a crash", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    const step how = GENERATE(step{step::kind::reset, {}}, step{step::kind::close, {}});
+    for (int each = 0; each < 4; ++each) {
+        world.add_engine("i-" + std::to_string(each),
+                         [how](const engine_request&) { return engine_script{how}; });
+    }
+    for (int each = 0; each < 6; ++each) {
+        world.call(tests::request("safe", "r" + std::to_string(each), "unlucky"));
+        world.move_clock(base::seconds(5));
+        world.prove_config();
+        world.crash_watch().tick();
+    }
+    CHECK(world.state.quarantine.suspects.empty());
+}
+
+// The failure: copies of a fatal request that wait at other upstreams for their turn crash those
+// too, after it was held back.
+TEST_CASE("a request that is held back is called off where it waits", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine("i-1", [](const engine_request&) {
+        return engine_script{{step::kind::hang, {}}};
+    });
+    world.call_until(tests::request("once", "r1", fatal_body),
+                     [&engine] { return engine.requests.size() == 1; });
+    const auto identity = quarantine::identify({"/once/x", "north", fatal_body});
+    world.crash_watch().take({"entry-2"}, proxy::peer_hold{identity, base::minutes(5)});
+    REQUIRE(world.run_until([&] { return engine.closed_by_peer == 1; }));
+    // It may have run.
+    REQUIRE(world.run_until([&world] { return !world.last_seen().heads.empty(); }));
+    CHECK(world.last_seen().heads.at(0).status == 502);
 }
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -94,6 +94,14 @@
     return {transfer.store, transfer.ms};
 }
 
+json to_json(const quarantine::request_identity& request) {
+    return {request.digest.value, request.body_bytes};
+}
+
+json to_json(const told_victim& victim) {
+    return {to_json(victim.request), victim.sent_ago.count(), victim.begun_ago.count()};
+}
+
 json to_json(const told_load& load);
 
 template <class Part>
@@ -122,6 +130,30 @@
     return {"kept", message.store, message.whole, message.down, parts};
 }
 
+quarantine::request_identity read_identity(const json& read) {
+    return {{read.at(0).get<std::string>()}, read.at(1).get<std::size_t>()};
+}
+
+json to_json(const peer_crash& message) {
+    return {"crash", to_json(message.upstream), message.age.count(), list_of(message.victims)};
+}
+
+json to_json(const peer_hold& message) {
+    return {"hold", to_json(message.request), message.left.count()};
+}
+
+peer_crash read_crash(const json& read) {
+    peer_crash crash;
+    crash.upstream = read_instance(read.at(1));
+    crash.age = base::micros(read.at(2).get<std::int64_t>());
+    for (const auto& each : read.at(3)) {
+        crash.victims.push_back({read_identity(each.at(0)),
+                                 base::micros(each.at(1).get<std::int64_t>()),
+                                 base::micros(each.at(2).get<std::int64_t>())});
+    }
+    return crash;
+}
+
 kvcache::prompt_read read_prompt_read(const json& read) {
     kvcache::prompt_read one;
     for (const auto& level : read.at(0)) {
@@ -229,11 +261,39 @@
     if (kind == "kept") {
         return read_kept(read);
     }
+    if (kind == "crash") {
+        return read_crash(read);
+    }
+    if (kind == "hold") {
+        return peer_hold{read_identity(read.at(1)),
+                         base::milliseconds(read.at(2).get<std::int64_t>())};
+    }
     throw std::invalid_argument("no such message");
 }
 
 } // namespace
 
+peer_crash told_crash(const quarantine::crash_report& report, base::instant now) {
+    peer_crash told{report.upstream, now - report.at, {}};
+    for (const auto& each : report.victims) {
+        const base::micros begun_ago = each.begun_at ? now - *each.begun_at : base::micros(-1);
+        told.victims.push_back({each.request, now - each.sent_at, begun_ago});
+    }
+    return told;
+}
+
+quarantine::crash_report heard_crash(const peer_crash& told, base::instant now) {
+    quarantine::crash_report report{told.upstream, now - told.age, {}};
+    for (const auto& each : told.victims) {
+        quarantine::crash_victim victim{each.request, now - each.sent_ago, {}};
+        if (each.begun_ago >= base::micros(0)) {
+            victim.begun_at = now - each.begun_ago;
+        }
+        report.victims.push_back(std::move(victim));
+    }
+    return report;
+}
+
 std::string encode(const peer_message& message) {
     const json written = std::visit([](const auto& each) { return to_json(each); }, message);
     std::string bytes;
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -7,6 +7,7 @@
 #include "kvcache/cache_beliefs.h"
 #include "kvcache/kept_copies.h"
 #include "ports/platform.h"
+#include "quarantine/quarantine.h"
 
 #include <cstdint>
 #include <set>
@@ -118,8 +119,34 @@
     ports::changes changes;
 };
 
-using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
-                                  peer_store_ask, peer_store_view, peer_kept, peer_store_changes>;
+// A request that was under way at an upstream when it crashed.
+struct told_victim {
+    quarantine::request_identity request;
+    // How long ago it was sent there, and when its answer began; less than 0 where it had not.
+    base::micros sent_ago{0};
+    base::micros begun_ago{-1};
+};
+
+// An upstream has crashed, with these requests of the sender's on it.
+struct peer_crash {
+    base::upstream_instance upstream;
+    base::micros age{0};
+    std::vector<told_victim> victims;
+};
+
+// A request is held back, for so long from now on.
+struct peer_hold {
+    quarantine::request_identity request;
+    base::milliseconds left{0};
+};
+
+using peer_message =
+    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named, peer_store_ask,
+                 peer_store_view, peer_kept, peer_store_changes, peer_crash, peer_hold>;
+
+// A crash as other entries are told of it, and as they take it. Times go as ages.
+peer_crash told_crash(const quarantine::crash_report& report, base::instant now);
+quarantine::crash_report heard_crash(const peer_crash& told, base::instant now);
 
 std::string encode(const peer_message& message);
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -358,6 +358,14 @@
     this->kept_told(this->links.at(key).id, message);
 }
 
+void peers::take(link_key key, const peer_crash& message) {
+    this->crash_told(this->links.at(key).id, message);
+}
+
+void peers::take(link_key key, const peer_hold& message) {
+    this->hold_told(this->links.at(key).id, message);
+}
+
 void peers::take(link_key key, const peer_store_changes& message) {
     if (this->store_told(message)) {
         return;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -47,6 +47,9 @@
     // Whether this entry proves the store's contents for all, and so needs others' proofs only when
     // it fails to.
     std::function<bool()> proves_store;
+    // Told of crashed upstreams, and of requests that are held back for them.
+    std::function<void(const base::entry_id& from, const peer_crash&)> crash_told;
+    std::function<void(const base::entry_id& from, const peer_hold&)> hold_told;
     // What a new link is told beside who we are.
     std::function<std::vector<peer_message>()> greeting;
     // The number of entries has changed.
@@ -86,6 +89,8 @@
     void take(link_key key, const peer_named& message);
     void take(link_key key, const peer_kept& message);
     void take(link_key key, const peer_store_changes& message);
+    void take(link_key key, const peer_crash& message);
+    void take(link_key key, const peer_hold& message);
     void take(link_key key, const peer_store_ask& message);
     void take(link_key key, const peer_store_view& message);
     [[nodiscard]] std::string list_prefix() const;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -80,6 +80,7 @@
              {[this] { return this->leader.may_order(); }, [this] { return this->leader.name(); },
               [this] { return this->leader.fence(); }}),
       others(this->context, this->store_calls), crashes(this->context),
+      quarantined(this->context, this->store_calls, [this] { return this->leader.fence() != 0; }),
       kv_stores(this->context, [this] { return this->others.linked(); }) {}
 
 bool proxy::listen() {
@@ -180,11 +181,42 @@
     this->others.kept_told = [this](const base::entry_id& from, const peer_kept& told) {
         this->kv_stores.take(from, told);
     };
-    this->others.greeting = [this] { return this->kv_stores.whole_views(); };
+    this->others.greeting = [this] {
+        auto all = this->kv_stores.whole_views();
+        for (auto& each : this->crashes.greeting()) {
+            all.push_back(std::move(each));
+        }
+        return all;
+    };
+    this->connect_quarantine();
     this->kv_stores.tell = [this](const peer_kept& message) { this->others.tell(message); };
     this->others.count_changed = [this] { this->set_retry_budgets(); };
 }
 
+void proxy::connect_quarantine() {
+    this->crashes.tell = [this](const peer_message& message) { this->others.tell(message); };
+    this->crashes.held_back = [this](const quarantine::hold& held, bool decided_here) {
+        this->note_hold(held, decided_here);
+    };
+    this->others.crash_told = [this](const base::entry_id& from, const peer_crash& told) {
+        this->crashes.take(from, told);
+    };
+    this->others.hold_told = [this](const base::entry_id& from, const peer_hold& told) {
+        this->crashes.take(from, told);
+    };
+}
+
+void proxy::note_hold(const quarantine::hold& held, bool decided_here) {
+    if (decided_here) {
+        this->quarantined.keep(held);
+    }
+    // Those that are called off end, and leave the list.
+    const auto under_way = this->flows;
+    for (const auto& [number, flow] : under_way) {
+        flow->call_off(held);
+    }
+}
+
 bool proxy::ready() const {
     // A list entry may name a pool that no configuration knows.
     const auto& members = this->state.fleet.members;
@@ -223,6 +255,7 @@
     this->exit_when_done();
     this->connections.sweep();
     this->crashes.tick();
+    this->quarantined.tick();
     this->others.tick();
     this->store.tick();
     this->kv_stores.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "proxy/kv_store_follower.h"
 #include "proxy/leadership.h"
 #include "proxy/peers.h"
+#include "proxy/quarantine_records.h"
 #include "proxy/request_flow.h"
 #include "proxy/store_follower.h"
 #include "proxy/store_news.h"
@@ -44,6 +45,7 @@
 private:
     [[nodiscard]] bool listen();
     void connect_parts();
+    void connect_quarantine();
     void note_held_back(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
     // `told_by`: who brought the news, for the log.
@@ -54,6 +56,7 @@
     void assign_lanes();
     void take_named_weights();
     void take_named(const peer_named& told);
+    void note_hold(const quarantine::hold& held, bool decided_here);
     void set_retry_budgets();
     void tick();
     void reload(const char* why);
@@ -85,6 +88,7 @@
     weights_loader loader;
     peers others;
     crash_watch crashes;
+    quarantine_records quarantined;
     kv_store_follower kv_stores;
     std::unique_ptr<caller_server> callers;
     std::unique_ptr<adapters::http_server> balancer;
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -28,6 +28,9 @@
         this->take_config();
     }
     this->take_named_weights();
+    for (const auto& held : this->quarantined.read(keys)) {
+        this->crashes.take_written(held);
+    }
     if (upstreams) {
         this->take_upstreams(told_by);
     }
@@ -102,6 +105,7 @@
             this->log.line(importance::keep, "upstream_replaced")
                 .text("upstream", id.value)
                 .text("by", by.value);
+            this->crashes.note_ended(fleet::instance_of(this->state.fleet.members.at(id)));
         }
     }
     this->replaced = list.replaced;
@@ -125,7 +129,9 @@
     tell("upstream_changed", change.changed);
     tell("upstream_unlisted", change.removed);
     for (const auto& id : change.restarted) {
-        forget_earlier_life(this->context, fleet::instance_of(this->state.fleet.members.at(id)));
+        const auto& one = this->state.fleet.members.at(id);
+        this->crashes.note_ended({id, one.earlier_lives.back()});
+        forget_earlier_life(this->context, fleet::instance_of(one));
     }
     for (const auto& id : change.reweighted) {
         kvcache::forget_reader(this->state.cache, id);
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -14,12 +14,19 @@
                              {"fit", fleet::is_fit(one, this->context.now())},
                              {"in_flight", one.ours.in_flight}});
     }
+    nlohmann::json held = nlohmann::json::array();
+    for (const auto& one : quarantine::held(this->state.quarantine, this->context.now())) {
+        held.push_back({{"digest", one.request.digest.value},
+                        {"left_ms", one.span.count() / 1000},
+                        {"crashes", one.crashes}});
+    }
     const auto age = mirror::age(this->state.store, this->context.now());
     return {{"id", this->settings.id.value},
             {"ready", this->ready()},
             {"config_version", this->state.config == nullptr ? 0 : this->state.config->version},
             {"config_age_ms", age ? age->count() / 1000 : -1},
             {"open_requests", this->flows.size()},
+            {"quarantined", held},
             {"upstreams", upstreams}};
 }
 
@@ -54,6 +61,9 @@
                           admission::retries_left(window, this->context.now()),
                           {{"pool", pool.value}});
     }
+    this->metrics.set(
+        "camphorrail_quarantined_requests",
+        static_cast<double>(quarantine::held(this->state.quarantine, this->context.now()).size()));
     this->refresh_weights_metric();
     std::int64_t fit = 0;
     for (const auto& [id, one] : this->state.fleet.members) {
--- /dev/null
+++ b/src/proxy/quarantine_records.cpp
@@ -0,0 +1,132 @@
+#include "proxy/quarantine_records.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+using nlohmann::json;
+
+constexpr base::milliseconds call_pause{1000};
+// The platform's store is shared. More requests than this are held back by the entries alone.
+constexpr std::size_t most_records = 64;
+
+std::string to_text(const quarantine::hold& begun) {
+    const auto span = std::chrono::duration_cast<base::milliseconds>(begun.span);
+    return json{{"body_bytes", begun.request.body_bytes},
+                {"hold_ms", span.count()},
+                {"crashes", begun.crashes}}
+        .dump();
+}
+
+std::optional<quarantine::hold> read_record(const std::string& digest, const std::string& text) {
+    const json read = json::parse(text, nullptr, false);
+    const bool fits = read.is_object() && read.contains("body_bytes") &&
+                      read["body_bytes"].is_number_unsigned() && read.contains("hold_ms") &&
+                      read["hold_ms"].is_number_unsigned() && read.contains("crashes") &&
+                      read["crashes"].is_number_unsigned();
+    if (!fits) {
+        return std::nullopt;
+    }
+    return quarantine::hold{{{digest}, read["body_bytes"].get<std::size_t>()},
+                            base::milliseconds(read["hold_ms"].get<std::uint32_t>()),
+                            read["crashes"].get<std::size_t>()};
+}
+
+} // namespace
+
+quarantine_records::quarantine_records(entry_context& context, ports::platform platform_calls,
+                                       std::function<bool()> is_leader)
+    : context(context), platform(std::move(platform_calls)), leads(std::move(is_leader)) {}
+
+std::string quarantine_records::prefix() const {
+    return this->context.words.own_prefix + "quarantine/";
+}
+
+void quarantine_records::keep(const quarantine::hold& begun) {
+    this->unwritten[begun.request.digest] = begun;
+    this->tick();
+}
+
+std::vector<quarantine::hold> quarantine_records::read(const std::set<std::string>& keys) const {
+    std::vector<quarantine::hold> found;
+    const std::string below = this->prefix();
+    for (const auto& key : keys) {
+        const auto item = this->context.state.store.items.find(key);
+        if (!key.starts_with(below) || item == this->context.state.store.items.end()) {
+            continue;
+        }
+        const auto record = read_record(key.substr(below.size()), item->second.value);
+        if (!record) {
+            this->context.log.line(importance::keep, "quarantine_unreadable").text("key", key);
+            continue;
+        }
+        found.push_back(*record);
+    }
+    return found;
+}
+
+void quarantine_records::tick() {
+    if (this->calling || this->context.now() < this->next_call) {
+        return;
+    }
+    if (!this->unwritten.empty()) {
+        this->write_next();
+    } else if (this->leads()) {
+        this->erase_next();
+    }
+}
+
+bool quarantine_records::is_held(const base::request_digest& request) const {
+    return quarantine::judge(this->context.state.quarantine, request, this->context.now(), {})
+               .what == quarantine::verdict::held;
+}
+
+void quarantine_records::write_next() {
+    const auto next = this->unwritten.begin();
+    const std::string key = this->prefix() + next->first.value;
+    const auto& store = this->context.state.store;
+    const bool written = store.items.count(key) > 0;
+    const bool full = mirror::items_below(store, this->prefix()).size() >= most_records;
+    if (written || full || !this->is_held(next->first)) {
+        this->unwritten.erase(next);
+        return;
+    }
+    ports::transaction change;
+    change.expectations = {{key, 0}};
+    change.writes = {{key, to_text(next->second), false, 0}};
+    this->commit(change);
+}
+
+void quarantine_records::erase_next() {
+    for (const auto& item : mirror::items_below(this->context.state.store, this->prefix())) {
+        if (this->is_held({item.key.substr(this->prefix().size())})) {
+            continue;
+        }
+        ports::transaction change;
+        change.expectations = {{item.key, item.mod_revision}};
+        change.writes = {{item.key, "", true, 0}};
+        this->commit(change);
+        return;
+    }
+}
+
+void quarantine_records::commit(const ports::transaction& change) {
+    this->calling = true;
+    const base::request_digest digest{change.writes.front().key.substr(this->prefix().size())};
+    this->platform.commit(change, [this, digest](const base::result<ports::committed>& done) {
+        this->calling = false;
+        this->next_call = this->context.now() + call_pause;
+        if (done.has_value()) {
+            // Where another entry was first, its record says the same.
+            this->unwritten.erase(digest);
+        }
+    });
+}
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/quarantine_records.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "proxy/context.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorrail::proxy {
+
+// Writes down in the platform's store which requests are held back, so that entries know it that
+// start later, or all at once. Each key is written once for all entries, and erased by the leader
+// when its time is over.
+class quarantine_records {
+public:
+    // `leads`: whether this entry is the leader.
+    quarantine_records(entry_context& context, ports::platform platform,
+                       std::function<bool()> leads);
+
+    // Has a hold written down, now or when the store answers again.
+    void keep(const quarantine::hold& begun);
+    // The holds among keys that have changed in the mirror.
+    [[nodiscard]] std::vector<quarantine::hold> read(const std::set<std::string>& keys) const;
+    void tick();
+
+private:
+    [[nodiscard]] std::string prefix() const;
+    [[nodiscard]] bool is_held(const base::request_digest& request) const;
+    void write_next();
+    void erase_next();
+    void commit(const ports::transaction& change);
+
+    entry_context& context;
+    ports::platform platform;
+    std::function<bool()> leads;
+    std::map<base::request_digest, quarantine::hold> unwritten;
+    bool calling = false;
+    base::instant next_call{};
+};
+
+} // namespace camphorrail::proxy
--- /dev/null
+++ b/src/proxy/quarantine_records_tests.cpp
@@ -0,0 +1,118 @@
+#include "proxy/quarantine_records.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorrail;
+
+namespace {
+
+// A store that keeps what is written, and may be away.
+struct small_store {
+    mirror::store_mirror& mirror;
+    bool away = false;
+    int calls = 0;
+
+    ports::platform calls_to() {
+        ports::platform made;
+        made.commit = [this](const ports::transaction& change, const auto& done) {
+            ++this->calls;
+            if (this->away) {
+                done(base::code::platform_unreachable);
+                return;
+            }
+            done(ports::committed{this->apply(change), this->mirror.revision});
+        };
+        return made;
+    }
+
+    bool apply(const ports::transaction& change) {
+        for (const auto& each : change.expectations) {
+            const auto found = this->mirror.items.find(each.key);
+            const auto there = found == this->mirror.items.end() ? 0 : found->second.mod_revision;
+            if (there != each.mod_revision) {
+                return false;
+            }
+        }
+        ++this->mirror.revision;
+        for (const auto& each : change.writes) {
+            if (each.erase) {
+                this->mirror.items.erase(each.key);
+            } else {
+                this->mirror.items[each.key] = {each.key, each.value, this->mirror.revision};
+            }
+        }
+        return true;
+    }
+};
+
+const quarantine::hold fatal{quarantine::identify({"/desk", "north", "fatal"}), base::minutes(10),
+                             2};
+
+std::set<std::string> all_keys(const tests::proxy_world& world) {
+    std::set<std::string> keys;
+    for (const auto& [key, item] : world.state.store.items) {
+        keys.insert(key);
+    }
+    return keys;
+}
+
+} // namespace
+
+// The failure: all entries start again, know nothing of a fatal request, and it crashes upstreams
+// anew.
+TEST_CASE("a hold stands in the store for entries that start later", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    small_store store{world.state.store};
+    bool leads = false;
+    proxy::quarantine_records records(world.entry(), store.calls_to(), [&leads] { return leads; });
+    const base::instant now = world.entry().now();
+    quarantine::hold_back(world.state.quarantine, fatal.request, fatal.span, now, {});
+    records.keep(fatal);
+    CHECK(store.calls == 1);
+    const auto written = records.read(all_keys(world));
+    REQUIRE(written.size() == 1);
+    CHECK(written[0].request == fatal.request);
+    CHECK(written[0].span == fatal.span);
+    CHECK(written[0].crashes == 2);
+
+    SECTION("written once, whoever decides it too") {
+        world.move_clock(base::seconds(2));
+        records.keep(fatal);
+        CHECK(store.calls == 1);
+    }
+    SECTION("until the leader erases it when its time is over") {
+        world.move_clock(base::minutes(11));
+        quarantine::expire(world.state.quarantine, world.entry().now(), {});
+        records.tick();
+        CHECK(records.read(all_keys(world)).size() == 1);
+        leads = true;
+        records.tick();
+        CHECK(records.read(all_keys(world)).empty());
+    }
+    SECTION("and a record that makes no sense is passed over") {
+        const auto& key = world.state.store.items.begin()->first;
+        const std::string text = GENERATE(as<std::string>{}, "", "no JSON", "[]", "{}",
+                                          R"({"body_bytes":-1,"hold_ms":1,"crashes":1})",
+                                          R"({"body_bytes":1,"hold_ms":"1","crashes":1})");
+        world.state.store.items.at(key).value = text;
+        CHECK(records.read({key}).empty());
+    }
+}
+
+TEST_CASE("a hold is written down once the store is back", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    small_store store{world.state.store};
+    proxy::quarantine_records records(world.entry(), store.calls_to(), [] { return false; });
+    quarantine::hold_back(world.state.quarantine, fatal.request, fatal.span, world.entry().now(),
+                          {});
+    store.away = true;
+    records.keep(fatal);
+    records.tick();
+    CHECK(store.calls == 1);
+    CHECK(records.read(all_keys(world)).empty());
+    store.away = false;
+    world.move_clock(base::seconds(2));
+    records.tick();
+    CHECK(records.read(all_keys(world)).size() == 1);
+}
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -90,6 +90,7 @@
         return;
     }
     this->current->begun = true;
+    this->current->begun_at = this->context.now();
     if (auto* one = this->member_of_attempt()) {
         fleet::note_begun(one->ours, this->work_of_attempt());
     }
@@ -156,6 +157,7 @@
         return;
     }
     ++this->begun;
+    this->acquit();
     const bool success = this->current->head.status < first_refusal_status;
     if (this->state == answer_state::streaming && !success) {
         this->failed_to_go_on();
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -57,8 +57,6 @@
     const auto upstream = instance_of(this->current->choice);
     const char* name = name_of(why);
     const bool may_have_run = why == call_failure::broken || why == call_failure::malformed;
-    const auto identity = may_have_run ? std::optional(this->identity())
-                                       : std::optional<quarantine::request_identity>();
     this->context.log.line(importance::keep, "attempt_failed")
         .text("request", this->facts.request_id)
         .text("kind", this->kind_name())
@@ -67,7 +65,7 @@
         .flag("answer_begun", this->current->answering)
         .text("last_event", this->events.last_event)
         .span("after_ms", this->context.now() - this->current->sent_at)
-        .text("digest", identity ? identity->digest.value : "");
+        .text("digest", may_have_run ? this->identity().digest.value : "");
     // An upstream that changes its weights cuts off what it can't finish, as ordered.
     const auto* one = this->member_of_attempt();
     const bool ordered =
@@ -76,9 +74,8 @@
     if (upstreams_fault) {
         note_upstream_failure(this->context, upstream, name);
     }
-    // One that leaves ends as it said it would.
-    if (identity && !ordered && one != nullptr && fleet::is_listed(*one)) {
-        this->context.note_broken_attempt({upstream, this->current->choice.address, *identity});
+    if (may_have_run && !ordered) {
+        this->note_broken_attempt();
     }
     this->cancel_attempt();
     this->wanted.tried.push_back(upstream.id);
@@ -100,6 +97,21 @@
     }
 }
 
+void request_flow::note_broken_attempt() {
+    const auto* one = this->member_of_attempt();
+    // One that leaves ends as it said it would.
+    if (one == nullptr || !fleet::is_listed(*one)) {
+        return;
+    }
+    const auto& attempt = *this->current;
+    quarantine::crash_victim victim{this->identity(), attempt.sent_at, {}};
+    if (attempt.begun) {
+        victim.begun_at = attempt.begun_at;
+    }
+    this->context.note_broken_attempt(
+        {instance_of(attempt.choice), attempt.choice.address, std::move(victim)});
+}
+
 bool request_flow::has_tries_left() const {
     const bool tries_left = this->sent_again < most_sent_again;
     return tries_left && this->time_left() > least_time;
@@ -229,7 +241,7 @@
 }
 
 void request_flow::out_of_time() {
-    this->end_early("timed_out", base::code::no_upstream, base::code::timed_out);
+    this->end_early("timed_out", base::code::no_upstream, base::code::timed_out, other_entry);
 }
 
 void request_flow::caller_gone() {
@@ -244,17 +256,19 @@
 }
 
 void request_flow::break_off() {
-    this->end_early("shutting_down", base::code::shutting_down, base::code::upstream_failed);
+    this->end_early("shutting_down", base::code::shutting_down, base::code::upstream_failed,
+                    other_entry);
 }
 
 // The attempt under way is called off first; it may have begun if a byte of it may have left.
-void request_flow::end_early(const char* why, base::code unrun, base::code begun_code) {
+void request_flow::end_early(const char* why, base::code unrun, base::code begun_code,
+                             milliseconds hint) {
     const auto held = this->shared_from_this();
     if (this->current) {
         this->begun += this->current->connection->may_have_sent() ? 1 : 0;
         this->cancel_attempt();
     }
-    this->give_up(why, unrun, begun_code, other_entry);
+    this->give_up(why, unrun, begun_code, hint);
 }
 
 } // namespace camphorrail::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -139,12 +139,6 @@
     return this->request.route->resumable ? "resumable_stream" : "stream";
 }
 
-quarantine::request_identity request_flow::identity() const {
-    const std::string_view caller =
-        this->request.team == nullptr ? this->facts.key : this->request.team->id.value;
-    return quarantine::identify({this->exchange->head.target, caller, this->exchange->body});
-}
-
 fleet::member* request_flow::member_of_attempt() const {
     return fleet::find_instance(this->context.state.fleet, instance_of(this->current->choice));
 }
@@ -154,6 +148,9 @@
         this->out_of_time();
         return;
     }
+    if (this->stopped_by_quarantine()) {
+        return;
+    }
     auto choice = choose_upstream(this->context, this->wanted);
     if (!choice) {
         this->give_up("no_upstream", base::code::no_upstream, base::code::upstream_failed,
@@ -253,7 +250,8 @@
         .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
         .number("fetch_ms", static_cast<std::int64_t>(choice.fetch_ms))
         .number("expected_first_byte_ms", static_cast<std::int64_t>(choice.first_byte_ms))
-        .number("tries", this->begun + this->sent_again + this->unreachable);
+        .number("tries", this->begun + this->sent_again + this->unreachable)
+        .flag("suspect", this->wanted.suspect);
 
     this->current = attempt{};
     this->current->choice = std::move(choice);
@@ -267,6 +265,11 @@
         this->current->last_resort = !fleet::is_listed(*one);
         fleet::begin_work(one->ours, this->work_of_attempt());
     }
+    if (this->wanted.suspect) {
+        this->current->trial = true;
+        quarantine::begin_trial(this->context.state.quarantine, this->identity().digest, sent.id,
+                                this->current->sent_at, {});
+    }
     const auto all_tokens = sent.chain.all_tokens();
     if (all_tokens > 0) {
         this->context.metrics.count("camphorrail_prompt_tokens_placed_total",
@@ -344,6 +347,9 @@
     if (one != nullptr) {
         fleet::end_work(one->ours, this->work_of_attempt(), this->current->begun);
     }
+    if (this->current->trial) {
+        quarantine::end_trial(this->context.state.quarantine, this->identity().digest);
+    }
     const auto left = std::move(*this->current);
     this->current.reset();
     const auto& upstreams = this->context.state.fleet.members;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -24,6 +24,9 @@
     void begin();
     // The process ends: whatever is under way is broken off.
     void break_off();
+    // A request is held back from now on. Where it is this one and its upstream has not begun to
+    // answer, it is called off: it may still wait there for its turn.
+    void call_off(const quarantine::hold& held);
 
     // Told once, when the request has ended.
     std::function<void()> on_end;
@@ -43,6 +46,10 @@
         bool suspected = false;
         // It was chosen although the list lacked it.
         bool last_resort = false;
+        // It is the copy of a suspect that is being tried.
+        bool trial = false;
+        // When the answer's first byte came.
+        base::instant begun_at{};
     };
 
     struct whole_answer {
@@ -54,6 +61,9 @@
     enum class answer_state { none, streaming, ended };
 
     void send_attempt();
+    bool stopped_by_quarantine();
+    void note_broken_attempt();
+    void acquit();
     [[nodiscard]] bool is_untouched() const;
     [[nodiscard]] bool may_leave() const;
     bool admit_prompt(const upstream_choice& choice);
@@ -73,7 +83,8 @@
     void out_of_time();
     void give_up(const char* why, base::code unrun, base::code begun_code,
                  std::optional<base::milliseconds> hint);
-    void end_early(const char* why, base::code unrun, base::code begun_code);
+    void end_early(const char* why, base::code unrun, base::code begun_code,
+                   base::milliseconds hint);
     void caller_caught_up();
     void caller_gone();
 
@@ -105,10 +116,12 @@
     // Null where the upstream has started again since, or is gone.
     [[nodiscard]] fleet::member* member_of_attempt() const;
     [[nodiscard]] fleet::request_work work_of_attempt() const;
-    [[nodiscard]] quarantine::request_identity identity() const;
+    const quarantine::request_identity& identity();
 
     entry_context& context;
     exchange_ptr exchange;
+    // Worked out where it is needed.
+    std::optional<quarantine::request_identity> known_identity;
     ports::caller_request facts;
     admitted request;
     choice_request wanted;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -3,6 +3,7 @@
 #include "kvcache/placement.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace camphorrail::proxy {
 
@@ -89,6 +90,34 @@
     return found;
 }
 
+const fleet::member& engine_of(const kvcache::candidate& one) {
+    return *one.engine;
+}
+
+const fleet::member& engine_of(const fleet::member* one) {
+    return *one;
+}
+
+// Of those that a suspect may go to, the third at which a crash would hurt the fewest: no other
+// suspect is tried there, and few requests run, least of all such as may not run twice.
+template <class Candidate>
+void keep_safest(const entry_context& context, std::vector<Candidate>& among) {
+    const base::instant now = context.now();
+    const auto tried = quarantine::trials_at(context.state.quarantine, now);
+    const auto at_stake = [&](const Candidate& one) {
+        const auto& engine = engine_of(one);
+        const auto work = fleet::all_work(engine, now);
+        const bool is_tried =
+            std::find(tried.begin(), tried.end(), engine.listed.id) != tried.end();
+        return std::tuple(is_tried, work.unrepeatable, work.in_flight);
+    };
+    std::stable_sort(among.begin(), among.end(),
+                     [&at_stake](const Candidate& left, const Candidate& right) {
+                         return at_stake(left) < at_stake(right);
+                     });
+    among.erase(among.begin() + static_cast<std::ptrdiff_t>((among.size() + 2) / 3), among.end());
+}
+
 // An answer that goes on once may not do so again, so it keeps off the engines that are to change
 // weights next.
 void prefer_newest(std::vector<kvcache::candidate>& candidates) {
@@ -106,6 +135,9 @@
     if (request.resumed) {
         prefer_newest(candidates);
     }
+    if (request.suspect) {
+        keep_safest(context, candidates);
+    }
     const auto& config = *context.state.config;
     const auto pool = config.pools.find(request.pool);
     if (candidates.empty() || pool == config.pools.end()) {
@@ -159,14 +191,16 @@
                                                const choice_request& request) {
     const base::instant now = context.now();
     const auto rules = fleet_rules_of(context.settings);
-    const auto all =
-        fleet::candidates(context.state.fleet, request.pool, now, rules, request.tried);
+    auto all = fleet::candidates(context.state.fleet, request.pool, now, rules, request.tried);
     if (all.empty()) {
         return std::nullopt;
     }
     if (request.prompt != nullptr && !request.prompt->model.empty()) {
         return choose_for_prompt(context, request, all);
     }
+    if (request.suspect) {
+        keep_safest(context, all);
+    }
     const auto* target =
         fleet::least_loaded(all, context.settings.zone, request.number, now, rules);
     upstream_choice choice;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -18,6 +18,8 @@
     base::milliseconds target{0};
     // It goes on with an answer that another upstream has begun.
     bool resumed = false;
+    // Upstreams have crashed under it: it goes where the fewest others run.
+    bool suspect = false;
     // Upstreams that have refused or failed it.
     std::vector<base::upstream_id> tried;
 };
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -63,7 +63,8 @@
             engine_request got{this->reader.head(), this->reader.take_body()};
             this->reader = http::request_reader({});
             this->owner->requests.push_back(got);
-            this->left = this->owner->answer(got);
+            auto script = std::exchange(this->owner->next_script, {});
+            this->left = script.empty() ? this->owner->answer(got) : std::move(script);
             this->step();
         }
     }
@@ -219,6 +220,15 @@
                   flow->begin();
               },
               [] { return proxy::caller_bounds{}; }, this->context.now, [](int) {}}) {
+    this->crashes.tell = [this](const proxy::peer_message& message) {
+        this->told.push_back(message);
+    };
+    this->crashes.held_back = [this](const quarantine::hold& held, bool) {
+        const auto under_way = this->flows;
+        for (const auto& flow : under_way) {
+            flow->call_off(held);
+        }
+    };
     this->settings.peer_listen = own_address(18994);
     using routes::request_kind;
     const auto route = [](const char* name, request_kind kind, int attempts, bool resumable) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -49,6 +49,8 @@
     void stop_listening();
     // Its process ends: all connections break, and nobody listens any more.
     void crash();
+    // What it does with the next request, in place of what it is asked.
+    void answer_next_with(engine_script script) { this->next_script = std::move(script); }
     [[nodiscard]] bool crashed() const { return this->listener == nullptr; }
 
     std::vector<engine_request> requests;
@@ -59,6 +61,7 @@
     struct connection;
     event_base* base;
     std::function<engine_script(const engine_request&)> answer;
+    engine_script next_script;
     evconnlistener* listener = nullptr;
     std::vector<std::shared_ptr<connection>> open;
     std::string bound;
@@ -106,6 +109,9 @@
     void move_clock(base::micros by) { this->moved += by; }
     void prove_config();
     proxy::entry_context& entry() { return this->context; }
+    proxy::crash_watch& crash_watch() { return this->crashes; }
+    // What the entry has told others.
+    std::vector<proxy::peer_message> told;
 
     routes::operators_config config;
     proxy::entry_state state;
