Teach the soak requests that crash engines

In half of the runs one call that crashes each engine that runs it comes again and again; the checker holds entries to three further sends, later than the calm after the third crash.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -17,6 +17,7 @@
 
 constexpr int mean_pause_ms = 60;
 constexpr base::milliseconds patience{4000};
+constexpr std::uint64_t calls_a_fatal_one = 12;
 
 } // namespace
 
@@ -43,7 +44,8 @@
                 this);
             bufferevent_enable(this->socket, EV_READ | EV_WRITE);
         }
-        const std::string body = "body of " + this->call.id;
+        const std::string body =
+            this->call.fatal ? this->owner->fatal_body : "body of " + this->call.id;
         const std::string bytes =
             std::string("POST ") + path_of(this->call.kind) +
             "x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer " + this->call.key +
@@ -160,12 +162,28 @@
         one->call.id = "call-" + std::to_string(++this->calls);
         one->call.kind = static_cast<call_kind>(base::below(this->random, 4));
         one->call.key = this->keys.at(base::below(this->random, this->keys.size()));
+        this->make_fatal(one->call);
         one->call.entry = one->entry;
         one->call.sent_at = adapters::boot_now();
         one->send();
     });
 }
 
+void callers::send_fatal_until(base::instant until) {
+    this->fatal_until = until;
+    this->fatal_body = "fatal " + std::to_string(++this->calls);
+}
+
+void callers::make_fatal(call_seen& call) {
+    if (adapters::boot_now() >= this->fatal_until ||
+        base::below(this->random, calls_a_fatal_one) > 0) {
+        return;
+    }
+    call.fatal = true;
+    call.kind = call_kind::stream;
+    call.key = this->keys.back();
+}
+
 void callers::end_call(const std::shared_ptr<caller>& one) {
     one->busy = false;
     one->call.ended_at = adapters::boot_now();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -27,8 +27,12 @@
     // Callers use these keys from now on.
     void set_keys(std::vector<std::string> in_use) { this->keys = std::move(in_use); }
 
+    // Until then, every few calls a fatal one is sent, the same each time.
+    void send_fatal_until(base::instant until);
+
 private:
     struct caller;
+    void make_fatal(call_seen& call);
     void begin_call(const std::shared_ptr<caller>& one);
     void end_call(const std::shared_ptr<caller>& one);
 
@@ -39,6 +43,8 @@
     std::vector<std::string> keys;
     std::vector<std::shared_ptr<caller>> all;
     std::int64_t calls = 0;
+    base::instant fatal_until{};
+    std::string fatal_body;
     bool stopping = false;
 };
 
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -156,6 +156,40 @@
     }
 }
 
+// Whether something was broken that may keep entries from knowing what others know.
+bool unsettled(const history& seen, base::instant at, const promised& promises) {
+    return std::any_of(seen.faults.begin(), seen.faults.end(), [&](const fault_span& span) {
+        return span.what != "fatal_requests" && span.from <= at && at <= span.until + promises.calm;
+    });
+}
+
+void check_fatal(const history& seen, const promised& promises, findings& found) {
+    std::map<std::string, std::vector<const run_seen*>> fatal;
+    for (const auto& run : seen.runs) {
+        if (!run.fatal.empty()) {
+            fatal[run.fatal].push_back(&run);
+        }
+    }
+    constexpr std::size_t third = 2;
+    for (const auto& [request, runs] : fatal) {
+        std::set<std::string> crashed;
+        std::size_t later = 0;
+        base::instant third_at{};
+        for (const auto* run : runs) {
+            if (crashed.insert(run->instance).second && crashed.size() == third + 1) {
+                third_at = run->at;
+            }
+            const bool late = crashed.size() > third && run->at > third_at + promises.calm;
+            later += late && !unsettled(seen, run->at, promises) ? 1 : 0;
+        }
+        if (later > promises.sends_after_crashes) {
+            found.push_back("fatal requests are held back: '" + request + "' ran " +
+                            std::to_string(later) + " times more, " +
+                            std::to_string(crashed.size()) + " engines crashed");
+        }
+    }
+}
+
 void check_end(const history& seen, const promised& promises, findings& found) {
     double all = 0;
     double served = 0;
@@ -163,7 +197,7 @@
         const bool removed =
             std::any_of(seen.removed.begin(), seen.removed.end(),
                         [&call](const key_removed& each) { return each.key == call.key; });
-        if (call.sent_at < seen.settled_at || removed) {
+        if (call.sent_at < seen.settled_at || removed || call.fatal) {
             continue;
         }
         all += 1;
@@ -199,6 +233,7 @@
         }
     }
     check_orders(seen, promises, found);
+    check_fatal(seen, promises, found);
     for (const auto& exit : seen.exits) {
         found.push_back("processes stay up: " + exit);
     }
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -15,6 +15,9 @@
     base::milliseconds thaw{300};
     // Around an orderly stop with nothing else broken this long before.
     base::milliseconds calm{4000};
+    // A request that has crashed three engines reaches no more than this many later than the calm
+    // after the third.
+    std::size_t sends_after_crashes = 3;
     // Share of calls that must be served once everything is sound again.
     double served_at_the_end = 0.95;
 };
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -116,6 +116,25 @@
         seen.orders[1].fence = 4;
         CHECK(only_finding(seen).rfind("one leader", 0) == 0);
     }
+    SECTION("a fatal request that goes on crashing engines") {
+        for (int each = 0; each < 7; ++each) {
+            const std::string id = "f" + std::to_string(each);
+            seen.calls.push_back(call(id, soak::call_kind::stream, 0, 1000 + 3000 * each));
+            seen.calls.back().fatal = true;
+            seen.runs.push_back(run(id, 1010 + 3000 * each));
+            seen.runs.back().fatal = "/stream/x fatal";
+            seen.runs.back().instance = "i-" + id;
+        }
+        // One of the four later ones comes within the calm after the third.
+        CHECK(soak::check(seen, {}).empty());
+        seen.calls.push_back(call("g", soak::call_kind::stream, 0, 23000));
+        seen.calls.back().fatal = true;
+        seen.runs.push_back(run("g", 23010));
+        seen.runs.back().fatal = "/stream/x fatal";
+        CHECK(only_finding(seen).rfind("fatal requests are held back", 0) == 0);
+        seen.faults = {{"kill", 0, at(22000), at(22500), false}};
+        CHECK(soak::check(seen, {}).empty());
+    }
     SECTION("a process that ended by itself, and one that does not recover") {
         seen.exits = {"entry 1, code 139"};
         CHECK(only_finding(seen).rfind("processes stay up", 0) == 0);
--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -21,6 +21,8 @@
 constexpr int status_failed = 500;
 constexpr base::milliseconds work_time{15};
 constexpr base::milliseconds event_pause{25};
+// It has begun to run a fatal request when it ends.
+constexpr base::milliseconds crash_after{20};
 constexpr int first_port = 11000;
 constexpr int ports = 20000;
 
@@ -111,6 +113,15 @@
     const std::string stamp = this->id + "/" + std::to_string(++this->runs);
     this->seen->runs.push_back(
         {call, this->id, stamp, exchange->header("Tenant-Id"), adapters::boot_now()});
+    if (is_fatal(exchange->body())) {
+        this->seen->runs.back().fatal = exchange->path() + " " + exchange->body();
+        this->loop->after(crash_after, [this, of_start = this->starts] {
+            if (this->starts == of_start && this->server != nullptr) {
+                this->crashes();
+            }
+        });
+        return;
+    }
     const bool streams =
         exchange->path().rfind("/stream/", 0) == 0 || exchange->path().rfind("/resume/", 0) == 0;
     if (this->fails) {
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -26,6 +26,8 @@
     // It fails calls, or runs them and loses their answers.
     bool fails = false;
     bool loses_answers = false;
+    // Told when a request is to crash it.
+    std::function<void()> crashes;
     // Told when its weights have changed.
     std::function<void()> changed;
 
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -3,6 +3,7 @@
 #include "base/units.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace camphorrail::soak {
@@ -27,6 +28,11 @@
 // Events of each whole stream.
 inline constexpr int stream_events = 8;
 
+// Requests with such bodies crash the engines that run them.
+inline bool is_fatal(std::string_view body) {
+    return body.starts_with("fatal");
+}
+
 // One call as its caller saw it.
 struct call_seen {
     std::string id;
@@ -41,6 +47,8 @@
     std::string body;
     // The answer came to its end.
     bool whole = false;
+    // It crashes the engine that runs it.
+    bool fatal = false;
 };
 
 // One run as a back end saw it.
@@ -50,6 +58,8 @@
     std::string stamp;
     std::string team;
     base::instant at{};
+    // What the request is over all its attempts, where it crashes its engine; empty for others.
+    std::string fatal;
 };
 
 // An order to an engine to load weights.
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -9,13 +9,16 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 22> names{
+constexpr std::array<std::string_view, 23> names{
     "kill",          "stop",          "pause",         "reload",
     "delay_engine",  "reset_engine",  "cut_one_way",   "silence_engine",
     "refuse_engine", "silence_store", "cut_store",     "store_busy",
     "store_silent",  "store_slow",    "store_loses",   "engine_restarts",
     "engine_fails",  "engine_loses",  "engine_leaves", "remove_key",
-    "change_config", "name_weights"};
+    "change_config", "name_weights",  "fatal_requests"};
+// The first ones are drawn at random; one stretch of fatal requests is added to some runs.
+constexpr std::uint64_t drawn_kinds = 22;
+constexpr std::uint64_t fatal_stream = 0xfa7a1;
 constexpr int shortest_span_ms = 300;
 constexpr int longest_span_ms = 4000;
 
@@ -48,6 +51,21 @@
            kind == fault_kind::remove_key;
 }
 
+namespace {
+
+// From a stream of its own, so that the plan beside them is the same as without.
+void add_fatal_requests(std::vector<planned_fault>& plan, std::uint64_t seed, const plan_size& size,
+                        bool only_planned) {
+    base::random_source random{seed ^ fatal_stream};
+    if (only_planned || base::below(random, 2) == 0) {
+        return;
+    }
+    const auto at = base::below(random, static_cast<std::uint64_t>(size.length.count()) / 2);
+    plan.push_back({base::milliseconds(at), size.length / 2, fault_kind::fatal_requests, 0});
+}
+
+} // namespace
+
 std::vector<planned_fault> make_plan(std::uint64_t seed, const plan_size& size) {
     base::random_source random{seed};
     std::vector<planned_fault> plan;
@@ -57,9 +75,10 @@
     while (true) {
         at += base::exponential(random, static_cast<double>(size.pause.count()));
         if (at >= static_cast<double>(size.length.count())) {
+            add_fatal_requests(plan, seed, size, only_planned);
             return plan;
         }
-        const auto kind = static_cast<fault_kind>(base::below(random, names.size()));
+        const auto kind = static_cast<fault_kind>(base::below(random, drawn_kinds));
         const auto span = shortest_span_ms +
                           static_cast<int>(base::below(random, longest_span_ms - shortest_span_ms));
         const int among = is_of_engine(kind) ? size.engines : size.entries;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -35,6 +35,8 @@
     remove_key,
     change_config,
     name_weights,
+    // Callers: one request that crashes each engine that runs it comes again and again.
+    fatal_requests,
 };
 
 const char* name_of(fault_kind kind);
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -210,12 +210,21 @@
 
 relay::relay(event_base* base, const std::string& to) : held(std::make_shared<relay_state>()) {
     this->held->base = base;
+    this->open(to);
+}
+
+relay::~relay() {
+    this->close();
+}
+
+void relay::open(const std::string& to) {
+    this->close();
     this->held->to = to;
     auto any = adapters::parse_address("127.0.0.1:0");
-    this->held->listener =
-        evconnlistener_new_bind(base, on_accept, new std::shared_ptr<relay_state>(this->held),
-                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-                                reinterpret_cast<sockaddr*>(&*any), sizeof *any);
+    this->held->listener = evconnlistener_new_bind(this->held->base, on_accept,
+                                                   new std::shared_ptr<relay_state>(this->held),
+                                                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                                   reinterpret_cast<sockaddr*>(&*any), sizeof *any);
     sockaddr_in bound{};
     socklen_t length = sizeof bound;
     getsockname(evconnlistener_get_fd(this->held->listener), reinterpret_cast<sockaddr*>(&bound),
@@ -223,8 +232,11 @@
     this->held->bound = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
 }
 
-relay::~relay() {
-    evconnlistener_free(this->held->listener);
+void relay::close() {
+    if (this->held->listener != nullptr) {
+        evconnlistener_free(std::exchange(this->held->listener, nullptr));
+    }
+    this->reset_all();
     const auto all = std::exchange(this->held->pairs, {});
 }
 
@@ -232,10 +244,6 @@
     return this->held->bound;
 }
 
-void relay::lead_to(const std::string& address) {
-    this->held->to = address;
-}
-
 void relay::set_mode(relay_mode mode) {
     this->held->mode = mode;
 }
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -32,8 +32,10 @@
     relay& operator=(const relay&) = delete;
 
     [[nodiscard]] std::string address() const;
-    // Where connections made from now on lead.
-    void lead_to(const std::string& address);
+    // What is behind has ended: all connections break, and nobody listens.
+    void close();
+    // Something new is behind, at an address of its own.
+    void open(const std::string& to);
     void set_mode(relay_mode mode);
     // Bytes wait for so long, from now on.
     void set_delay(base::milliseconds delay);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -26,6 +26,8 @@
 // After SIGTERM, as the platform does.
 constexpr milliseconds grace{8000};
 constexpr milliseconds unlisted_after{1500};
+// An engine that crashed under a fatal request is back after this long.
+constexpr milliseconds fatal_absence{1500};
 constexpr milliseconds drain{3000};
 constexpr milliseconds reload_time{1000};
 constexpr milliseconds link_delay{120};
@@ -100,6 +102,7 @@
     }
     for (auto& one : this->back_ends) {
         one.runs->changed = [this, &one] { this->list(one, "ready"); };
+        one.runs->crashes = [this, &one] { this->restart_engine(one, fatal_absence); };
         this->list(one, "ready");
     }
 }
@@ -196,6 +199,10 @@
     case fault_kind::change_config:
         this->write_config();
         return;
+    case fault_kind::fatal_requests:
+        this->note(fault);
+        this->calling.send_fatal_until(adapters::boot_now() + fault.span);
+        return;
     case fault_kind::name_weights:
         this->store.put("op/version/m0", json{{"model", "m0"}, {"version", ++this->named}}.dump());
         return;
@@ -271,10 +278,11 @@
     one.up = false;
     const std::string gone = one.runs->instance();
     one.runs->crash();
+    one.before->close();
     this->after(unlisted_after, [this, gone] { this->store.erase("servers/" + gone); });
     this->after(away, [this, &one] {
         one.runs->start();
-        one.before->lead_to(one.runs->address());
+        one.before->open(one.runs->address());
         one.up = true;
         this->list(one, "ready");
     });
