--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -19,6 +19,8 @@
 // The first ones are drawn at random; one stretch of fatal requests is added to some runs.
 constexpr std::uint64_t drawn_kinds = 22;
 constexpr std::uint64_t fatal_stream = 0xfa7a1;
+constexpr base::milliseconds calm_before_fatal{4000};
+constexpr base::milliseconds fatal_span{8000};
 constexpr int shortest_span_ms = 300;
 constexpr int longest_span_ms = 4000;
 
@@ -53,15 +55,15 @@
 
 namespace {
 
-// From a stream of its own, so that the plan beside them is the same as without.
-void add_fatal_requests(std::vector<planned_fault>& plan, std::uint64_t seed, const plan_size& size,
-                        bool only_planned) {
+// After all else is sound again, so that entries are held to what they owe in quiet times. From a
+// stream of its own: the plan beside it is the same as without.
+void add_fatal_requests(std::vector<planned_fault>& plan, std::uint64_t seed,
+                        const plan_size& size) {
     base::random_source random{seed ^ fatal_stream};
-    if (only_planned || base::below(random, 2) == 0) {
-        return;
+    if (base::below(random, 2) > 0) {
+        plan.push_back(
+            {size.length + calm_before_fatal, fatal_span, fault_kind::fatal_requests, 0});
     }
-    const auto at = base::below(random, static_cast<std::uint64_t>(size.length.count()) / 2);
-    plan.push_back({base::milliseconds(at), size.length / 2, fault_kind::fatal_requests, 0});
 }
 
 } // namespace
@@ -75,7 +77,7 @@
     while (true) {
         at += base::exponential(random, static_cast<double>(size.pause.count()));
         if (at >= static_cast<double>(size.length.count())) {
-            add_fatal_requests(plan, seed, size, only_planned);
+            add_fatal_requests(plan, seed, size);
             return plan;
         }
         const auto kind = static_cast<fault_kind>(base::below(random, drawn_kinds));
