Read and log what an upstream's answers say of its leaving and of a pause

Logs could not tell whether an entry had been told in an answer that its upstream leaves, or wants nothing for a while. Nothing is decided by it.

--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -69,6 +69,10 @@
     bool wrong_instance = false;
     std::optional<reported_load> load;
     std::optional<std::int64_t> weights;
+    // The upstream says that it leaves. Of another instance it says nothing of the one meant.
+    bool leaving = false;
+    // It has turned the request away and wants nothing more from us for so long.
+    std::optional<base::milliseconds> pause;
     // How long the upstream keeps an idle connection, if it says so.
     std::optional<base::milliseconds> idle_timeout;
 };
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -42,6 +42,13 @@
         one->load = answer.load;
         one->load_at = this->context.now();
     }
+    if (answer.leaving || answer.pause) {
+        this->context.log.line(importance::keep, "upstream_says")
+            .text("request", this->facts.request_id)
+            .text("upstream", this->current->choice.id.value)
+            .flag("leaving", answer.leaving)
+            .span("pause_ms", answer.pause.value_or(base::milliseconds(0)));
+    }
     return true;
 }
 
