Tests of upstreams that say in answers that they leave, or want a pause, red

Callers' requests reached engines that were about to end. The tests bring it about with scripted engines while the list goes on calling them ready: the word comes in a success, a refusal, an error and the head of a stream; of one engine and of a whole pool; and an engine asks for a pause of four seconds, with and without another one beside it.

--- /dev/null
+++ b/src/proxy/upstream_words_tests.cpp
@@ -0,0 +1,146 @@
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace camphorrail;
+using base::milliseconds;
+using tests::engine_request;
+using tests::engine_script;
+using step = tests::engine_step;
+
+namespace {
+
+engine_script echo(const engine_request& got) {
+    return {{step::kind::send, tests::answer(got.field("Request-Id"), "done")}};
+}
+
+engine_script say(const engine_request& got, int status, const std::string& more_fields) {
+    return {{step::kind::send, tests::answer(got.field("Request-Id"), "", status, more_fields)}};
+}
+
+engine_script leave(const engine_request& got) {
+    return say(got, 200, "Server-Leaving: 1\r\n");
+}
+
+engine_script ask_for_pause(const engine_request& got) {
+    return say(got, 503, "Not-Executed: 1\r\nRetry-After: 4\r\n");
+}
+
+// Sends a request every 100 ms of the clock's time; gives the status of each.
+std::vector<int> call_for(tests::proxy_world& world, milliseconds span, const std::string& name) {
+    constexpr milliseconds pause{100};
+    std::vector<int> statuses;
+    for (int each = 0; each * pause < span; ++each) {
+        world.move_clock(pause);
+        world.prove_config();
+        const auto seen =
+            world.call(tests::request("safe", name + "-" + std::to_string(each), "body"));
+        statuses.push_back(seen.heads.empty() ? 0 : seen.heads[0].status);
+    }
+    return statuses;
+}
+
+bool all_are(const std::vector<int>& statuses, int wanted) {
+    return std::all_of(statuses.begin(), statuses.end(),
+                       [wanted](int each) { return each == wanted; });
+}
+
+// After this long an upstream that leaves gets nothing more.
+constexpr milliseconds drain{2000};
+
+} // namespace
+
+// The failure: the platform's store is away, and requests go on reaching an upstream that has said
+// in its answers that it leaves, until it is gone with them.
+TEST_CASE("an upstream that says in an answer that it leaves gets nothing more", "[proxy][words]") {
+    tests::proxy_world world;
+    auto& leaving = world.add_engine("i-1", echo);
+    auto& staying = world.add_engine("i-2", echo);
+    // By load alone, each request would go to the one that leaves.
+    world.state.fleet.members.at({"i-2"}).ours.in_flight = 3;
+    const auto answer =
+        GENERATE(as<std::string>{}, "a success", "a refusal", "an error", "the head of a stream");
+    CAPTURE(answer);
+    const auto said = [&answer](const engine_request& got) -> engine_script {
+        const std::string id = got.field("Request-Id");
+        if (answer == "a refusal") {
+            return say(got, 503, "Not-Executed: 1\r\nServer-Leaving: 1\r\n");
+        }
+        if (answer == "an error") {
+            return say(got, 500, "Server-Leaving: 1\r\n");
+        }
+        if (answer == "the head of a stream") {
+            std::string head = tests::stream_head(id);
+            head.insert(head.size() - 2, "Server-Leaving: 1\r\n");
+            return {{step::kind::send, head}, {step::kind::hang, {}}};
+        }
+        return leave(got);
+    };
+    const std::string route = answer == "the head of a stream" ? "stream" : "safe";
+    leaving.set_answer(said);
+    for (int each = 0; each < 50 && leaving.requests.empty(); ++each) {
+        int turns_after = 0;
+        world.call_until(tests::request(route, "first-" + std::to_string(each), "body"), [&] {
+            constexpr int enough_to_be_read = 20;
+            turns_after += leaving.requests.empty() ? 0 : 1;
+            return turns_after > enough_to_be_read || !world.last_seen().heads.empty();
+        });
+    }
+    REQUIRE(leaving.requests.size() == 1);
+    call_for(world, drain, "meanwhile");
+    const auto before = leaving.requests.size();
+    const auto statuses = call_for(world, milliseconds(3000), "late");
+    CHECK(leaving.requests.size() == before);
+    CHECK(all_are(statuses, 200));
+    CHECK_FALSE(staying.requests.empty());
+}
+
+// The failure: all upstreams of a pool say that they leave, and requests are sent to them as long
+// as the list has them.
+TEST_CASE("requests to a pool of which all say that they leave are refused at once",
+          "[proxy][words]") {
+    tests::proxy_world world;
+    auto& first = world.add_engine("i-1", leave);
+    auto& second = world.add_engine("i-2", leave);
+    call_for(world, drain + milliseconds(200), "meanwhile");
+    const auto before = first.requests.size() + second.requests.size();
+    const auto statuses = call_for(world, milliseconds(2000), "late");
+    CHECK(first.requests.size() + second.requests.size() == before);
+    CHECK(all_are(statuses, 503));
+}
+
+// The failure: an upstream that asked for a pause is asked again after some milliseconds, over and
+// over.
+TEST_CASE("an upstream that asks for a pause gets it", "[proxy][words]") {
+    tests::proxy_world world;
+    auto& asking = world.add_engine("i-1", ask_for_pause);
+
+    SECTION("while others serve") {
+        world.add_engine("i-2", echo);
+        for (int each = 0; each < 50 && asking.requests.empty(); ++each) {
+            world.call(tests::request("safe", "first-" + std::to_string(each), "body"));
+        }
+        REQUIRE(asking.requests.size() == 1);
+        const auto statuses = call_for(world, milliseconds(3900), "pause");
+        CHECK(asking.requests.size() <= 3);
+        CHECK(all_are(statuses, 200));
+        asking.set_answer(echo);
+        call_for(world, milliseconds(3000), "after");
+        CHECK(asking.requests.size() > 3);
+    }
+    SECTION("also where there is no other, and callers learn when it is over") {
+        const auto seen = world.call(tests::request("safe", "first", "body"));
+        CHECK(seen.heads.at(0).status == 503);
+        const auto hint = std::string(http::value_of(seen.heads[0].all, "Retry-After"));
+        CHECK(std::stod(hint) == Approx(4.0).margin(0.2));
+        const auto statuses = call_for(world, milliseconds(3700), "pause");
+        CHECK(asking.requests.size() <= 3);
+        CHECK(all_are(statuses, 503));
+        asking.set_answer(echo);
+        CHECK(call_for(world, milliseconds(1000), "after").back() == 200);
+    }
+}
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -49,6 +49,9 @@
     void stop_listening();
     // Its process ends: all connections break, and nobody listens any more.
     void crash();
+    void set_answer(std::function<engine_script(const engine_request&)> wanted) {
+        this->answer = std::move(wanted);
+    }
     // What it does with the next request, in place of what it is asked.
     void answer_next_with(engine_script script) { this->next_script = std::move(script); }
     [[nodiscard]] bool crashed() const { return this->listener == nullptr; }
