Send nothing new to an upstream that says in an answer that it leaves

Callers' requests reached engines more than two seconds after those had said in answers that they leave, while the platform's store was away and its list called them ready.

Cause: the field was read nowhere; an upstream's leaving was believed of the list alone. Class: what an upstream says of itself in an answer was not believed as the list's word about it is.

It holds from the answer's head on, whatever the answer is, for that life of the upstream: neither a later word of the list nor a return to it undoes it, a new start does. A request whose connection stands only then is taken back. Other entries are told, also those that link later. Where a whole pool says so, it serves for 0.7 of the bound, as one that has vanished does, and requests are refused at once after it. A 421 is another engine's word and says nothing.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -18,6 +18,10 @@
 // Further lives are older than any message on its way.
 constexpr std::size_t most_earlier_lives = 4;
 
+// Departed lives that are remembered, and for how long.
+constexpr std::size_t most_departed = 256;
+constexpr base::minutes departed_lifetime{10};
+
 // An upstream that begins to say when it started has not started again for that.
 bool is_other_life(base::upstream_incarnation before, base::upstream_incarnation after) {
     return before.value != 0 && before != after;
@@ -60,6 +64,15 @@
            one.earlier_lives.end();
 }
 
+bool note_says_leaving(fleet& state, const base::upstream_instance& upstream, base::instant now) {
+    auto* one = find_instance(state, upstream);
+    if (one == nullptr || one->says_leaving_since) {
+        return false;
+    }
+    one->says_leaving_since = now;
+    return true;
+}
+
 void withdraw(fleet& state, const base::upstream_id& id) {
     const auto found = state.members.find(id);
     if (found != state.members.end()) {
@@ -80,6 +93,10 @@
         }
         if (is_new) {
             change.added.push_back(each.id);
+            const auto left = state.departed.find({each.id, each.incarnation});
+            if (left != state.departed.end()) {
+                one.says_leaving_since = left->second;
+            }
         } else if (one.missing_since || !same(one.listed, each)) {
             change.changed.push_back(each.id);
         }
@@ -103,6 +120,19 @@
     return change;
 }
 
+namespace {
+
+void remember_departed(fleet& state, const base::upstream_instance& upstream, base::instant since) {
+    if (state.departed.size() >= most_departed) {
+        state.departed.erase(std::min_element(
+            state.departed.begin(), state.departed.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+    }
+    state.departed[upstream] = since;
+}
+
+} // namespace
+
 std::vector<base::upstream_id> drop_missing(fleet& state, base::instant now,
                                             const fleet_rules& rules) {
     std::vector<base::upstream_id> dropped;
@@ -113,8 +143,13 @@
         if (over) {
             dropped.push_back(it->first);
         }
+        if (over && one.says_leaving_since) {
+            remember_departed(state, instance_of(one), *one.says_leaving_since);
+        }
         it = over ? state.members.erase(it) : std::next(it);
     }
+    std::erase_if(state.departed,
+                  [now](const auto& each) { return now - each.second > departed_lifetime; });
     return dropped;
 }
 
@@ -128,7 +163,14 @@
 }
 
 bool is_listed(const member& one) {
-    return !one.listed.leaving && !one.missing_since;
+    return !one.listed.leaving && !one.missing_since && !one.says_leaving_since;
+}
+
+bool may_still_serve(const member& one, base::instant now, const fleet_rules& rules) {
+    const auto lately = [&](const std::optional<base::instant>& since) {
+        return !since || now - *since <= rules.missing_grace;
+    };
+    return !one.listed.leaving && lately(one.missing_since) && lately(one.says_leaving_since);
 }
 
 bool is_suspected(const member& one, base::instant now) {
@@ -144,13 +186,13 @@
                                 const std::vector<base::upstream_id>& except) {
     std::vector<member*> fit;
     std::vector<member*> suspected;
-    std::vector<member*> vanished;
+    std::vector<member*> last_resort;
     bool any_listed = false;
     for (auto& [id, one] : state.members) {
         if (one.listed.pool != pool) {
             continue;
         }
-        any_listed = any_listed || !one.missing_since;
+        any_listed = any_listed || (!one.missing_since && !one.says_leaving_since);
         if (contains(except, id)) {
             continue;
         }
@@ -158,9 +200,8 @@
             fit.push_back(&one);
         } else if (is_listed(one) && now >= one.busy_until) {
             suspected.push_back(&one);
-        } else if (one.missing_since && !one.listed.leaving &&
-                   now - *one.missing_since <= rules.missing_grace) {
-            vanished.push_back(&one);
+        } else if (!is_listed(one) && may_still_serve(one, now, rules)) {
+            last_resort.push_back(&one);
         }
     }
     if (!fit.empty()) {
@@ -172,7 +213,7 @@
     // One that vanishes while the list has others of its pool has left, perhaps seconds ago: news
     // come late behind a large configuration, and requests reached it beyond the bound. Entries run
     // out all at once where the platform's store is away.
-    return any_listed ? std::vector<member*>{} : vanished;
+    return any_listed ? std::vector<member*>{} : last_resort;
 }
 
 workload all_work(const member& one, base::instant now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -45,6 +45,9 @@
     base::instant changing_until{};
     // Takes short prompts before long ones; see kvcache/lanes.h.
     bool short_lane = false;
+    // Since when it is known by its own word that it leaves. The list may say so later, or, by a
+    // heartbeat that is late, call it ready again: in this life that undoes nothing.
+    std::optional<base::instant> says_leaving_since;
     // Since when the platform's list lacks it.
     std::optional<base::instant> missing_since;
     // Its lives before this one, the newest last.
@@ -53,11 +56,15 @@
 
 struct fleet {
     std::map<base::upstream_id, member> members;
+    // Lives that said that they leave and have vanished from the list, and when they said so. An
+    // entry of the list that lapsed with the store comes back when the store does.
+    std::map<base::upstream_instance, base::instant> departed;
 };
 
 struct fleet_rules {
     membership::health_rules health;
-    // How long a pool that has vanished from the list as a whole may still serve.
+    // How long a pool that has vanished from the list as a whole, or of which all say that they
+    // leave, may still serve.
     // Below the platform's bound on new requests to an upstream that left, less the list's lag.
     base::micros missing_grace = base::milliseconds(1400);
     // What an upstream said of its load says nothing any more after this long.
@@ -97,6 +104,9 @@
 // only lapsed, it gets nothing more, even where no other is left.
 void withdraw(fleet& state, const base::upstream_id& id);
 
+// An upstream has said in an answer that it leaves; true where that is new.
+bool note_says_leaving(fleet& state, const base::upstream_instance& upstream, base::instant now);
+
 // Forgets members that vanished long enough ago and hold no request; gives their ids.
 std::vector<base::upstream_id> drop_missing(fleet& state, base::instant now,
                                             const fleet_rules& rules);
@@ -104,9 +114,13 @@
 // The version of a model's weights that a member holds; 0 where it does not hold the model.
 std::int64_t weights_of(const member& one, const base::model_id& model);
 
-// Whether a new request may be sent there as far as the list says.
+// Whether a new request may be sent there as far as the list and its own word say.
 bool is_listed(const member& one);
 
+// Whether a member that is about to go may still take what no other can: one that vanished, or has
+// said itself that it leaves. Where the list says so, it may not.
+bool may_still_serve(const member& one, base::instant now, const fleet_rules& rules);
+
 // Whether its failures, as seen here or by other entries, speak against sending a request there.
 bool is_suspected(const member& one, base::instant now);
 
@@ -114,8 +128,8 @@
 bool is_fit(const member& one, base::instant now);
 
 // The members of a pool that a new request may go to: the fit ones; where there are none, those
-// that are only suspected; where the whole pool vanished a moment ago, all of it. `except` are left
-// out.
+// that are only suspected; where the whole pool vanished a moment ago, or said that it leaves,
+// those that may still serve. `except` are left out.
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
                                 const fleet_rules& rules,
                                 const std::vector<base::upstream_id>& except);
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -94,6 +94,19 @@
     context.metrics.count("camphorrail_upstream_restarts_total");
 }
 
+bool note_says_leaving(entry_context& context, const base::upstream_instance& upstream,
+                       const std::string& told_by) {
+    if (!fleet::note_says_leaving(context.state.fleet, upstream, context.now())) {
+        return false;
+    }
+    context.log.line(adapters::importance::keep, "upstream_leaves")
+        .text("upstream", upstream.id.value)
+        .number("incarnation", upstream.incarnation.value)
+        .text("told_by", told_by);
+    context.metrics.count("camphorrail_upstreams_leaving_by_their_word_total");
+    return true;
+}
+
 namespace {
 
 // Gives how long the upstream is ejected for, if this ejected it.
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -77,6 +77,8 @@
     // Notes, here and at other entries, which weights an upstream holds now.
     std::function<void(const base::upstream_instance&, const base::model_id&, std::int64_t version)>
         tell_weights;
+    // Tells other entries that an upstream has said that it leaves.
+    std::function<void(const base::upstream_instance&)> tell_leaving;
     // Notes an attempt that its upstream may have crashed under.
     std::function<void(const broken_attempt&)> note_broken_attempt;
 };
@@ -116,6 +118,11 @@
 // and how long it took.
 void note_prompt_read(entry_context& context, const kvcache::prompt_read& read);
 
+// Notes that an upstream has said that it leaves, here or, where `told_by` names it, to another
+// entry; true where that is new.
+bool note_says_leaving(entry_context& context, const base::upstream_instance& upstream,
+                       const std::string& told_by);
+
 // Notes that an attempt at an upstream failed; may eject it, and then tells other entries. Says
 // nothing of an upstream that has started again since.
 void note_upstream_failure(entry_context& context, const base::upstream_instance& upstream,
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -142,6 +142,10 @@
     return {"hold", to_json(message.request), message.left.count()};
 }
 
+json to_json(const peer_leaving& message) {
+    return {"leaving", to_json(message.upstream)};
+}
+
 peer_crash read_crash(const json& read) {
     peer_crash crash;
     crash.upstream = read_instance(read.at(1));
@@ -268,6 +272,9 @@
         return peer_hold{read_identity(read.at(1)),
                          base::milliseconds(read.at(2).get<std::int64_t>())};
     }
+    if (kind == "leaving") {
+        return peer_leaving{read_instance(read.at(1))};
+    }
     throw std::invalid_argument("no such message");
 }
 
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -140,9 +140,14 @@
     base::milliseconds left{0};
 };
 
-using peer_message =
-    std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named, peer_store_ask,
-                 peer_store_view, peer_kept, peer_store_changes, peer_crash, peer_hold>;
+// An upstream has said in an answer that it leaves.
+struct peer_leaving {
+    base::upstream_instance upstream;
+};
+
+using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
+                                  peer_store_ask, peer_store_view, peer_kept, peer_store_changes,
+                                  peer_crash, peer_hold, peer_leaving>;
 
 // A crash as other entries are told of it, and as they take it. Times go as ages.
 peer_crash told_crash(const quarantine::crash_report& report, base::instant now);
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -366,6 +366,10 @@
     this->hold_told(this->links.at(key).id, message);
 }
 
+void peers::take(link_key key, const peer_leaving& message) {
+    note_says_leaving(this->context, message.upstream, this->links.at(key).id.value);
+}
+
 void peers::take(link_key key, const peer_store_changes& message) {
     if (this->store_told(message)) {
         return;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -91,6 +91,7 @@
     void take(link_key key, const peer_store_changes& message);
     void take(link_key key, const peer_crash& message);
     void take(link_key key, const peer_hold& message);
+    void take(link_key key, const peer_leaving& message);
     void take(link_key key, const peer_store_ask& message);
     void take(link_key key, const peer_store_view& message);
     [[nodiscard]] std::string list_prefix() const;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -65,6 +65,9 @@
                   note_weights(this->context, upstream, model, version);
                   this->others.tell(peer_weights{upstream, model, version});
               },
+              [this](const base::upstream_instance& upstream) {
+                  this->others.tell(peer_leaving{upstream});
+              },
               [this](const broken_attempt& broken) { this->crashes.note_broken(broken); }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
@@ -181,18 +184,25 @@
     this->others.kept_told = [this](const base::entry_id& from, const peer_kept& told) {
         this->kv_stores.take(from, told);
     };
-    this->others.greeting = [this] {
-        auto all = this->kv_stores.whole_views();
-        for (auto& each : this->crashes.greeting()) {
-            all.push_back(std::move(each));
-        }
-        return all;
-    };
+    this->others.greeting = [this] { return this->greeting(); };
     this->connect_quarantine();
     this->kv_stores.tell = [this](const peer_kept& message) { this->others.tell(message); };
     this->others.count_changed = [this] { this->set_retry_budgets(); };
 }
 
+std::vector<peer_message> proxy::greeting() const {
+    auto all = this->kv_stores.whole_views();
+    for (auto& each : this->crashes.greeting()) {
+        all.push_back(std::move(each));
+    }
+    for (const auto& [id, one] : this->state.fleet.members) {
+        if (one.says_leaving_since) {
+            all.emplace_back(peer_leaving{fleet::instance_of(one)});
+        }
+    }
+    return all;
+}
+
 void proxy::connect_quarantine() {
     this->crashes.tell = [this](const peer_message& message) { this->others.tell(message); };
     this->crashes.held_back = [this](const quarantine::hold& held, bool decided_here) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -46,6 +46,8 @@
     [[nodiscard]] bool listen();
     void connect_parts();
     void connect_quarantine();
+    // What an entry is told that has just linked.
+    [[nodiscard]] std::vector<peer_message> greeting() const;
     void note_held_back(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
     // `told_by`: who brought the news, for the log.
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -42,14 +42,23 @@
         one->load = answer.load;
         one->load_at = this->context.now();
     }
-    if (answer.leaving || answer.pause) {
-        this->context.log.line(importance::keep, "upstream_says")
+    this->note_what_it_says();
+    return true;
+}
+
+// What an upstream says of itself beside the answer holds at once: the answer's end may be far.
+void request_flow::note_what_it_says() {
+    const auto& answer = this->current->facts;
+    const auto upstream = instance_of(this->current->choice);
+    if (answer.leaving && note_says_leaving(this->context, upstream, "")) {
+        this->context.tell_leaving(upstream);
+    }
+    if (answer.pause) {
+        this->context.log.line(importance::keep, "upstream_wants_pause")
             .text("request", this->facts.request_id)
-            .text("upstream", this->current->choice.id.value)
-            .flag("leaving", answer.leaving)
-            .span("pause_ms", answer.pause.value_or(base::milliseconds(0)));
+            .text("upstream", upstream.id.value)
+            .span("pause_ms", *answer.pause);
     }
-    return true;
 }
 
 void request_flow::note_heard() {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -311,11 +311,18 @@
 }
 
 // Whether the attempt, whose connection stands only now, may still go to its upstream. On a VM
-// whose turn is long, that takes up to a second, in which the list may say that the upstream
-// leaves; sent then, it reached the upstream beyond the bound on that.
+// whose turn is long, that takes up to a second, in which the list, or an answer, may say that the
+// upstream leaves; sent then, it reached the upstream beyond the bound on that.
 bool request_flow::may_leave() const {
     const auto* one = this->member_of_attempt();
-    return one != nullptr && (fleet::is_listed(*one) || this->current->last_resort);
+    if (one == nullptr) {
+        return false;
+    }
+    if (this->current->last_resort) {
+        const auto rules = fleet_rules_of(this->context.settings);
+        return fleet::may_still_serve(*one, this->context.now(), rules);
+    }
+    return fleet::is_listed(*one);
 }
 
 // Notes what the request will have the upstream hold, and what it takes of a store's link.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -97,6 +97,7 @@
     void look_for_silence_in(base::micros span);
     [[nodiscard]] silence_view view_of_silence() const;
     bool leave_silent_upstream(bool dead);
+    void note_what_it_says();
     void note_heard();
     void count_first_byte();
     void note_pause();
--- a/src/proxy/upstream_words_tests.cpp
+++ b/src/proxy/upstream_words_tests.cpp
@@ -97,6 +97,47 @@
     CHECK(leaving.requests.size() == before);
     CHECK(all_are(statuses, 200));
     CHECK_FALSE(staying.requests.empty());
+
+    SECTION("also when the list calls it ready again, or lists it anew after it lapsed") {
+        auto listed = world.state.fleet.members.at({"i-1"}).listed;
+        const auto other = world.state.fleet.members.at({"i-2"}).listed;
+        fleet::take_list(world.state.fleet, {listed, other}, world.entry().now());
+        fleet::take_list(world.state.fleet, {other}, world.entry().now());
+        world.leave();
+        world.run_until([&world] { return world.open_requests() == 0; });
+        world.move_clock(base::seconds(3));
+        fleet::drop_missing(world.state.fleet, world.entry().now(), {});
+        REQUIRE(world.state.fleet.members.count({"i-1"}) == 0);
+        fleet::take_list(world.state.fleet, {listed, other}, world.entry().now());
+        call_for(world, milliseconds(500), "listed");
+        CHECK(leaving.requests.size() == before);
+    }
+    SECTION("and other entries hear of it, once") {
+        REQUIRE(world.told.size() == 1);
+        const auto heard = proxy::decode(proxy::encode(world.told.at(0)));
+        REQUIRE(heard.has_value());
+        CHECK(std::get<proxy::peer_leaving>(heard.value()).upstream.id.value == "i-1");
+    }
+    SECTION("until it starts again") {
+        auto& one = world.state.fleet.members.at({"i-1"});
+        one.listed.incarnation = {5};
+        fleet::begin_life(one, {6});
+        leaving.set_answer(echo);
+        call_for(world, milliseconds(500), "again");
+        CHECK(leaving.requests.size() > before);
+    }
+}
+
+// The failure: an address is another engine's by now, whose word is taken for that of the one that
+// had it before.
+TEST_CASE("the word of another engine at the address says nothing of the one that was meant",
+          "[proxy][words]") {
+    tests::proxy_world world;
+    auto& engine = world.add_engine(
+        "i-1", [](const engine_request& got) { return say(got, 421, "Server-Leaving: 1\r\n"); });
+    world.call(tests::request("safe", "r1", "body"));
+    REQUIRE(engine.requests.size() == 1);
+    CHECK_FALSE(world.state.fleet.members.at({"i-1"}).says_leaving_since);
 }
 
 // The failure: all upstreams of a pool say that they leave, and requests are sent to them as long
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -208,6 +208,9 @@
               [](const base::upstream_instance&, base::micros, const char*) {},
               [](const base::upstream_instance&, base::micros) {},
               [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
+              [this](const base::upstream_instance& upstream) {
+                  this->told.emplace_back(proxy::peer_leaving{upstream});
+              },
               [this](const proxy::broken_attempt& broken) { this->crashes.note_broken(broken); }},
       crashes(this->context),
       server(this->loop.base(),
