Give an upstream the pause that it asks for

Callers' requests were refused over and over by an engine that had asked, with its 503, to get nothing for four seconds: it was asked again after 40 ms.

The pause holds for this entry and that life of the upstream, ten minutes at most; a request whose connection stands only then is taken back, and a refusal with a pause is no fault of the upstream. Where all of a pool pause, requests are refused at once, with the time until the first is free again. Dates are not read, since clocks differ between VMs.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t most_departed = 256;
 constexpr base::minutes departed_lifetime{10};
 
+// One that asks for longer than this is asked again after it.
+constexpr base::minutes longest_pause{10};
+
 // An upstream that begins to say when it started has not started again for that.
 bool is_other_life(base::upstream_incarnation before, base::upstream_incarnation after) {
     return before.value != 0 && before != after;
@@ -177,8 +180,17 @@
     return !membership::usable(one.health, now) || now < one.suspected_until;
 }
 
+base::instant takes_nothing_before(const member& one) {
+    return std::max(one.busy_until, one.pause_until);
+}
+
+void note_pause(member& one, base::micros span, base::instant now) {
+    const base::instant until = now + std::min<base::micros>(span, longest_pause);
+    one.pause_until = std::max(one.pause_until, until);
+}
+
 bool is_fit(const member& one, base::instant now) {
-    return is_listed(one) && !is_suspected(one, now) && now >= one.busy_until;
+    return is_listed(one) && !is_suspected(one, now) && now >= takes_nothing_before(one);
 }
 
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
@@ -198,9 +210,9 @@
         }
         if (is_fit(one, now)) {
             fit.push_back(&one);
-        } else if (is_listed(one) && now >= one.busy_until) {
+        } else if (is_listed(one) && now >= takes_nothing_before(one)) {
             suspected.push_back(&one);
-        } else if (!is_listed(one) && may_still_serve(one, now, rules)) {
+        } else if (!is_listed(one) && now >= one.pause_until && may_still_serve(one, now, rules)) {
             last_resort.push_back(&one);
         }
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -38,6 +38,9 @@
     base::instant heard_at{};
     // It takes no new request before this moment: it loads weights, or has said that it is full.
     base::instant busy_until{};
+    // It has turned a request of ours away, and asked to get nothing more from us before this
+    // moment.
+    base::instant pause_until{};
     // Another entry has ejected it until then. What one entry's requests show may be the fault of
     // its own network, so it only says to try others first.
     base::instant suspected_until{};
@@ -121,6 +124,12 @@
 // said itself that it leaves. Where the list says so, it may not.
 bool may_still_serve(const member& one, base::instant now, const fleet_rules& rules);
 
+// Until when it takes nothing new from us: it is busy, or has asked for a pause.
+base::instant takes_nothing_before(const member& one);
+
+// An upstream has asked to get nothing from this entry for so long. What makes no sense is bounded.
+void note_pause(member& one, base::micros span, base::instant now);
+
 // Whether its failures, as seen here or by other entries, speak against sending a request there.
 bool is_suspected(const member& one, base::instant now);
 
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -200,3 +200,37 @@
     membership::note_failure(state, state.ejected_until, rules);
     CHECK(state.ejected_until > at(0) + 2 * first);
 }
+
+// The failure: an upstream asks by mistake to be left alone for years, and is lost to its pool.
+TEST_CASE("a pause that an upstream asks for is kept, within reason", "[fleet]") {
+    fleet::member one;
+    const base::instant now{base::seconds(100)};
+    fleet::note_pause(one, base::seconds(4), now);
+    CHECK(fleet::takes_nothing_before(one) == now + base::seconds(4));
+    fleet::note_pause(one, base::seconds(1), now);
+    CHECK(fleet::takes_nothing_before(one) == now + base::seconds(4));
+    fleet::note_pause(one, base::minutes(1000000), now);
+    CHECK(fleet::takes_nothing_before(one) <= now + base::minutes(10));
+}
+
+// The failure: upstreams come and go by their own word for months, until the entry's memory is
+// full.
+TEST_CASE("departed lives take bounded room", "[fleet]") {
+    fleet::fleet state;
+    const fleet::fleet_rules rules;
+    base::instant now{base::seconds(100)};
+    for (int each = 0; each < 1000; ++each) {
+        const ports::listed_upstream listed{.id = {"i-" + std::to_string(each)}};
+        fleet::take_list(state, {listed}, now);
+        CHECK(fleet::note_says_leaving(state, {listed.id, {}}, now));
+        CHECK_FALSE(fleet::note_says_leaving(state, {listed.id, {}}, now));
+        fleet::take_list(state, {}, now);
+        now += base::seconds(2);
+        fleet::drop_missing(state, now, rules);
+        fleet::drop_missing(state, now, rules);
+    }
+    CHECK(state.members.size() <= 1);
+    CHECK(state.departed.size() <= 256);
+    fleet::drop_missing(state, now + base::minutes(20), rules);
+    CHECK(state.departed.empty());
+}
--- a/src/proxy/request_answers.cpp
+++ b/src/proxy/request_answers.cpp
@@ -58,6 +58,9 @@
             .text("request", this->facts.request_id)
             .text("upstream", upstream.id.value)
             .span("pause_ms", *answer.pause);
+        if (auto* one = this->member_of_attempt()) {
+            fleet::note_pause(*one, *answer.pause, this->context.now());
+        }
     }
 }
 
@@ -247,7 +250,7 @@
         one->busy_until = std::max(one->busy_until,
                                    this->context.now() + (changing ? loading_pause : full_pause));
     }
-    if (has_room && !outdated) {
+    if (has_room && !outdated && !this->current->facts.pause) {
         note_upstream_failure(this->context, instance_of(choice), "refuses_with_room");
     }
     this->context.log.line(importance::keep, "refused_by_upstream")
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -315,12 +315,12 @@
 // upstream leaves; sent then, it reached the upstream beyond the bound on that.
 bool request_flow::may_leave() const {
     const auto* one = this->member_of_attempt();
-    if (one == nullptr) {
+    const base::instant now = this->context.now();
+    if (one == nullptr || now < one->pause_until) {
         return false;
     }
     if (this->current->last_resort) {
-        const auto rules = fleet_rules_of(this->context.settings);
-        return fleet::may_still_serve(*one, this->context.now(), rules);
+        return fleet::may_still_serve(*one, now, fleet_rules_of(this->context.settings));
     }
     return fleet::is_listed(*one);
 }
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -220,7 +220,7 @@
         }
         ++count.listed;
         count.fit += fleet::is_fit(one, now) ? 1 : 0;
-        count.busy += now < one.busy_until ? 1 : 0;
+        count.busy += now < fleet::takes_nothing_before(one) ? 1 : 0;
         count.suspected += fleet::is_suspected(one, now) ? 1 : 0;
     }
     return count;
@@ -231,7 +231,7 @@
     // Callers come back once or twice at most; an upstream in change takes at least this long.
     constexpr base::milliseconds soonest{150};
     const base::instant now = context.now();
-    base::milliseconds wait = unknown;
+    std::optional<base::milliseconds> wait;
     for (const auto& [id, one] : context.state.fleet.members) {
         if (one.listed.pool != pool || !fleet::is_listed(one)) {
             continue;
@@ -239,9 +239,11 @@
         const auto until =
             std::max({one.busy_until, one.health.ejected_until, one.suspected_until});
         const auto left = std::chrono::duration_cast<base::milliseconds>(until - now);
-        wait = std::min(wait, std::max(left, soonest));
+        const auto paused = std::chrono::ceil<base::milliseconds>(one.pause_until - now);
+        const auto mine = std::max(std::clamp(left, soonest, unknown), paused);
+        wait = wait ? std::min(*wait, mine) : mine;
     }
-    return wait;
+    return wait.value_or(unknown);
 }
 
 } // namespace camphorrail::proxy
