Say what a crash would cost, and take no hold that makes no sense

Reading the change anew: the cost of a crash has a type and is worked out once a candidate; a hold of no or of absurd length from another entry is passed over; the probe's verdict is a function of its own. A test that a suspect is tried where a crash costs the least.

--- a/src/adapters/address_probe.cpp
+++ b/src/adapters/address_probe.cpp
@@ -11,6 +11,20 @@
 
 namespace camphorrail::adapters {
 
+namespace {
+
+// What a bufferevent's event says of the address that it was connecting to; to be asked within its
+// callback, where the socket's error is still known.
+address_state state_of(short what) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        return address_state::open;
+    }
+    const bool refused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    return refused ? address_state::refused : address_state::unknown;
+}
+
+} // namespace
+
 address_probe::address_probe(event_base* base, const std::string& address,
                              base::milliseconds limit_span, std::function<void(address_state)> tell)
     : told(std::move(tell)), socket(start_connecting(base, address)),
@@ -23,12 +37,7 @@
     bufferevent_setcb(
         this->socket, nullptr, nullptr,
         [](bufferevent*, short what, void* raw) {
-            const bool refused =
-                (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
-            const bool open = (what & BEV_EVENT_CONNECTED) != 0;
-            static_cast<address_probe*>(raw)->conclude(open      ? address_state::open
-                                                       : refused ? address_state::refused
-                                                                 : address_state::unknown);
+            static_cast<address_probe*>(raw)->conclude(state_of(what));
         },
         this);
 }
--- a/src/proxy/crash_watch.cpp
+++ b/src/proxy/crash_watch.cpp
@@ -109,7 +109,11 @@
 }
 
 void crash_watch::take(const base::entry_id& from, const peer_hold& told) {
-    this->adopt({told.request, told.left, 0}, from.value.c_str());
+    const base::micros longest = quarantine::quarantine_rules{}.longest_hold;
+    const bool makes_sense = told.left > base::milliseconds(0) && told.left <= longest;
+    if (makes_sense) {
+        this->adopt({told.request, told.left, 0}, from.value.c_str());
+    }
 }
 
 void crash_watch::take_written(const quarantine::hold& written) {
--- a/src/proxy/crash_watch_tests.cpp
+++ b/src/proxy/crash_watch_tests.cpp
@@ -203,3 +203,34 @@
     REQUIRE(world.run_until([&world] { return !world.last_seen().heads.empty(); }));
     CHECK(world.last_seen().heads.at(0).status == 502);
 }
+
+// The failure: a suspect crashes the busiest engine, or one at which another suspect is being
+// tried, so that both are blamed.
+TEST_CASE("a suspect is tried where a crash costs the least", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    const auto answer = [](const engine_request& got) {
+        return engine_script{{step::kind::send, tests::answer(got.field("Request-Id"), "fine")}};
+    };
+    std::vector<tests::scripted_engine*> engines;
+    for (int each = 0; each < 6; ++each) {
+        engines.push_back(&world.add_engine("i-" + std::to_string(each), answer));
+        auto& one = world.state.fleet.members.at({"i-" + std::to_string(each)});
+        // The one with the most work has the most slots, and so the least load for its size.
+        one.ours.in_flight = 6 - each;
+        one.listed.slots = 1000 / (each * each + 1);
+    }
+    const auto suspect = quarantine::identify({"/safe/x", "north", "suspect"});
+    const auto other = quarantine::identify({"/safe/x", "north", "another"});
+    const base::instant now = world.entry().now();
+    quarantine::note_crash(world.state.quarantine,
+                           {{{"i-9"}, {}}, now, {{suspect, now, {}}, {other, now, {}}}}, now, {});
+    quarantine::begin_trial(world.state.quarantine, other.digest, {"i-5"}, now, {});
+    CHECK(world.call(tests::request("safe", "r1", "harmless")).heads.at(0).status == 200);
+    CHECK(engines[0]->requests.size() == 1);
+    CHECK(world.call(tests::request("safe", "r2", "suspect")).heads.at(0).status == 200);
+    CHECK(engines[3]->requests.size() + engines[4]->requests.size() == 1);
+    CHECK(engines[5]->requests.empty());
+    // A whole answer acquits.
+    world.call(tests::request("safe", "r3", "suspect"));
+    CHECK(engines[0]->requests.size() == 2);
+}
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -3,7 +3,7 @@
 #include "kvcache/placement.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace camphorrail::proxy {
 
@@ -98,24 +98,42 @@
     return *one;
 }
 
-// Of those that a suspect may go to, the third at which a crash would hurt the fewest: no other
-// suspect is tried there, and few requests run, least of all such as may not run twice.
+// What a crash of an engine would cost: another suspect is being tried there, so that it would not
+// be clear which of them did it; calls that may not run twice; other calls.
+struct crash_cost {
+    bool has_trial = false;
+    std::int64_t unrepeatable = 0;
+    std::int64_t in_flight = 0;
+
+    auto operator<=>(const crash_cost&) const = default;
+};
+
+crash_cost cost_of_crash(const fleet::member& engine, const std::vector<base::upstream_id>& trials,
+                         base::instant now) {
+    const auto work = fleet::all_work(engine, now);
+    const bool has_trial =
+        std::find(trials.begin(), trials.end(), engine.listed.id) != trials.end();
+    return {has_trial, work.unrepeatable, work.in_flight};
+}
+
+// Keeps the third of the candidates at which a crash would cost the least. Not the one alone: all
+// entries would choose the same for all suspects.
 template <class Candidate>
 void keep_safest(const entry_context& context, std::vector<Candidate>& among) {
     const base::instant now = context.now();
-    const auto tried = quarantine::trials_at(context.state.quarantine, now);
-    const auto at_stake = [&](const Candidate& one) {
-        const auto& engine = engine_of(one);
-        const auto work = fleet::all_work(engine, now);
-        const bool is_tried =
-            std::find(tried.begin(), tried.end(), engine.listed.id) != tried.end();
-        return std::tuple(is_tried, work.unrepeatable, work.in_flight);
-    };
-    std::stable_sort(among.begin(), among.end(),
-                     [&at_stake](const Candidate& left, const Candidate& right) {
-                         return at_stake(left) < at_stake(right);
-                     });
-    among.erase(among.begin() + static_cast<std::ptrdiff_t>((among.size() + 2) / 3), among.end());
+    const auto trials = quarantine::trials_at(context.state.quarantine, now);
+    std::vector<std::pair<crash_cost, Candidate>> ranked;
+    for (const auto& each : among) {
+        ranked.emplace_back(cost_of_crash(engine_of(each), trials, now), each);
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    ranked.erase(ranked.begin() + static_cast<std::ptrdiff_t>((ranked.size() + 2) / 3),
+                 ranked.end());
+    among.clear();
+    for (const auto& [cost, each] : ranked) {
+        among.push_back(each);
+    }
 }
 
 // An answer that goes on once may not do so again, so it keeps off the engines that are to change
