--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -123,6 +123,7 @@
     const base::instant now = context.now();
     const auto trials = quarantine::trials_at(context.state.quarantine, now);
     std::vector<std::pair<crash_cost, Candidate>> ranked;
+    ranked.reserve(among.size());
     for (const auto& each : among) {
         ranked.emplace_back(cost_of_crash(engine_of(each), trials, now), each);
     }
