Teach the soak engines that say in answers that they leave, or ask for pauses

In the runs without fatal requests, when all else is sound, one engine says so in answers alone, and another turns calls away with a pause. The checker holds each entry to sending nothing new two seconds later, and two calls in a pause.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -80,6 +80,7 @@
             return;
         }
         this->call.status = this->reader.head().status;
+        this->call.says_leaving = http::has(this->reader.head().all, "Server-Leaving");
         this->call.stamp = http::value_of(this->reader.head().all, "Response-Stamp");
         this->call.body += this->reader.take_body();
         if (this->reader.complete()) {
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -190,6 +190,75 @@
     }
 }
 
+using entry_and_instance = std::pair<int, std::string>;
+
+// Where each run and each refusal was, by the entry that sent it.
+std::map<std::string, const call_seen*> calls_by_id(const history& seen) {
+    std::map<std::string, const call_seen*> found;
+    for (const auto& call : seen.calls) {
+        found[call.id] = &call;
+    }
+    return found;
+}
+
+bool restarted_since(const history& seen, base::instant since, base::instant until) {
+    return std::any_of(seen.faults.begin(), seen.faults.end(), [&](const fault_span& span) {
+        const bool ends_entry = span.what == "kill" || span.what == "stop" || span.what == "pause";
+        return ends_entry && span.until >= since && span.from <= until;
+    });
+}
+
+void check_leaving(const history& seen, const promised& promises, findings& found) {
+    const auto calls = calls_by_id(seen);
+    std::map<entry_and_instance, base::instant> said;
+    for (const auto& run : seen.runs) {
+        const auto call = calls.find(run.id);
+        const bool passed_on =
+            call != calls.end() && call->second->says_leaving && call->second->stamp == run.stamp;
+        if (passed_on) {
+            const auto [first, is_new] =
+                said.try_emplace({call->second->entry, run.instance}, call->second->ended_at);
+            first->second = std::min(first->second, call->second->ended_at);
+        }
+    }
+    for (const auto& run : seen.runs) {
+        const auto call = calls.find(run.id);
+        if (call == calls.end()) {
+            continue;
+        }
+        const auto first = said.find({call->second->entry, run.instance});
+        const bool late =
+            first != said.end() && call->second->sent_at > first->second + promises.drain;
+        if (late && !restarted_since(seen, first->second, run.at)) {
+            find(found, "nothing new to one that leaves", *call->second, "ran at " + run.instance);
+        }
+    }
+}
+
+void check_pauses(const history& seen, const promised& promises, findings& found) {
+    const auto calls = calls_by_id(seen);
+    const auto entry_of = [&calls](const std::string& id) {
+        const auto call = calls.find(id);
+        return call == calls.end() ? -1 : call->second->entry;
+    };
+    std::map<entry_and_instance, const pause_asked*> first;
+    std::map<entry_and_instance, std::size_t> within;
+    for (const auto& each : seen.pauses) {
+        const entry_and_instance where{entry_of(each.id), each.instance};
+        const auto [asked, is_new] = first.try_emplace(where, &each);
+        const bool counts = !is_new && each.at > asked->second->at + promises.pause_begins &&
+                            !restarted_since(seen, asked->second->at, each.at);
+        within[where] += counts ? 1 : 0;
+    }
+    for (const auto& [where, count] : within) {
+        if (count > promises.calls_in_a_pause) {
+            found.push_back("pauses are kept: " + where.second + " was asked " +
+                            std::to_string(count) + " times by entry " +
+                            std::to_string(where.first));
+        }
+    }
+}
+
 void check_end(const history& seen, const promised& promises, findings& found) {
     double all = 0;
     double served = 0;
@@ -234,6 +303,8 @@
     }
     check_orders(seen, promises, found);
     check_fatal(seen, promises, found);
+    check_leaving(seen, promises, found);
+    check_pauses(seen, promises, found);
     for (const auto& exit : seen.exits) {
         found.push_back("processes stay up: " + exit);
     }
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -18,6 +18,11 @@
     // A request that has crashed three engines reaches no more than this many later than the calm
     // after the third.
     std::size_t sends_after_crashes = 3;
+    // A back end that has said through an entry that it leaves gets no call of it sent later.
+    base::milliseconds drain{2000};
+    // Calls that may reach a back end from one entry within a pause, later than the first moment.
+    std::size_t calls_in_a_pause = 2;
+    base::milliseconds pause_begins{500};
     // Share of calls that must be served once everything is sound again.
     double served_at_the_end = 0.95;
 };
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -116,6 +116,25 @@
         seen.orders[1].fence = 4;
         CHECK(only_finding(seen).rfind("one leader", 0) == 0);
     }
+    SECTION("a call to an engine that had said that it leaves") {
+        seen.calls[0].says_leaving = true;
+        seen.calls.push_back(call("late", soak::call_kind::safe, 200, 3300));
+        seen.runs.push_back(run("late", 3310));
+        CHECK(only_finding(seen).rfind("nothing new to one that leaves", 0) == 0);
+        seen.calls.back().entry = 1;
+        CHECK(soak::check(seen, {}).empty());
+        seen.calls.back().entry = 0;
+        seen.calls.back().sent_at = at(3000);
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("a pause that is not kept") {
+        for (int each = 0; each < 4; ++each) {
+            seen.pauses.push_back({"a", "i-1", at(1000 + 600 * each), at(4000)});
+        }
+        CHECK(only_finding(seen).rfind("pauses are kept", 0) == 0);
+        seen.pauses.pop_back();
+        CHECK(soak::check(seen, {}).empty());
+    }
     SECTION("a fatal request that goes on crashing engines") {
         for (int each = 0; each < 7; ++each) {
             const std::string id = "f" + std::to_string(each);
--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -19,6 +19,7 @@
 constexpr int status_conflict = 409;
 constexpr int status_wrong = 421;
 constexpr int status_failed = 500;
+constexpr int status_unavailable = 503;
 constexpr base::milliseconds work_time{15};
 constexpr base::milliseconds event_pause{25};
 // It has begun to run a fatal request when it ends.
@@ -54,6 +55,8 @@
     this->orders = 0;
     this->fails = false;
     this->loses_answers = false;
+    this->says_leaving = false;
+    this->pauses_until = {};
     this->server = std::make_unique<adapters::http_server>(
         this->loop->base(), adapters::http_limits{},
         [this](const adapters::exchange_ptr& exchange) { this->handle(exchange); });
@@ -78,11 +81,25 @@
         exchange->reply(status_wrong,
                         {{"Request-Id", exchange->header("Request-Id")}, {"Not-Executed", "1"}},
                         "");
+    } else if (adapters::boot_now() < this->pauses_until) {
+        this->ask_for_pause(*exchange);
     } else {
         this->run(exchange);
     }
 }
 
+void engine::ask_for_pause(adapters::http_exchange& exchange) {
+    const base::instant now = adapters::boot_now();
+    const std::string call = exchange.header("Request-Id");
+    this->seen->pauses.push_back({call, this->id, now, this->pauses_until});
+    const std::chrono::duration<double> left = this->pauses_until - now;
+    exchange.reply(status_unavailable,
+                   {{"Request-Id", call},
+                    {"Not-Executed", "1"},
+                    {"Retry-After", std::to_string(left.count())}},
+                   "");
+}
+
 bool engine::refuses(const adapters::http_exchange& exchange) const {
     return exchange.header("Expect-Instance") != this->id;
 }
@@ -103,9 +120,13 @@
 
 ports::headers engine::fields(const adapters::http_exchange& exchange,
                               const std::string& stamp) const {
-    return {{"Request-Id", exchange.header("Request-Id")},
-            {"Response-Stamp", stamp},
-            {"Server-Load", "1,0,32"}};
+    ports::headers all{{"Request-Id", exchange.header("Request-Id")},
+                       {"Response-Stamp", stamp},
+                       {"Server-Load", "1,0,32"}};
+    if (this->says_leaving) {
+        all.emplace_back("Server-Leaving", "1");
+    }
+    return all;
 }
 
 void engine::run(const adapters::exchange_ptr& exchange) {
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -26,6 +26,10 @@
     // It fails calls, or runs them and loses their answers.
     bool fails = false;
     bool loses_answers = false;
+    // It says in its answers that it leaves.
+    bool says_leaving = false;
+    // It turns calls away and asks for a pause until then.
+    base::instant pauses_until{};
     // Told when a request is to crash it.
     std::function<void()> crashes;
     // Told when its weights have changed.
@@ -37,6 +41,7 @@
     void run(const adapters::exchange_ptr& exchange);
     void send_event(const adapters::exchange_ptr& exchange, const std::string& call, int next,
                     std::int64_t of_start);
+    void ask_for_pause(adapters::http_exchange& exchange);
     [[nodiscard]] bool refuses(const adapters::http_exchange& exchange) const;
     [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
                                         const std::string& stamp) const;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -49,6 +49,8 @@
     bool whole = false;
     // It crashes the engine that runs it.
     bool fatal = false;
+    // The answer says that its engine leaves.
+    bool says_leaving = false;
 };
 
 // One run as a back end saw it.
@@ -62,6 +64,14 @@
     std::string fatal;
 };
 
+// A call that a back end turned away, asking for a pause until then.
+struct pause_asked {
+    std::string id;
+    std::string instance;
+    base::instant at{};
+    base::instant until{};
+};
+
 // An order to an engine to load weights.
 struct order_seen {
     std::string instance;
@@ -90,6 +100,7 @@
 struct history {
     std::vector<call_seen> calls;
     std::vector<run_seen> runs;
+    std::vector<pause_asked> pauses;
     std::vector<order_seen> orders;
     std::vector<key_removed> removed;
     std::vector<fault_span> faults;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -9,18 +9,36 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 23> names{
-    "kill",          "stop",          "pause",         "reload",
-    "delay_engine",  "reset_engine",  "cut_one_way",   "silence_engine",
-    "refuse_engine", "silence_store", "cut_store",     "store_busy",
-    "store_silent",  "store_slow",    "store_loses",   "engine_restarts",
-    "engine_fails",  "engine_loses",  "engine_leaves", "remove_key",
-    "change_config", "name_weights",  "fatal_requests"};
-// The first ones are drawn at random; one stretch of fatal requests is added to some runs.
+constexpr std::array<std::string_view, 25> names{"kill",
+                                                 "stop",
+                                                 "pause",
+                                                 "reload",
+                                                 "delay_engine",
+                                                 "reset_engine",
+                                                 "cut_one_way",
+                                                 "silence_engine",
+                                                 "refuse_engine",
+                                                 "silence_store",
+                                                 "cut_store",
+                                                 "store_busy",
+                                                 "store_silent",
+                                                 "store_slow",
+                                                 "store_loses",
+                                                 "engine_restarts",
+                                                 "engine_fails",
+                                                 "engine_loses",
+                                                 "engine_leaves",
+                                                 "remove_key",
+                                                 "change_config",
+                                                 "name_weights",
+                                                 "fatal_requests",
+                                                 "engine_says_leaving",
+                                                 "engine_asks_for_pause"};
+// The first ones are drawn at random; the others are added at the end of a run.
 constexpr std::uint64_t drawn_kinds = 22;
-constexpr std::uint64_t fatal_stream = 0xfa7a1;
-constexpr base::milliseconds calm_before_fatal{4000};
-constexpr base::milliseconds fatal_span{8000};
+constexpr std::uint64_t quiet_stream = 0xfa7a1;
+constexpr base::milliseconds calm_before_quiet{4000};
+constexpr base::milliseconds quiet_span{8000};
 constexpr int shortest_span_ms = 300;
 constexpr int longest_span_ms = 4000;
 
@@ -57,13 +75,18 @@
 
 // After all else is sound again, so that entries are held to what they owe in quiet times. From a
 // stream of its own: the plan beside it is the same as without.
-void add_fatal_requests(std::vector<planned_fault>& plan, std::uint64_t seed,
-                        const plan_size& size) {
-    base::random_source random{seed ^ fatal_stream};
+void add_quiet_faults(std::vector<planned_fault>& plan, std::uint64_t seed, const plan_size& size) {
+    base::random_source random{seed ^ quiet_stream};
+    const auto at = size.length + calm_before_quiet;
     if (base::below(random, 2) > 0) {
-        plan.push_back(
-            {size.length + calm_before_fatal, fatal_span, fault_kind::fatal_requests, 0});
+        plan.push_back({at, quiet_span, fault_kind::fatal_requests, 0});
+        return;
     }
+    const auto engines = static_cast<std::uint64_t>(size.engines);
+    const int leaving = static_cast<int>(base::below(random, engines));
+    plan.push_back({at, quiet_span, fault_kind::engine_says_leaving, leaving});
+    plan.push_back({at, quiet_span, fault_kind::engine_asks_for_pause,
+                    (leaving + 1) % static_cast<int>(engines)});
 }
 
 } // namespace
@@ -77,7 +100,7 @@
     while (true) {
         at += base::exponential(random, static_cast<double>(size.pause.count()));
         if (at >= static_cast<double>(size.length.count())) {
-            add_fatal_requests(plan, seed, size);
+            add_quiet_faults(plan, seed, size);
             return plan;
         }
         const auto kind = static_cast<fault_kind>(base::below(random, drawn_kinds));
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -37,6 +37,9 @@
     name_weights,
     // Callers: one request that crashes each engine that runs it comes again and again.
     fatal_requests,
+    // An engine says in its answers that it leaves, and the list calls it ready.
+    engine_says_leaving,
+    engine_asks_for_pause,
 };
 
 const char* name_of(fault_kind kind);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -26,8 +26,8 @@
 // After SIGTERM, as the platform does.
 constexpr milliseconds grace{8000};
 constexpr milliseconds unlisted_after{1500};
-// An engine that crashed under a fatal request is back after this long.
-constexpr milliseconds fatal_absence{1500};
+// An engine that crashed under a fatal request, or has left, is back after this long.
+constexpr milliseconds engine_absence{1500};
 constexpr milliseconds drain{3000};
 constexpr milliseconds reload_time{1000};
 constexpr milliseconds link_delay{120};
@@ -102,7 +102,7 @@
     }
     for (auto& one : this->back_ends) {
         one.runs->changed = [this, &one] { this->list(one, "ready"); };
-        one.runs->crashes = [this, &one] { this->restart_engine(one, fatal_absence); };
+        one.runs->crashes = [this, &one] { this->restart_engine(one, engine_absence); };
         this->list(one, "ready");
     }
 }
@@ -318,7 +318,15 @@
         one.runs->loses_answers = true;
         this->after(fault.span, [&one] { one.runs->loses_answers = false; });
         break;
+    case fault_kind::engine_says_leaving:
+        one.runs->says_leaving = true;
+        this->after(fault.span, [this, &one] { this->restart_engine(one, engine_absence); });
+        break;
+    case fault_kind::engine_asks_for_pause:
+        one.runs->pauses_until = adapters::boot_now() + fault.span / 2;
+        break;
     default:
+        one.runs->says_leaving = true;
         this->list(one, "draining");
         this->after(drain, [this, &one, fault] { this->restart_engine(one, fault.span); });
     }
