--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace camphorrail::standins {
@@ -14,8 +15,11 @@
 
 constexpr int accepted = 202;
 constexpr int conflict = 409;
+constexpr int unavailable = 503;
 constexpr base::milliseconds store_timeout{1000};
 constexpr base::milliseconds event_pause{50};
+// It has begun to run a call that crashes it when it ends.
+constexpr base::milliseconds crash_after{50};
 
 // An engine as the users' platform runs it: it lists itself in the metadata store, streams events
 // that may be resumed, answers plain calls, and takes orders to load weights.
@@ -25,7 +29,8 @@
         : loop(&loop), born(loop.clock().wall_ms()), id(option(given, "id", "i-1")),
           pool(option(given, "pool", "pool")), address(option(given, "listen", "")),
           store(option(given, "store", "")), events(number(given, "events", 10)),
-          loses_answers(option(given, "loses", "") == "yes") {
+          loses_answers(option(given, "loses", "") == "yes"),
+          says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")) {
         this->list();
     }
 
@@ -40,6 +45,15 @@
                                       .dump());
         } else if (exchange->path() == "/order") {
             this->order(*exchange);
+        } else if (exchange->body().find("fatal") != std::string::npos) {
+            std::cout << "ran " << exchange->header("Request-Id") << std::endl;
+            this->loop->after(crash_after, [] { std::_Exit(1); });
+        } else if (!this->pause.empty()) {
+            std::cout << "turned away " << exchange->header("Request-Id") << std::endl;
+            auto all = this->fields(*exchange, "application/json");
+            all.emplace_back("Not-Executed", "1");
+            all.emplace_back("Retry-After", this->pause);
+            exchange->reply(unavailable, all, "");
         } else if (exchange->path().rfind("/stream/", 0) == 0) {
             this->stream(exchange);
         } else if (this->loses_answers) {
@@ -58,11 +72,15 @@
 
     [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
                                         const std::string& type) const {
-        return {{"Request-Id", exchange.header("Request-Id")},
-                {"Response-Stamp", "stamp-" + this->id},
-                {"Content-Type", type},
-                {"Weight-Versions", std::to_string(this->version)},
-                {"Server-Load", "1,0,8"}};
+        ports::headers all{{"Request-Id", exchange.header("Request-Id")},
+                           {"Response-Stamp", "stamp-" + this->id},
+                           {"Content-Type", type},
+                           {"Weight-Versions", std::to_string(this->version)},
+                           {"Server-Load", "1,0,8"}};
+        if (this->says_leaving) {
+            all.emplace_back("Server-Leaving", "1");
+        }
+        return all;
     }
 
     void list() {
@@ -131,6 +149,9 @@
     std::string store;
     std::int64_t events;
     bool loses_answers;
+    bool says_leaving;
+    // What it asks for in place of running a call, in seconds; empty for nothing.
+    std::string pause;
     std::int64_t version = 1;
     std::int64_t orders = 0;
 };
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -25,7 +25,9 @@
 int run_relay(adapters::event_loop& loop, const options& given);
 
 // The users' metadata store, and an engine of theirs that lists itself there. `--loses=yes`: the
-// engine runs plain calls and breaks the connection in place of an answer.
+// engine runs plain calls and breaks the connection in place of an answer; `--leaving=yes`: it says
+// in all answers that it leaves; `--pause=SECONDS`: it turns calls away and asks for a pause. A
+// call with the word "fatal" in its body crashes it.
 int run_metadata_store(adapters::event_loop& loop, const options& given);
 int run_platform_engine(adapters::event_loop& loop, const options& given);
 
