--- a/src/explain/story.cpp
+++ b/src/explain/story.cpp
@@ -19,10 +19,18 @@
     "ready",           "not_ready",    "stop",           "start",
     "reload",          "weights_named"};
 // Events that change what a process believes of one upstream; the field `upstream` names it.
-const std::set<std::string_view> upstream_beliefs{
-    "upstream_added",     "upstream_changed", "upstream_unlisted",           "upstream_gone",
-    "upstream_ejected",   "upstream_weights", "upstream_suspected_by_entry", "load_ordered",
-    "load_order_answered"};
+const std::set<std::string_view> upstream_beliefs{"upstream_added",
+                                                  "upstream_changed",
+                                                  "upstream_unlisted",
+                                                  "upstream_gone",
+                                                  "upstream_ejected",
+                                                  "upstream_weights",
+                                                  "upstream_suspected_by_entry",
+                                                  "load_ordered",
+                                                  "load_order_answered",
+                                                  "upstream_crashed",
+                                                  "upstream_leaves",
+                                                  "upstream_wants_pause"};
 // Of several events about one thing the last counts: those of one group say the same thing.
 const std::map<std::string_view, std::string_view> groups{
     {"store_regained", "store_lost"}, {"store_history_lost", "store_lost"}, {"not_ready", "ready"}};
