Do not look for a replaced upstream among the known ones

The story of an entry that starts beside such a list failed before: the process aborts. The watch looks among what has broken instead.

--- a/src/proxy/crash_watch.cpp
+++ b/src/proxy/crash_watch.cpp
@@ -58,6 +58,14 @@
     }
 }
 
+void crash_watch::note_replaced(const base::upstream_id& replaced) {
+    for (auto& [upstream, found] : this->broken) {
+        if (upstream.id == replaced) {
+            this->note_crash(upstream, found, "replaced");
+        }
+    }
+}
+
 void crash_watch::note_crash(const base::upstream_instance& upstream, breakage& found,
                              const char* seen_by) {
     if (found.crashed) {
--- a/src/proxy/crash_watch.h
+++ b/src/proxy/crash_watch.h
@@ -25,6 +25,8 @@
     void note_broken(const broken_attempt& broken);
     // The platform's list shows that an upstream, in that life, has ended.
     void note_ended(const base::upstream_instance& ended);
+    // Another upstream has taken its address. This entry may never have known the one before.
+    void note_replaced(const base::upstream_id& replaced);
     void take(const base::entry_id& from, const peer_crash& told);
     void take(const base::entry_id& from, const peer_hold& told);
     // A hold that stands in the platform's store.
--- a/src/proxy/crash_watch_tests.cpp
+++ b/src/proxy/crash_watch_tests.cpp
@@ -204,6 +204,18 @@
     CHECK(world.last_seen().heads.at(0).status == 502);
 }
 
+TEST_CASE("an upstream whose address another one has taken has crashed", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    world.add_engine("i-1",
+                     [](const engine_request&) { return engine_script{{step::kind::reset, {}}}; });
+    world.call(tests::request("once", "r1", "unlucky"));
+    CHECK(world.state.quarantine.suspects.empty());
+    world.crash_watch().note_replaced({"never known"});
+    CHECK(world.state.quarantine.suspects.empty());
+    world.crash_watch().note_replaced({"i-1"});
+    CHECK(world.state.quarantine.suspects.size() == 1);
+}
+
 // The failure: a suspect crashes the busiest engine, or one at which another suspect is being
 // tried, so that both are blamed.
 TEST_CASE("a suspect is tried where a crash costs the least", "[proxy][quarantine]") {
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -105,7 +105,7 @@
             this->log.line(importance::keep, "upstream_replaced")
                 .text("upstream", id.value)
                 .text("by", by.value);
-            this->crashes.note_ended(fleet::instance_of(this->state.fleet.members.at(id)));
+            this->crashes.note_replaced(id);
         }
     }
     this->replaced = list.replaced;
