--- a/src/proxy/crash_watch_tests.cpp
+++ b/src/proxy/crash_watch_tests.cpp
@@ -206,8 +206,9 @@
 
 TEST_CASE("an upstream whose address another one has taken has crashed", "[proxy][quarantine]") {
     tests::proxy_world world;
-    world.add_engine("i-1",
-                     [](const engine_request&) { return engine_script{{step::kind::reset, {}}}; });
+    world.add_engine("i-1", [](const engine_request&) {
+        return engine_script{{step::kind::reset, {}}};
+    });
     world.call(tests::request("once", "r1", "unlucky"));
     CHECK(world.state.quarantine.suspects.empty());
     world.crash_watch().note_replaced({"never known"});
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -69,6 +69,11 @@
     bool admit_prompt(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
     void send_to(upstream_choice choice);
+    [[nodiscard]] std::string request_bytes(const ports::attempt_terms& terms) const;
+    void log_sent(const upstream_choice& choice, const ports::attempt_terms& terms);
+    void begin_attempt(upstream_choice choice);
+    void count_prompt_placed();
+    void call_upstream(std::string bytes);
     [[nodiscard]] ports::attempt_terms terms_of(const upstream_choice& choice) const;
     bool started(const http::response_head& head);
     void received(std::string bytes);
