Hold no request back for upstreams that are lost in one moment

What callers saw: a harmless request that is popular was refused for ten minutes by all entries after several upstreams were lost at once.

Cause: an attempt that breaks goes on in the same millisecond, and where it meets another upstream that is gone already, its break there counted as a second crash under a copy sent after the first. Most of the lost upstreams had a copy aboard, so no storm was seen either.

Mend, as a class: a copy counts where it was sent before the earliest word of its upstream's crash; one that was sent on in the moment of a crash counts only where it lasted, which shows that its upstream was alive; more crashes in one moment than one copy can cause in turn prove nothing. So that a request that crashes its upstream at once is still held back after three crashes, a trial that broke is sent on only when it can be known what it did.

--- a/src/proxy/crash_watch_tests.cpp
+++ b/src/proxy/crash_watch_tests.cpp
@@ -171,6 +171,48 @@
     }
 }
 
+// The failure: upstreams are lost in the same moment, copies of a popular request go on at once to
+// others that are lost too, and the request is held back for it.
+TEST_CASE("a request whose copies go on to upstreams that are lost too is served afterwards",
+          "[proxy][quarantine]") {
+    tests::proxy_world world;
+    crashing_pool pool(world);
+    constexpr std::size_t lost = 5;
+    constexpr std::size_t copies = 9;
+    int number = 0;
+    const auto popular = [&] {
+        return tests::request("resume", "popular-" + std::to_string(++number), "popular");
+    };
+    for (int round = 0; round < 2; ++round) {
+        for (int each = 0; each < 6; ++each) {
+            CHECK(world.call(popular()).heads.at(0).status == 200);
+        }
+        std::size_t held = 0;
+        for (const auto& [id, engine] : pool.running) {
+            engine->set_answer([&held](const engine_request&) {
+                ++held;
+                return engine_script{{step::kind::hang, {}}};
+            });
+        }
+        for (std::size_t each = 1; each <= copies; ++each) {
+            world.call_until(popular(), [&held, each] { return held >= each; });
+        }
+        REQUIRE(held >= copies);
+        for (const auto& [id, engine] : pool.running) {
+            engine->set_answer(crash_on_fatal);
+        }
+        for (std::size_t each = 0; each < lost; ++each) {
+            pool.running.at(each).second->crash();
+        }
+        pool.settle();
+        world.move_clock(base::seconds(3));
+        world.prove_config();
+    }
+    for (int each = 0; each < 10; ++each) {
+        CHECK(world.call(popular()).heads.at(0).status == 200);
+    }
+}
+
 TEST_CASE("a connection that breaks is not taken for a crash", "[proxy][quarantine]") {
     tests::proxy_world world;
     const step how = GENERATE(step{step::kind::reset, {}}, step{step::kind::close, {}});
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -143,7 +143,12 @@
 void request_flow::send_again_or_end(const char* why) {
     if (this->may_send_again() && this->take_retry()) {
         this->prepare_to_go_on();
-        this->send_attempt();
+        if (this->was_trial) {
+            // What its trial did is known in a moment; until then it may crash one upstream more.
+            this->trial_timer.set(quarantine::quarantine_rules{}.same_moment);
+        } else {
+            this->send_attempt();
+        }
         return;
     }
     this->give_up(why, base::code::no_upstream, base::code::upstream_failed, std::nullopt);
@@ -164,6 +169,11 @@
     }
 }
 
+void request_flow::send_again_as_judged() {
+    const auto held = this->shared_from_this();
+    this->send_attempt();
+}
+
 void request_flow::look_for_silence() {
     const auto held = this->shared_from_this();
     if (!this->current || this->paused) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -46,7 +46,8 @@
     : context(context), exchange(std::move(exchange)),
       overall(context.loop.base(), [this] { this->out_of_time(); }),
       silence_timer(context.loop.base(), [this] { this->look_for_silence(); }),
-      weights_timer(context.loop.base(), [this] { this->weights_expired(); }) {}
+      weights_timer(context.loop.base(), [this] { this->weights_expired(); }),
+      trial_timer(context.loop.base(), [this] { this->send_again_as_judged(); }) {}
 
 void request_flow::begin() {
     const auto held = this->shared_from_this();
@@ -184,6 +185,7 @@
     this->state = answer_state::ended;
     this->overall.clear();
     this->silence_timer.clear();
+    this->trial_timer.clear();
     const bool fine = std::string_view(outcome) == "ok";
     this->context.log.line(fine ? importance::routine : importance::keep, "ended")
         .text("request", this->facts.request_id)
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -98,6 +98,7 @@
     bool take_retry();
     void prepare_to_go_on();
     void send_again_or_end(const char* why);
+    void send_again_as_judged();
     void watch_for_silence();
     void look_for_silence_in(base::micros span);
     [[nodiscard]] silence_view view_of_silence() const;
@@ -135,9 +136,12 @@
     adapters::timer overall;
     adapters::timer silence_timer;
     adapters::timer weights_timer;
+    adapters::timer trial_timer;
     std::optional<attempt> current;
     // Upstreams that may have begun on the request.
     int begun = 0;
+    // The last attempt was the trial of a suspect.
+    bool was_trial = false;
     // Calls beyond the first, and connections that never came to stand.
     int sent_again = 0;
     int unreachable = 0;
--- a/src/proxy/request_sending.cpp
+++ b/src/proxy/request_sending.cpp
@@ -265,6 +265,7 @@
     if (this->current->trial) {
         quarantine::end_trial(this->context.state.quarantine, this->identity().digest);
     }
+    this->was_trial = this->current->trial;
     const auto left = std::move(*this->current);
     this->current.reset();
     const auto& upstreams = this->context.state.fleet.members;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -49,34 +49,58 @@
 }
 
 // Copies that were on their way already when the first upstream crashed say no more than that one
-// did: many upstreams that crash at once are not the fault of a request that many of them ran.
-bool is_further_crash(const suspect& one, const crash_victim& victim,
-                      const base::upstream_instance& upstream) {
-    return !has_crashed(one, upstream) &&
-           (one.crashes.empty() || victim.sent_at >= one.crashes.back().at);
+// did: many upstreams that crash at once are not the fault of a request that many of them ran. The
+// same goes for copies that went on from there in the same moment and broke at once.
+bool is_further_crash(const suspect& one, const crash_victim& victim, const crash_report& report,
+                      const quarantine_rules& rules) {
+    if (one.crashes.empty()) {
+        return true;
+    }
+    const base::instant before = one.crashes.back().at;
+    const bool went_on = victim.sent_at >= before;
+    const bool later = victim.sent_at >= before + rules.same_moment;
+    const bool lasted = report.at - victim.sent_at >= rules.lasts_where_alive;
+    return went_on && (later || lasted);
 }
 
 void note_victim(quarantine& state, const crash_report& report, const crash_victim& victim,
                  base::instant now, const quarantine_rules& rules) {
     auto& one = suspect_of(state, victim.request, now, rules);
-    if (!is_further_crash(one, victim, report.upstream)) {
+    if (has_crashed(one, report.upstream)) {
+        return;
+    }
+    if (!is_further_crash(one, victim, report, rules)) {
+        one.not_before = one.crashes.back().at + rules.same_moment;
         return;
     }
     if (one.crashes.size() >= rules.most_crashes_of_one) {
         one.crashes.erase(one.crashes.begin());
     }
-    one.crashes.push_back({report.upstream, report.at, weight_of(victim, report.at, rules)});
+    one.crashes.push_back(
+        {report.upstream, report.at, victim.sent_at, weight_of(victim, report.at, rules)});
     one.last_at = report.at;
 }
 
+// Whether several upstreams crashed about then without the request, or more at the very moment than
+// one copy could have crashed in turn.
 bool is_of_storm(const quarantine& state, const suspect& one, const counted_crash& crash,
                  const quarantine_rules& rules) {
-    const auto others =
-        std::count_if(state.crashes.begin(), state.crashes.end(), [&](const auto& each) {
-            const auto apart = std::chrono::abs(each.second.at - crash.at);
-            return apart <= rules.storm_span && each.second.aboard.count(one.request.digest) == 0;
-        });
-    return static_cast<std::size_t>(others) > rules.storm_crashes;
+    std::size_t without_it = 0;
+    std::size_t same_moment = 0;
+    for (const auto& [upstream, each] : state.crashes) {
+        const auto apart = std::chrono::abs(each.at - crash.at);
+        const bool aboard = each.aboard.count(one.request.digest) > 0;
+        without_it += apart <= rules.storm_span && !aboard ? 1 : 0;
+        same_moment += apart <= rules.same_moment && upstream != crash.upstream ? 1 : 0;
+    }
+    return without_it > rules.storm_crashes || same_moment > rules.storm_crashes;
+}
+
+// Whether the upstream had crashed, by the earliest word of any request there, before the copy was
+// sent to it.
+bool was_gone_before(const quarantine& state, const counted_crash& crash) {
+    const auto known = state.crashes.find(crash.upstream);
+    return known != state.crashes.end() && known->second.at < crash.sent_at;
 }
 
 // The evidence if none of the crashes was of a storm: an upper bound that costs nothing. After many
@@ -93,7 +117,9 @@
                         const quarantine_rules& rules) {
     double evidence = one.prior_evidence;
     for (const auto& crash : one.crashes) {
-        evidence += is_of_storm(state, one, crash, rules) ? 0.0 : crash.weight;
+        const bool proves_nothing =
+            was_gone_before(state, crash) || is_of_storm(state, one, crash, rules);
+        evidence += proves_nothing ? 0.0 : crash.weight;
     }
     return evidence;
 }
@@ -207,6 +233,9 @@
     if (now < one.tried_until) {
         return {verdict::wait, one.tried_until - now};
     }
+    if (now < one.not_before) {
+        return {verdict::wait, one.not_before - now};
+    }
     if (is_undecided(state, one, now, rules)) {
         return {verdict::wait, rules.news_delay};
     }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -32,6 +32,11 @@
     // another one: a host, a power supply, another request.
     std::size_t storm_crashes = 2;
     base::micros storm_span = base::milliseconds(500);
+    // Upstreams that are lost together are found to be gone within this time. A copy that is sent
+    // on meanwhile may meet another one that is gone already.
+    base::micros same_moment = base::milliseconds(50);
+    // One that lasted for this long had met an upstream that was alive.
+    base::micros lasts_where_alive = base::milliseconds(20);
     // Without a further crash a suspicion ends after this time.
     base::micros suspicion_lifetime = base::minutes(10);
     // A copy that is being tried keeps others waiting for at most this long.
@@ -69,18 +74,22 @@
 struct counted_crash {
     base::upstream_instance upstream;
     base::instant at{};
+    // When the copy that was there was sent.
+    base::instant sent_at{};
     double weight = 1.0;
 };
 
 // What is known of one suspect.
 struct suspect {
     request_identity request;
-    // Each under a copy that was sent after the crash before.
+    // Each under a copy that was sent later than the moment of the crash before.
     std::vector<counted_crash> crashes;
     // What is left against it of the time before it was last held back.
     double prior_evidence = 0.0;
     // Its last crash, or when it was last let go.
     base::instant last_at{};
+    // A copy that is sent before this would prove nothing.
+    base::instant not_before{};
     // Until when a copy of it is being tried, and where.
     base::instant tried_until{};
     base::upstream_id tried_at;
--- a/src/quarantine/quarantine_tests.cpp
+++ b/src/quarantine/quarantine_tests.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace camphorrail;
@@ -387,3 +389,190 @@
         CHECK(day.harmless_held <= 5);
     }
 }
+
+namespace {
+
+// Three entries before eight engines. One harmless request has nine copies under way all the time;
+// five engines are lost in one moment, twice, and others take their places a while later. A copy
+// that breaks goes on at once, before the entry knows which other engines are gone.
+struct lost_rack_day {
+    explicit lost_rack_day(std::uint64_t seed) : random{seed} {}
+
+    static constexpr int engines = 8;
+    static constexpr int lost_at_once = 5;
+    static constexpr int copies = 9;
+    static constexpr int runs_ms = 600;
+    static constexpr int news_ms = 30;
+    static constexpr int refuses_after_ms = 5;
+    static constexpr int replaced_after_ms = 1500;
+    static constexpr int first_loss_ms = 5000;
+    static constexpr int second_loss_ms = 9000;
+    static constexpr int end_ms = 14000;
+    static constexpr int come_back_ms = 300;
+
+    struct copy {
+        std::size_t entry = 0;
+        std::size_t engine = 0;
+        int sent_ms = 0;
+        bool trial = false;
+    };
+    struct news {
+        int at_ms = 0;
+        std::size_t entry = 0;
+        quarantine::crash_report report;
+    };
+
+    base::random_source random;
+    std::array<entry, 3> entries;
+    std::array<int, engines> life{};
+    std::array<int, engines> gone_until{};
+    // Engines that an entry has found to be gone.
+    std::array<std::set<std::size_t>, 3> known_gone;
+    std::vector<copy> running;
+    std::vector<int> arrivals;
+    std::vector<news> on_its_way;
+    int asked_afterwards = 0;
+    int served_afterwards = 0;
+
+    [[nodiscard]] bool is_gone(std::size_t engine, int now) const {
+        return now < this->gone_until.at(engine);
+    }
+
+    [[nodiscard]] bool refuses(std::size_t engine, int now) const {
+        return this->is_gone(engine, now) &&
+               now >= this->gone_until.at(engine) - replaced_after_ms + refuses_after_ms;
+    }
+
+    void send(std::size_t at, int now) {
+        auto& one = this->entries.at(at);
+        const auto judged = one.judge("popular", now);
+        const bool refused = judged == verdict::held || judged == verdict::wait;
+        this->asked_afterwards += now > second_loss_ms + 1000 ? 1 : 0;
+        if (refused) {
+            this->arrivals.push_back(now + come_back_ms);
+            return;
+        }
+        std::size_t engine = base::below(this->random, engines);
+        while (this->known_gone.at(at).count(engine) > 0 || this->refuses(engine, now)) {
+            engine = base::below(this->random, engines);
+        }
+        const bool trial = judged == verdict::trial;
+        if (trial) {
+            quarantine::begin_trial(one.state, request_named("popular").digest, {"e"},
+                                    entry::at(now), rules);
+        }
+        this->running.push_back({at, engine, now, trial});
+    }
+
+    void broken(const copy& lost, int now) {
+        auto& one = this->entries.at(lost.entry);
+        this->known_gone.at(lost.entry).insert(lost.engine);
+        if (lost.trial) {
+            quarantine::end_trial(one.state, request_named("popular").digest);
+        }
+        const base::upstream_instance upstream{
+            {"i-" + std::to_string(lost.engine) + "-" + std::to_string(this->life.at(lost.engine))},
+            {}};
+        const quarantine::crash_report report{
+            upstream, entry::at(now), {entry::victim("popular", lost.sent_ms)}};
+        quarantine::note_crash(one.state, report, entry::at(now), rules);
+        for (std::size_t to = 0; to < this->entries.size(); ++to) {
+            if (to != lost.entry) {
+                this->on_its_way.push_back({now + news_ms, to, report});
+            }
+        }
+        this->send(lost.entry, now);
+    }
+
+    void lose_engines(int now) {
+        for (std::size_t engine = 0; engine < lost_at_once; ++engine) {
+            this->gone_until.at(engine) = now + replaced_after_ms;
+        }
+    }
+
+    void take_back(int now) {
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            if (this->gone_until.at(engine) == now) {
+                ++this->life.at(engine);
+                for (auto& each : this->known_gone) {
+                    each.erase(engine);
+                }
+            }
+        }
+    }
+
+    void step(int now) {
+        if (now == first_loss_ms || now == second_loss_ms) {
+            this->lose_engines(now);
+        }
+        this->take_back(now);
+        const auto before = std::exchange(this->running, {});
+        for (const auto& each : before) {
+            if (this->is_gone(each.engine, now)) {
+                this->broken(each, now);
+            } else if (now >= each.sent_ms + runs_ms) {
+                quarantine::acquit(this->entries.at(each.entry).state,
+                                   request_named("popular").digest, entry::at(now));
+                this->served_afterwards += now > second_loss_ms + 1000 ? 1 : 0;
+                this->arrivals.push_back(now);
+            } else {
+                this->running.push_back(each);
+            }
+        }
+        for (auto& each : this->on_its_way) {
+            if (now >= each.at_ms) {
+                quarantine::note_crash(this->entries.at(each.entry).state, each.report,
+                                       entry::at(now), rules);
+            }
+        }
+        std::erase_if(this->on_its_way, [now](const news& each) { return now >= each.at_ms; });
+        const auto due = std::exchange(this->arrivals, {});
+        for (const int at_ms : due) {
+            if (now >= at_ms) {
+                this->send(base::below(this->random, this->entries.size()), now);
+            } else {
+                this->arrivals.push_back(at_ms);
+            }
+        }
+        if (now % 100 == 0) {
+            for (auto& one : this->entries) {
+                one.decide(now);
+            }
+        }
+    }
+
+    void play() {
+        this->arrivals.assign(copies, 0);
+        for (int now = 0; now < end_ms; ++now) {
+            this->step(now);
+        }
+    }
+};
+
+} // namespace
+
+// The failure: a harmless request that is popular is held back on all entries after several engines
+// were lost in the same moment.
+TEST_CASE("a popular request is served after a loss of many engines in one moment",
+          "[quarantine][fleet]") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        lost_rack_day day(seed);
+        day.play();
+        CHECK(day.asked_afterwards > 20);
+        CHECK(day.served_afterwards > 0.95 * day.asked_afterwards - lost_rack_day::copies);
+        for (const auto& one : day.entries) {
+            CHECK(one.judge("popular", lost_rack_day::end_ms) != verdict::held);
+        }
+    }
+}
+
+TEST_CASE("a copy proves nothing of an upstream that was lost before it was sent", "[quarantine]") {
+    entry one;
+    one.crash("i-1", 100, {entry::victim("r", 50)});
+    // Another entry's word comes late: that upstream had been lost all along.
+    one.crash("i-2", 300, {entry::victim("r", 250)});
+    one.crash("i-2", 200, {entry::victim("stranger", 20)});
+    CHECK(one.decide(600) == 0);
+    CHECK(one.judge("r", 600) == verdict::trial);
+}
