Limit teams over all entries by a shared token bucket

Each entry counts what it lets through and tells the others with its loads; each works out the bucket's level from all counts. Where more is asked for than given, the same part of everything passes at each entry. Parts are reserved for entries that are not heard. A malformed quota voids the whole configuration and the one before stays; a Token-Count that makes no sense is 400 with a number of its own; beyond the quota 429, not run, with when to come back. What no upstream ran is given back.

--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -28,6 +28,7 @@
     unknown_service = 207,
     bad_idempotency_key = 208,
     key_reused_for_other_request = 209,
+    token_count_malformed = 210,
 
     no_upstream = 301,
     overloaded = 302,
@@ -41,6 +42,7 @@
     passed_on = 310,
     quarantined = 311,
     suspect_tried = 312,
+    quota_spent = 313,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/explain/story.cpp
+++ b/src/explain/story.cpp
@@ -14,10 +14,18 @@
 using json = nlohmann::ordered_json;
 
 // Events that change what a process believes of the store or of its own fitness.
-const std::set<std::string_view> process_beliefs{
-    "config_in_force", "store_lost",   "store_regained", "store_history_lost",
-    "ready",           "not_ready",    "stop",           "start",
-    "reload",          "weights_named"};
+const std::set<std::string_view> process_beliefs{"config_in_force",
+                                                 "store_lost",
+                                                 "store_regained",
+                                                 "store_history_lost",
+                                                 "ready",
+                                                 "not_ready",
+                                                 "stop",
+                                                 "start",
+                                                 "reload",
+                                                 "weights_named",
+                                                 "quota_entry_silent",
+                                                 "quota_entry_heard"};
 // Events that change what a process believes of one upstream; the field `upstream` names it.
 const std::set<std::string_view> upstream_beliefs{"upstream_added",
                                                   "upstream_changed",
@@ -33,7 +41,10 @@
                                                   "upstream_wants_pause"};
 // Of several events about one thing the last counts: those of one group say the same thing.
 const std::map<std::string_view, std::string_view> groups{
-    {"store_regained", "store_lost"}, {"store_history_lost", "store_lost"}, {"not_ready", "ready"}};
+    {"store_regained", "store_lost"},
+    {"store_history_lost", "store_lost"},
+    {"not_ready", "ready"},
+    {"quota_entry_heard", "quota_entry_silent"}};
 
 std::string group_of(const std::string& event) {
     const auto found = groups.find(event);
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -29,6 +29,8 @@
     // How long the caller waits, from when it sent the request.
     std::optional<base::milliseconds> deadline;
     base::model_id model;
+    // Tokens of the prompt and of the longest answer together; nothing where it does not say.
+    std::optional<std::int64_t> tokens;
     // The prompt's parts in order; the last belongs to this request or its session.
     std::vector<prompt_part> parts;
     // The last event that the caller has seen of a stream that broke off; empty for a new stream.
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -24,6 +24,14 @@
     return std::max<base::milliseconds>(settings.bounds.revoke - margin, margin);
 }
 
+quota::quota_rules quota_rules_of(const settings::proxy_settings& settings) {
+    quota::quota_rules rules;
+    rules.allowed = {settings.bounds.quota_window, settings.bounds.quota_excess,
+                     settings.bounds.quota_slack};
+    rules.longest_unlisted = longest_config_age(settings);
+    return rules;
+}
+
 base::micros longest_outdated(const settings::proxy_settings& settings) {
     // What is on its way may wait in an upstream's queue, and our view of what was named may lag.
     constexpr base::milliseconds margin{1500};
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -16,6 +16,7 @@
 #include "proxy/connection_pool.h"
 #include "proxy/named_weights.h"
 #include "quarantine/quarantine.h"
+#include "quota/quota.h"
 #include "settings/settings.h"
 
 #include <map>
@@ -46,6 +47,8 @@
     std::map<base::pool_id, admission::retry_window> retries;
     // Requests that crash the upstreams that run them.
     quarantine::quarantine quarantine;
+    // What teams have used of their quotas over all entries.
+    quota::ledger quotas;
     // Entries that share the retry budget, this one included.
     std::int64_t entries = 1;
     bool stopping = false;
@@ -99,6 +102,9 @@
 // The rules by which upstreams are judged, with the settings' figures.
 fleet::fleet_rules fleet_rules_of(const settings::proxy_settings& settings);
 
+// The rules by which teams' quotas are kept, with the settings' figures.
+quota::quota_rules quota_rules_of(const settings::proxy_settings& settings);
+
 // How long a request may still begin on weights after newer ones were named.
 base::micros longest_outdated(const settings::proxy_settings& settings);
 
--- a/src/proxy/load_exchange.cpp
+++ b/src/proxy/load_exchange.cpp
@@ -16,6 +16,9 @@
 // A report is believed until two further whole ones have failed to come.
 constexpr int believed_periods = 3;
 constexpr base::milliseconds least_belief{500};
+// Where teams have quotas, an entry says that it is there at least this often: a silent one has a
+// part of each quota reserved for it.
+constexpr base::milliseconds heartbeat_period{150};
 
 bool same_work(const fleet::workload& left, const fleet::workload& right) {
     return left.in_flight == right.in_flight && left.unread_tokens == right.unread_tokens &&
@@ -28,7 +31,7 @@
 }
 
 bool is_empty(const told_load& load) {
-    return load.items.empty() && load.transfers.empty() && load.reads.empty();
+    return load.items.empty() && load.transfers.empty() && load.reads.empty() && load.usage.empty();
 }
 
 } // namespace
@@ -69,6 +72,9 @@
         load.transfers.push_back({store, ms});
     }
     load.reads = std::exchange(this->context.state.untold_reads, {});
+    auto& quotas = this->context.state.quotas;
+    load.uptime = std::chrono::duration_cast<base::milliseconds>(quota::uptime(quotas, now));
+    load.usage = quota::collect(quotas, load.whole, now, quota_rules_of(this->context.settings));
     return load;
 }
 
@@ -82,11 +88,21 @@
     return loads;
 }
 
+bool load_exchange::heartbeat_due() {
+    const base::instant now = this->context.now();
+    if (this->context.state.quotas.teams.empty() || now < this->next_heartbeat) {
+        return false;
+    }
+    this->next_heartbeat = now + heartbeat_period;
+    return true;
+}
+
 load_exchange::news load_exchange::collect(std::size_t linked) {
     news made;
     auto own = this->own_load(linked);
     // One last message says that nothing is left.
-    const bool says_something = !is_empty(own) || (own.whole && this->told_something);
+    const bool is_there = this->heartbeat_due();
+    const bool says_something = !is_empty(own) || is_there || (own.whole && this->told_something);
     if (own.whole) {
         this->told_something = !own.items.empty();
     }
@@ -114,6 +130,8 @@
     const base::instant now = this->context.now();
     const base::instant until = now + std::max(load.period * believed_periods, least_belief);
     auto& state = this->context.state;
+    quota::take_report(state.quotas, {load.from, load.age, load.uptime, load.usage}, now,
+                       quota_rules_of(this->context.settings));
     if (load.whole) {
         for (auto& [id, one] : state.fleet.members) {
             one.elsewhere.erase(load.from);
--- a/src/proxy/load_exchange.h
+++ b/src/proxy/load_exchange.h
@@ -10,9 +10,10 @@
 
 namespace camphorrail::proxy {
 
-// What entries tell each other of their requests: what waits at each upstream, and which prompts
-// were read where. Entries that send prompts to the same homes would else each see only their part
-// of what waits there, and all overload the same engine at once.
+// What entries tell each other of their requests: what waits at each upstream, which prompts were
+// read where, and what was let through of teams' quotas. Entries that send prompts to the same
+// homes would else each see only their part of what waits there, and all overload the same engine
+// at once.
 //
 // Said as `entries/relays.h` tells: to the entries of the own zone, and to one of each other zone,
 // which passes it on. Mostly only what has changed is told, and all of it now and then, since a
@@ -38,6 +39,7 @@
     told_load own_load(std::size_t linked);
     std::vector<told_load> relayed_loads();
     void take_load(const told_load& load);
+    [[nodiscard]] bool heartbeat_due();
 
     struct relayed {
         told_load load;
@@ -49,6 +51,7 @@
     std::map<base::upstream_id, load_item> told;
     std::vector<relayed> to_relay;
     base::instant next_whole{};
+    base::instant next_heartbeat{};
     bool told_something = false;
 };
 
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -102,6 +102,10 @@
     return {to_json(victim.request), victim.sent_ago.count(), victim.begun_ago.count()};
 }
 
+json to_json(const quota::usage_count& count) {
+    return {count.team.value, count.number, count.age.count(), count.used.value, count.asked.value};
+}
+
 json to_json(const told_load& load);
 
 template <class Part>
@@ -114,8 +118,9 @@
 }
 
 json to_json(const told_load& load) {
-    return {load.from.value,     load.age.count(),        load.period.count(), load.whole,
-            list_of(load.items), list_of(load.transfers), list_of(load.reads)};
+    return {load.from.value,     load.age.count(),    load.period.count(),
+            load.whole,          list_of(load.items), list_of(load.transfers),
+            list_of(load.reads), load.uptime.count(), list_of(load.usage)};
 }
 
 json to_json(const peer_load& message) {
@@ -202,6 +207,14 @@
     return {read_instance(read.at(0)), work, base::milliseconds(read.at(6).get<std::int64_t>())};
 }
 
+quota::usage_count read_usage(const json& read) {
+    return {{read.at(0).get<std::string>()},
+            read.at(1).get<std::int64_t>(),
+            base::micros(read.at(2).get<std::int64_t>()),
+            {read.at(3).get<std::int64_t>()},
+            {read.at(4).get<std::int64_t>()}};
+}
+
 told_load read_told_load(const json& read) {
     told_load load;
     load.from = {read.at(0).get<std::string>()};
@@ -217,6 +230,10 @@
     for (const auto& each : read.at(6)) {
         load.reads.push_back(read_prompt_read(each));
     }
+    load.uptime = base::milliseconds(read.at(7).get<std::int64_t>());
+    for (const auto& each : read.at(8)) {
+        load.usage.push_back(read_usage(each));
+    }
     return load;
 }
 
--- a/src/proxy/peer_messages.h
+++ b/src/proxy/peer_messages.h
@@ -8,6 +8,7 @@
 #include "kvcache/kept_copies.h"
 #include "ports/platform.h"
 #include "quarantine/quarantine.h"
+#include "quota/quota.h"
 
 #include <cstdint>
 #include <set>
@@ -67,6 +68,9 @@
     std::vector<load_item> items;
     std::vector<load_transfer> transfers;
     std::vector<kvcache::prompt_read> reads;
+    // How long it has been running, and what it has let through of teams' quotas.
+    base::milliseconds uptime{0};
+    std::vector<quota::usage_count> usage;
 };
 
 // The sender's own load, and those of entries of other zones that it passes on.
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -73,6 +73,16 @@
     return static_cast<std::int64_t>(all.size()) + (listed_self ? 0 : 1);
 }
 
+std::set<base::entry_id> peers::listed_others() const {
+    std::set<base::entry_id> found;
+    for (const auto& [id, address] : this->listed()) {
+        if (id != this->context.settings.id) {
+            found.insert(id);
+        }
+    }
+    return found;
+}
+
 std::vector<base::entry_id> peers::linked() const {
     std::vector<base::entry_id> found;
     for (const auto& [key, each] : this->links) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -31,6 +31,8 @@
     // Leaves the list.
     void resign();
     [[nodiscard]] std::int64_t count() const;
+    // Other entries that the platform lists.
+    [[nodiscard]] std::set<base::entry_id> listed_others() const;
     // Entries that a link stands to.
     [[nodiscard]] std::vector<base::entry_id> linked() const;
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -267,6 +267,7 @@
     this->crashes.tick();
     this->quarantined.tick();
     this->others.tick();
+    this->follow_entries();
     this->store.tick();
     this->kv_stores.tick();
     this->assign_lanes();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -60,6 +60,9 @@
     void take_named(const peer_named& told);
     void note_hold(const quarantine::hold& held, bool decided_here);
     void set_retry_budgets();
+    // Takes who is listed and who is heard, which decides what of the quotas entries may give out.
+    void follow_entries();
+    void show_quotas();
     void tick();
     void reload(const char* why);
     void stop();
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -46,6 +46,7 @@
     if (!read.has_value()) {
         // The one in force stays: half a configuration would refuse callers that are allowed.
         this->log.line(importance::keep, "config_unreadable")
+            .text("code", base::describe(base::to_code(read.error())).name)
             .number("revision", found->second.mod_revision);
         return;
     }
@@ -60,9 +61,27 @@
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
     this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
     this->set_retry_budgets();
+    quota::set_limits(this->state.quotas, this->state.config->teams, this->context.now(),
+                      quota_rules_of(this->settings));
     this->forget_dropped_routes();
 }
 
+void proxy::follow_entries() {
+    const auto rules = quota_rules_of(this->settings);
+    const base::instant now = this->context.now();
+    quota::set_entries(this->state.quotas, this->others.listed_others(), now, rules);
+    const auto changes = quota::silence_changes(this->state.quotas, now, rules);
+    if (this->state.quotas.teams.empty()) {
+        return;
+    }
+    for (const auto& change : changes) {
+        this->log.line(importance::keep, change.silent ? "quota_entry_silent" : "quota_entry_heard")
+            .text("entry", change.entry.value)
+            .number("entries", static_cast<std::int64_t>(this->state.quotas.peers.size()) + 1)
+            .number("heard", static_cast<std::int64_t>(this->state.quotas.heard.size()) + 1);
+    }
+}
+
 void proxy::forget_dropped_routes() {
     std::set<std::string> names;
     for (const auto& route : this->state.config->routes) {
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -44,6 +44,20 @@
     this->metrics.set("camphorrail_upstream_weights", holding_older, {{"version", "older"}});
 }
 
+void proxy::show_quotas() {
+    const auto show = [this](const char* name, const base::team_id& team, double value) {
+        this->metrics.set(name, value, {{"team", team.value}});
+    };
+    for (const auto& one : quota::standings(this->state.quotas, this->context.now(),
+                                            quota_rules_of(this->settings))) {
+        show("camphorrail_quota_limit_per_second", one.team, one.limit.rate_per_s);
+        show("camphorrail_quota_left", one.team, one.balance);
+        show("camphorrail_quota_asked_per_second", one.team, one.demand);
+        show("camphorrail_quota_share", one.team, one.share);
+        show("camphorrail_quota_used", one.team, static_cast<double>(one.used));
+    }
+}
+
 void proxy::refresh_metrics() {
     const auto age = mirror::age(this->state.store, this->context.now());
     this->metrics.set("camphorrail_config_age_seconds",
@@ -65,6 +79,7 @@
         "camphorrail_quarantined_requests",
         static_cast<double>(quarantine::held(this->state.quarantine, this->context.now()).size()));
     this->refresh_weights_metric();
+    this->show_quotas();
     std::int64_t fit = 0;
     for (const auto& [id, one] : this->state.fleet.members) {
         fit += fleet::is_fit(one, this->context.now()) ? 1 : 0;
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -260,6 +260,7 @@
     }
     const auto held = this->shared_from_this();
     if (this->current) {
+        this->begun += this->current->connection->may_have_sent() ? 1 : 0;
         this->cancel_attempt();
     }
     this->finish("caller_gone", 0);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -92,6 +92,9 @@
         this->wanted.isolated_team = this->request.team->id;
     }
     admission::note_request(this->context.state.retries[this->wanted.pool], this->context.now());
+    if (this->stopped_by_quota()) {
+        return;
+    }
     this->overall.set(this->time_left());
     this->send_attempt();
 }
@@ -183,6 +186,7 @@
         return;
     }
     this->state = answer_state::ended;
+    this->settle_quota();
     this->overall.clear();
     this->silence_timer.clear();
     this->trial_timer.clear();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -61,6 +61,8 @@
     enum class answer_state { none, streaming, ended };
 
     void send_attempt();
+    bool stopped_by_quota();
+    void settle_quota();
     bool stopped_by_quarantine();
     void note_broken_attempt();
     void acquit();
@@ -132,6 +134,8 @@
     ports::caller_request facts;
     admitted request;
     choice_request wanted;
+    // What its team's quota was charged with; nothing where it has none.
+    std::optional<quota::units> charged;
     base::milliseconds limit{0};
     adapters::timer overall;
     adapters::timer silence_timer;
--- /dev/null
+++ b/src/proxy/request_quota_tests.cpp
@@ -0,0 +1,177 @@
+#include "proxy/load_exchange.h"
+#include "proxy_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace camphorrail;
+using tests::engine_request;
+using tests::engine_script;
+using step = tests::engine_step;
+
+namespace {
+
+engine_script answer_at_once(const engine_request& got) {
+    return {{step::kind::send, tests::answer(got.field("Request-Id"), "fine")}};
+}
+
+// An entry by itself that has been running for long, with two teams of which one has a quota.
+struct quota_world : tests::proxy_world {
+    explicit quota_world(routes::team_quota quota) {
+        this->config.teams = {{.id = {"north"}, .keys = {"k1"}, .quota = quota},
+                              {.id = {"south"}, .keys = {"k2"}}};
+        routes::index(this->config);
+        this->take_limits();
+        this->move_clock(base::seconds(60));
+        this->take_limits();
+        this->move_clock(base::seconds(60));
+        this->prove_config();
+    }
+
+    void take_limits() {
+        quota::set_limits(this->state.quotas, this->config.teams, this->entry().now(),
+                          proxy::quota_rules_of({}));
+    }
+
+    [[nodiscard]] std::int64_t used() { return this->state.quotas.teams.at({"north"}).used; }
+
+    int status_of(const std::string& bytes) { return this->call(bytes).heads.at(0).status; }
+};
+
+std::string with_tokens(const std::string& bytes, const std::string& count) {
+    std::string changed = bytes;
+    changed.insert(changed.find("Request-Id"), "Token-Count: " + count + "\r\n");
+    return changed;
+}
+
+std::string of_south(const std::string& bytes) {
+    std::string changed = bytes;
+    return changed.replace(changed.find("k1"), 2, "k2");
+}
+
+} // namespace
+
+TEST_CASE("requests beyond a team's quota are refused at once, and have not run",
+          "[proxy][quota]") {
+    quota_world world({routes::quota_unit::requests, 0.5, 3, 1});
+    auto& engine = world.add_engine("i-1", answer_at_once);
+    int served = 0;
+    for (int each = 0; each < 20; ++each) {
+        const auto seen = world.call(tests::request("safe", "r" + std::to_string(each)));
+        served += seen.heads.at(0).status == 200 ? 1 : 0;
+    }
+    CHECK(served >= 3);
+    CHECK(served <= 5);
+    CHECK(engine.requests.size() == static_cast<std::size_t>(served));
+
+    SECTION("with a number of its own and when to come back") {
+        const auto seen = world.call(tests::request("safe", "over"));
+        CHECK(seen.heads.at(0).status == 429);
+        CHECK(seen.bodies.at(0).find("\"quota_spent\"") != std::string::npos);
+        CHECK(seen.bodies.at(0).find("\"not_run\"") != std::string::npos);
+        CHECK(std::stod(std::string(http::value_of(seen.heads.at(0).all, "Retry-After"))) > 0.0);
+    }
+    SECTION("while another team feels nothing") {
+        for (int each = 0; each < 10; ++each) {
+            CHECK(world.status_of(of_south(tests::request("safe", std::to_string(each)))) == 200);
+        }
+    }
+    SECTION("until it has room again") {
+        world.move_clock(base::seconds(10));
+        world.prove_config();
+        CHECK(world.status_of(tests::request("safe", "later")) == 200);
+    }
+}
+
+TEST_CASE("where tokens are counted a request counts with both of its numbers", "[proxy][quota]") {
+    quota_world world({routes::quota_unit::tokens, 10'000, 10'000, 200});
+    world.add_engine("i-1", answer_at_once);
+    CHECK(world.status_of(with_tokens(tests::request("safe", "r1"), "900,60")) == 200);
+    CHECK(world.used() == 960);
+    CHECK(world.status_of(tests::request("safe", "plain")) == 200);
+    CHECK(world.used() == 960 + 200);
+
+    SECTION("and one whose numbers make no sense is refused as malformed") {
+        const std::string count = GENERATE("", "7", "1,2,3", "-1,5", "5,-1", "x,5",
+                                           "99999999999999999999,1", "1099511627777,0");
+        const auto seen = world.call(with_tokens(tests::request("safe", "r2"), count));
+        CHECK(seen.heads.at(0).status == 400);
+        CHECK(seen.bodies.at(0).find("token_count_malformed") != std::string::npos);
+        CHECK(world.used() == 960 + 200);
+    }
+    SECTION("and a huge one is refused without harm to the others") {
+        CHECK(world.status_of(with_tokens(tests::request("safe", "huge"),
+                                          "1099511627776,1099511627776")) == 429);
+        CHECK(world.status_of(with_tokens(tests::request("safe", "r3"), "900,60")) == 200);
+    }
+}
+
+// The failure: a team's quota is used up by requests that no upstream has run.
+TEST_CASE("only what an upstream may have run counts towards the quota", "[proxy][quota]") {
+    quota_world world({routes::quota_unit::requests, 100, 100, 1});
+
+    SECTION("not one that finds no upstream") {
+        CHECK(world.status_of(tests::request("safe", "r1")) == 503);
+        CHECK(world.used() == 0);
+    }
+    SECTION("not one that its upstreams turn away") {
+        world.add_engine("i-1", [](const engine_request& got) {
+            return engine_script{{step::kind::send, tests::answer(got.field("Request-Id"), "full",
+                                                                  503, "Not-Executed: 1\r\n")}};
+        });
+        CHECK(world.status_of(tests::request("once", "r1")) != 200);
+        CHECK(world.used() == 0);
+    }
+    SECTION("one whose caller left while an upstream worked on it") {
+        auto& engine = world.add_engine("i-1", [](const engine_request&) {
+            return engine_script{{step::kind::hang, {}}};
+        });
+        world.call_until(tests::request("once", "r1"),
+                         [&engine] { return engine.requests.size() == 1; });
+        world.leave();
+        REQUIRE(world.run_until([&world] { return world.open_requests() == 0; }));
+        CHECK(world.used() == 1);
+    }
+    SECTION("twice where a second upstream began on it") {
+        world.add_engine("i-1", [](const engine_request&) {
+            return engine_script{{step::kind::reset, {}}};
+        });
+        world.add_engine("i-2", [](const engine_request&) {
+            return engine_script{{step::kind::reset, {}}};
+        });
+        CHECK(world.status_of(tests::request("safe", "r1")) == 502);
+        CHECK(world.used() == 2);
+    }
+}
+
+TEST_CASE("entries tell each other what they let through of a quota", "[proxy][quota]") {
+    quota_world teller({routes::quota_unit::tokens, 10'000, 10'000, 200});
+    quota_world listener({routes::quota_unit::tokens, 10'000, 10'000, 200});
+    teller.add_engine("i-1", answer_at_once);
+    listener.add_engine("i-1", answer_at_once);
+    proxy::load_exchange telling{teller.entry()};
+    proxy::load_exchange listening{listener.entry()};
+    const auto tell = [&] {
+        const auto news = telling.collect(1);
+        REQUIRE(news.near.has_value());
+        const auto heard = proxy::decode(proxy::encode(*news.near));
+        listening.take(std::get<proxy::peer_load>(heard.value()), false);
+    };
+    tell();
+    for (int each = 0; each < 9; ++each) {
+        teller.status_of(with_tokens(tests::request("safe", std::to_string(each)), "1000,0"));
+    }
+    tell();
+    const auto& account = listener.state.quotas.teams.at({"north"});
+    REQUIRE(account.told.size() == 1);
+    CHECK(account.told.at(0).used == teller.used());
+    CHECK(account.balance < 10'000 - 8000);
+
+    SECTION("and that they are there when there is nothing else to tell") {
+        teller.move_clock(base::milliseconds(400));
+        CHECK(telling.collect(1).near.has_value());
+        teller.move_clock(base::milliseconds(400));
+        CHECK(telling.collect(1).near.has_value());
+    }
+}
--- /dev/null
+++ b/src/quota/quota.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "routes/operators_config.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+// Distributed rate limiting: one token bucket a team over all entries, without a server that
+// counts.
+//
+// Each entry counts what it lets through and tells the others, and each works out the bucket's
+// level from all counts. Where a team asks for more than its rate, every entry lets through the
+// same part of what it is asked for, so that the bucket neither overflows nor runs dry. Entries
+// that are not heard have a part of the limit reserved for them. Time is handed in; nothing here
+// does I/O.
+namespace camphorrail::quota {
+
+// An amount in the unit of a team's quota: tokens or requests.
+struct units {
+    std::int64_t value = 0;
+
+    auto operator<=>(const units&) const = default;
+};
+
+// How far operators let the sum over all entries go above the quota, in any window of this length.
+struct tolerance {
+    base::micros window = base::seconds(8);
+    // As a part of the quota in the window.
+    double excess = 0.0;
+    // In units, on top.
+    double slack = 0.0;
+};
+
+struct quota_rules {
+    tolerance allowed;
+    // Part of the tolerance that teams are given; the rest is for what entries learn late.
+    double tolerance_used = 0.5;
+    // A bucket that is above or below empty is brought back there within this time.
+    base::micros balance_time = base::milliseconds(500);
+    // A team owes at most what it is given in this time.
+    base::micros longest_debt = base::seconds(2);
+    // Demand is averaged over this time.
+    base::micros demand_time = base::seconds(1);
+    // Entries have told each other of what they let through within this time.
+    base::micros news_delay = base::milliseconds(150);
+    // An entry that has told nothing for this long may have been cut off.
+    base::micros silence = base::milliseconds(600);
+    // One that is cut off and no longer listed serves no callers after this time.
+    base::micros longest_unlisted = base::seconds(6);
+    // Part of the limit that is reserved for silent entries alike, whatever they were asked for.
+    double even_part = 0.25;
+    // When all entries start at once, all of them are listed after this time. Until then each takes
+    // a small part.
+    base::micros settling = base::seconds(2);
+    double unsettled_share = 1.0 / 64;
+    // Who is silent is looked at this often.
+    base::micros silence_period = base::milliseconds(20);
+    // Callers of a request that is larger than its team's quota are told to wait for this long.
+    base::micros longest_unservable = base::minutes(1);
+    // A count that has not changed for this long is dropped.
+    base::micros idle_count = base::seconds(20);
+};
+
+// What an entry has let through, and was asked for, of one team since it began to count.
+struct usage_count {
+    base::team_id team;
+    // Tells this count from an earlier one of the same entry.
+    std::int64_t number = 0;
+    // How long ago it began.
+    base::micros age{0};
+    units used;
+    units asked;
+};
+
+// What one entry tells the others.
+struct usage_report {
+    base::entry_id from;
+    // How long ago it was told, where another entry passes it on.
+    base::micros age{0};
+    // How long the entry has been running.
+    base::micros uptime{0};
+    // Teams whose count has changed.
+    std::vector<usage_count> counts;
+};
+
+// Another entry, as far as its news have come.
+struct peer_entry {
+    // Stands for its id in the accounts.
+    std::uint32_t index = 0;
+    bool listed = false;
+    // When it last told something; nothing where it never has.
+    std::optional<base::instant> heard_at;
+    base::instant known_since{};
+    bool silent = true;
+};
+
+// What another entry has told of one team.
+struct told_count {
+    std::uint32_t entry = 0;
+    std::int64_t number = 0;
+    std::int64_t used = 0;
+    std::int64_t asked = 0;
+    // What it is asked for, in units a second, and when it told so.
+    double demand = 0.0;
+    base::instant at{};
+    // Part of the limit that is reserved for it while it is silent.
+    double reserved = 0.0;
+};
+
+// Units that this entry let through lately and that others may not know of yet.
+struct recent_use {
+    base::instant at{};
+    std::int64_t cost = 0;
+};
+
+// A team's bucket as this entry sees it.
+struct team_account {
+    routes::team_quota limit;
+    // Units left of the whole bucket by all that is known; below 0 where more was let through.
+    double balance = 0.0;
+    base::instant filled_at{};
+    // This entry's count, and when it began.
+    std::int64_t number = 0;
+    base::instant began{};
+    base::instant changed_at{};
+    std::int64_t used = 0;
+    std::int64_t asked = 0;
+    // Of the requests refused here.
+    std::int64_t refused = 0;
+    bool untold = false;
+    double own_demand = 0.0;
+    base::instant own_demand_at{};
+    std::vector<recent_use> recent;
+    // Other entries' counts, in the order of their index.
+    std::vector<told_count> told;
+};
+
+// Another entry has fallen silent, or is heard again.
+struct silence_change {
+    base::entry_id entry;
+    bool silent = false;
+};
+
+// All that one entry knows of the teams' quotas.
+struct ledger {
+    // When this entry began to count; nothing before it was asked for anything.
+    std::optional<base::instant> started_at;
+    // Whether the list of entries can be relied upon.
+    bool settled = false;
+    std::uint32_t last_index = 0;
+    base::instant silence_checked_at{};
+    // Not yet given by `silence_changes`.
+    std::vector<silence_change> changes;
+    // Indices of the entries that are heard.
+    std::set<std::uint32_t> heard;
+    std::map<base::entry_id, peer_entry> peers;
+    std::map<base::team_id, team_account> teams;
+};
+
+// Takes the limits of a configuration. Teams without one have no account.
+void set_limits(ledger& state, const std::vector<routes::team>& teams, base::instant now,
+                const quota_rules& rules);
+
+// Takes which other entries the platform lists.
+void set_entries(ledger& state, const std::set<base::entry_id>& listed, base::instant now,
+                 const quota_rules& rules);
+
+// Whether the account's limit and the inputs of a decision allowed a request.
+struct decision {
+    bool admitted = true;
+    // When the caller may come back, if it was refused.
+    base::micros retry_after{0};
+    // What the decision was taken by: units left over all entries, what the team asks for and is
+    // given in a second, and the part of its limit that this entry and those it hears may use.
+    double balance = 0.0;
+    double demand = 0.0;
+    double rate = 0.0;
+    double share = 1.0;
+};
+
+// Decides on a request and, where it is admitted, charges the team. `lot`, any number that differs
+// between requests, draws which of them are refused. Teams without an account are admitted.
+decision take(ledger& state, const base::team_id& team, units cost, std::uint64_t lot,
+              base::instant now, const quota_rules& rules);
+
+// Corrects a charge once it is known what upstreams ran of the request.
+void settle(ledger& state, const base::team_id& team, units charged, units ran, base::instant now);
+
+// Takes what another entry told, itself or through a third one.
+void take_report(ledger& state, const usage_report& report, base::instant now,
+                 const quota_rules& rules);
+
+// How long this entry has been counting.
+base::micros uptime(const ledger& state, base::instant now);
+
+// The counts to tell now: those that have changed, or all. Drops those that have long been idle.
+std::vector<usage_count> collect(ledger& state, bool all, base::instant now,
+                                 const quota_rules& rules);
+
+// Finds out who is heard; to be asked every so often. Gives what has changed since it was last
+// asked.
+std::vector<silence_change> silence_changes(ledger& state, base::instant now,
+                                            const quota_rules& rules);
+
+// One team's quota as operators are shown it.
+struct team_standing {
+    base::team_id team;
+    routes::team_quota limit;
+    double balance = 0.0;
+    double demand = 0.0;
+    double share = 1.0;
+    std::int64_t used = 0;
+    std::int64_t refused = 0;
+};
+std::vector<team_standing> standings(const ledger& state, base::instant now,
+                                     const quota_rules& rules);
+
+} // namespace camphorrail::quota
--- /dev/null
+++ b/src/quota/quota_fleet_tests.cpp
@@ -0,0 +1,401 @@
+#include "base/hash.h"
+#include "base/random.h"
+#include "quota/quota.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <numeric>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace camphorrail;
+using base::milliseconds;
+
+namespace {
+
+const base::team_id busy{"busy"};
+const base::team_id calm{"calm"};
+
+constexpr int step_ms = 10;
+constexpr int tell_period_ms = 50;
+constexpr int window_ms = 8000;
+// A lower limit binds one window after this time.
+constexpr int config_ms = 3000;
+constexpr double excess = 0.1;
+
+// Entries that tell each other what they let through, over links that are late and stand still,
+// with entries that are cut off, stand still, start again, come and go; and callers of two teams,
+// whose demand differs between the entries and changes all the time. All by one seed.
+struct quota_fleet {
+    struct node {
+        quota::ledger state;
+        base::entry_id id;
+        int began_ms = 0;
+        int frozen_until = 0;
+        int down_until = 0;
+        int cut_until = 0;
+        // Part of the callers that come here.
+        double weight = 1.0;
+        // When the configuration in force here is replaced.
+        std::vector<std::pair<int, double>> limits;
+    };
+    struct message {
+        int at_ms = 0;
+        std::size_t to = 0;
+        int sent_ms = 0;
+        quota::usage_report report;
+    };
+    // What reached an engine.
+    struct run {
+        int at_ms = 0;
+        std::int64_t cost = 0;
+    };
+
+    base::random_source random;
+    quota::quota_rules rules;
+    std::vector<node> nodes;
+    std::vector<message> on_its_way;
+    std::map<std::pair<std::size_t, std::size_t>, int> link_stands_until;
+    std::map<base::team_id, std::vector<run>> runs;
+    std::map<base::team_id, std::vector<std::pair<int, double>>> limits;
+    std::map<base::team_id, double> demand;
+    std::int64_t request_size = 0;
+    bool faults = true;
+    std::uint64_t requests = 0;
+    std::int64_t asked = 0;
+    std::int64_t through = 0;
+    std::int64_t refused_calm = 0;
+    std::int64_t asked_calm = 0;
+
+    quota_fleet(std::uint64_t seed, std::size_t entries, double rate) : random{seed} {
+        this->rules.allowed = {milliseconds(window_ms), excess, rate};
+        this->request_size = static_cast<std::int64_t>(rate / 60);
+        this->nodes.resize(entries);
+        for (std::size_t each = 0; each < entries; ++each) {
+            this->nodes[each].id = {"entry-" + std::to_string(each)};
+            this->nodes[each].weight = 0.2 + base::unit(this->random) * 2;
+            this->nodes[each].began_ms = -60'000;
+        }
+        this->limits[busy] = {{-100'000, rate}};
+        this->limits[calm] = {{-100'000, rate}};
+        this->demand[busy] = rate * (0.5 + 4 * base::unit(this->random));
+        this->demand[calm] = rate * 0.5;
+        for (auto& each : this->nodes) {
+            this->start(each, -60'000);
+        }
+    }
+
+    static base::instant at(int ms) { return base::instant(milliseconds(200'000 + ms)); }
+
+    int below(int bound) {
+        return static_cast<int>(base::below(this->random, static_cast<std::uint64_t>(bound)));
+    }
+
+    [[nodiscard]] double limit_of(const base::team_id& team) const {
+        return this->limits.at(team).back().second;
+    }
+
+    void set_limits(node& one, int now) {
+        std::vector<routes::team> teams;
+        for (const auto& id : {busy, calm}) {
+            routes::team team;
+            team.id = id;
+            const double rate = this->limit_of(id);
+            team.quota = {routes::quota_unit::tokens, rate, rate, 1};
+            teams.push_back(team);
+        }
+        quota::set_limits(one.state, teams, at(now), this->rules);
+    }
+
+    void start(node& one, int now) {
+        one.state = {};
+        one.began_ms = now;
+        this->set_limits(one, now);
+        this->list_entries(one, now);
+    }
+
+    void list_entries(node& one, int now) {
+        std::set<base::entry_id> listed;
+        for (const auto& each : this->nodes) {
+            if (each.id != one.id) {
+                listed.insert(each.id);
+            }
+        }
+        quota::set_entries(one.state, listed, at(now), this->rules);
+    }
+
+    static bool runs_at(const node& one, int now) {
+        return now >= one.frozen_until && now >= one.down_until;
+    }
+
+    void tell(std::size_t from, int now) {
+        auto& one = this->nodes[from];
+        quota::usage_report report{one.id, {}, milliseconds(now - one.began_ms), {}};
+        report.counts = quota::collect(one.state, now % 500 == 0, at(now), this->rules);
+        for (std::size_t to = 0; to < this->nodes.size(); ++to) {
+            if (to != from) {
+                // A link keeps its order: what is lost on the way comes late, and all after it.
+                auto& stands = this->link_stands_until[{from, to}];
+                const int arrives = std::max(now + 1 + this->below(30), stands);
+                stands = arrives;
+                this->on_its_way.push_back({arrives, to, now, report});
+            }
+        }
+    }
+
+    void deliver(int now) {
+        std::vector<message> left;
+        for (auto& each : this->on_its_way) {
+            auto& to = this->nodes[each.to];
+            const auto from =
+                std::find_if(this->nodes.begin(), this->nodes.end(),
+                             [&each](const node& one) { return one.id == each.report.from; });
+            const bool cut = now < to.cut_until || now < from->cut_until;
+            if (now < each.at_ms || cut || now < to.frozen_until) {
+                left.push_back(std::move(each));
+                continue;
+            }
+            if (now < to.down_until) {
+                continue;
+            }
+            each.report.age = milliseconds(now - each.sent_ms);
+            quota::take_report(to.state, each.report, at(now), this->rules);
+        }
+        this->on_its_way = std::move(left);
+    }
+
+    void ask(const base::team_id& team, node& one, int now) {
+        const std::int64_t cost =
+            this->request_size / 2 + this->below(static_cast<int>(this->request_size));
+        const auto taken =
+            quota::take(one.state, team, {cost}, base::stable_hash("request", ++this->requests),
+                        at(now), this->rules);
+        if (team == calm) {
+            this->asked_calm += 1;
+            this->refused_calm += taken.admitted ? 0 : 1;
+        } else {
+            this->asked += cost;
+        }
+        if (!taken.admitted) {
+            return;
+        }
+        constexpr int one_in = 12;
+        if (this->below(one_in) == 0) {
+            quota::settle(one.state, team, {cost}, {0}, at(now));
+            return;
+        }
+        this->through += team == busy ? cost : 0;
+        this->runs[team].push_back({now, cost});
+    }
+
+    void send_requests(int now) {
+        std::vector<std::size_t> up;
+        double weights = 0.0;
+        for (std::size_t each = 0; each < this->nodes.size(); ++each) {
+            if (runs_at(this->nodes[each], now)) {
+                up.push_back(each);
+                weights += this->nodes[each].weight;
+            }
+        }
+        for (const auto& [team, rate] : this->demand) {
+            double wanted = rate * step_ms / 1000 / static_cast<double>(this->request_size);
+            while (!up.empty() && base::unit(this->random) < wanted) {
+                wanted -= 1.0;
+                double drawn = base::unit(this->random) * weights;
+                std::size_t pick = 0;
+                while (pick + 1 < up.size() && drawn > this->nodes[up[pick]].weight) {
+                    drawn -= this->nodes[up[pick]].weight;
+                    ++pick;
+                }
+                this->ask(team, this->nodes[up[pick]], now);
+            }
+        }
+    }
+
+    void break_something(int now) {
+        const auto any = [this]() -> node& {
+            return this->nodes[base::below(this->random, this->nodes.size())];
+        };
+        switch (this->below(9)) {
+        case 0:
+            any().frozen_until = now + 500 + this->below(5000);
+            break;
+        case 1:
+            any().cut_until = now + 500 + this->below(4000);
+            break;
+        case 2: {
+            auto& one = any();
+            one.down_until = now + 200 + this->below(2000);
+            break;
+        }
+        case 3:
+            // All links stand still for a while.
+            for (std::size_t each = 0; each < this->nodes.size(); ++each) {
+                this->link_stands_until[{each, base::below(this->random, this->nodes.size())}] =
+                    now + this->below(3000);
+            }
+            break;
+        case 4:
+            for (auto& each : this->nodes) {
+                each.down_until = now + 300 + this->below(300);
+            }
+            break;
+        case 5:
+            this->demand[busy] = this->limit_of(busy) * (0.3 + 8 * base::unit(this->random));
+            break;
+        case 6:
+            for (auto& each : this->nodes) {
+                each.weight = this->below(3) == 0 ? 5.0 : 0.1;
+            }
+            break;
+        case 7:
+            // Half of them can't reach the others; it heals by itself.
+            for (std::size_t each = 0; each < this->nodes.size() / 2; ++each) {
+                for (std::size_t other = this->nodes.size() / 2; other < this->nodes.size();
+                     ++other) {
+                    const int until = now + 4000;
+                    this->link_stands_until[{each, other}] = until;
+                    this->link_stands_until[{other, each}] = until;
+                }
+            }
+            break;
+        default:
+            this->change_limit(now);
+            break;
+        }
+    }
+
+    void change_limit(int now) {
+        const double rate = this->limit_of(busy) * (this->below(2) == 0 ? 0.4 : 2.5);
+        const double first = this->limits.at(busy).front().second;
+        this->limits[busy].emplace_back(now, std::clamp(rate, first / 3, first * 3));
+        for (auto& each : this->nodes) {
+            // Entries that can't take the change now do so when they can.
+            this->set_limits(each, std::max(now, 0));
+        }
+    }
+
+    void play(int from_ms, int to_ms) {
+        for (int now = from_ms; now < to_ms; now += step_ms) {
+            for (auto& each : this->nodes) {
+                if (each.down_until != 0 && now >= each.down_until) {
+                    each.down_until = 0;
+                    this->start(each, now);
+                }
+            }
+            this->deliver(now);
+            if (now % tell_period_ms == 0) {
+                for (std::size_t each = 0; each < this->nodes.size(); ++each) {
+                    if (runs_at(this->nodes[each], now)) {
+                        this->tell(each, now);
+                    }
+                }
+            }
+            if (this->faults && now % 700 == 0 && now > 5000) {
+                this->break_something(now);
+            }
+            this->send_requests(now);
+        }
+    }
+
+    // The highest limit that may bind a window that ends then.
+    [[nodiscard]] double binding_limit(const base::team_id& team, int end_ms) const {
+        double highest = 0.0;
+        const auto& all = this->limits.at(team);
+        for (std::size_t each = 0; each < all.size(); ++each) {
+            const int replaced = each + 1 < all.size() ? all[each + 1].first : end_ms + 1;
+            if (replaced + window_ms + config_ms >= end_ms && all[each].first <= end_ms) {
+                highest = std::max(highest, all[each].second);
+            }
+        }
+        return highest;
+    }
+
+    // The largest part of what a window may hold that any window has held.
+    [[nodiscard]] double fullest_window(const base::team_id& team) const {
+        const auto found = this->runs.find(team);
+        if (found == this->runs.end()) {
+            return 0.0;
+        }
+        const auto& all = found->second;
+        double fullest = 0.0;
+        double sum = 0.0;
+        std::size_t first = 0;
+        for (const auto& each : all) {
+            sum += static_cast<double>(each.cost);
+            while (all[first].at_ms <= each.at_ms - window_ms) {
+                sum -= static_cast<double>(all[first].cost);
+                ++first;
+            }
+            const double rate = this->binding_limit(team, each.at_ms);
+            const double most =
+                (rate * window_ms / 1000 + rate) * (1 + excess) + this->rules.allowed.slack;
+            fullest = std::max(fullest, sum / most);
+        }
+        return fullest;
+    }
+};
+
+std::uint64_t seeds_to_play(std::uint64_t usual) {
+    const char* wanted = std::getenv("CAMPHORRAIL_SCHEDULES");
+    return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
+} // namespace
+
+// The failure: entries that are cut off, stand still, start again or hear late give out, together,
+// more than a team's quota.
+TEST_CASE("no window holds more than the quota over all entries, whatever happens to them",
+          "[quota][schedule]") {
+    double fullest = 0.0;
+    for (std::uint64_t seed = 1; seed <= seeds_to_play(60); ++seed) {
+        CAPTURE(seed);
+        base::random_source pick{seed};
+        const std::size_t entries = 2 + base::below(pick, 12);
+        quota_fleet fleet(seed, entries, 60'000);
+        fleet.play(0, 30'000);
+        for (const auto& team : {busy, calm}) {
+            CAPTURE(team.value);
+            fullest = std::max(fullest, fleet.fullest_window(team));
+            CHECK(fleet.fullest_window(team) <= 1.0);
+        }
+    }
+    UNSCOPED_INFO("fullest window " << fullest);
+    CHECK(fullest > 0.5);
+}
+
+// The failure: a team whose callers come to a few entries is given only those entries' even parts.
+TEST_CASE("callers that are uneven over the entries are given the whole quota", "[quota]") {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        quota_fleet fleet(seed, 22, 200'000);
+        fleet.faults = false;
+        fleet.demand[busy] = 600'000;
+        for (std::size_t each = 0; each < fleet.nodes.size(); ++each) {
+            fleet.nodes[each].weight = each < 2 ? 10.0 : 0.1;
+        }
+        fleet.play(0, 3000);
+        fleet.through = 0;
+        fleet.play(3000, 13'000);
+        CHECK(fleet.through >= 0.9 * 10 * 200'000);
+        CHECK(fleet.fullest_window(busy) <= 1.0);
+    }
+}
+
+// The failure: callers of a team that asks for less than its quota are refused.
+TEST_CASE("a team below its quota is refused nothing while the entries hear each other",
+          "[quota]") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        quota_fleet fleet(seed, 22, 60'000);
+        fleet.faults = false;
+        fleet.play(0, 20'000);
+        CHECK(fleet.asked_calm > 300);
+        CHECK(fleet.refused_calm <= fleet.asked_calm / 100);
+    }
+}
--- /dev/null
+++ b/src/quota/reserves.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "quota/quota.h"
+
+// What of the limits belongs to entries that are not heard. They may be gone, or cut off and
+// serving callers all the same.
+namespace camphorrail::quota {
+
+// Demand that decays from when it was last told.
+double decayed(double demand, base::instant at, base::instant now, const quota_rules& rules);
+
+// What a team asks for, in units a second: here and at all entries that are heard.
+double demand_of(const ledger& state, const team_account& account, base::instant now,
+                 const quota_rules& rules);
+
+// Part of a team's limit that this entry and those it hears may use together.
+double share_of(const ledger& state, const team_account& account, const quota_rules& rules);
+
+// Reserves parts for an entry that has just fallen silent, as large as its part of the demand was
+// when it was last heard. Both sides of a cut work with the figures of that moment, so their parts
+// add up to no more than the whole.
+void reserve_for(ledger& state, const peer_entry& silent, base::instant now,
+                 const quota_rules& rules);
+
+} // namespace camphorrail::quota
--- a/src/routes/operators_config.h
+++ b/src/routes/operators_config.h
@@ -80,6 +80,22 @@
     base::milliseconds idle_timeout{15000};
 };
 
+// What a team's quota counts.
+enum class quota_unit { requests, tokens };
+
+// What a team may use over all entries together: a token bucket. None where the rate is 0.
+struct team_quota {
+    quota_unit unit = quota_unit::requests;
+    double rate_per_s = 0.0;
+    double burst = 0.0;
+    // Units of a request that does not say its tokens, where they are counted.
+    std::int64_t plain_tokens = 1;
+};
+
+inline bool is_limited(const team_quota& quota) {
+    return quota.rate_per_s > 0.0;
+}
+
 struct team {
     base::team_id id;
     // Rank that goes before the route's; negative for none.
@@ -88,6 +104,7 @@
     bool isolated = false;
     // Callers' keys that stand for this team.
     std::vector<std::string> keys;
+    team_quota quota;
 };
 
 // One version of the operators' configuration, checked, with its look-up tables.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -21,6 +21,7 @@
 constexpr number_range events_range{0, 1000000};
 constexpr number_range slots_range{1, 10000};
 constexpr double most_slack = 1e6;
+constexpr double most_quota_slack = 1e12;
 
 platform_settings parse_platform(yaml_reader reader, base::milliseconds poll) {
     platform_settings parsed;
@@ -98,6 +99,10 @@
     parsed.grace = base::seconds(reader.number("grace_s", parsed.grace.count(), idle_range));
     parsed.retry_ratio = reader.fraction("retry_ratio", parsed.retry_ratio, 1.0);
     parsed.retry_slack = reader.fraction("retry_slack", parsed.retry_slack, most_slack);
+    parsed.quota_window =
+        base::seconds(reader.number("quota_window_s", parsed.quota_window.count(), idle_range));
+    parsed.quota_excess = reader.fraction("quota_excess", parsed.quota_excess, 1.0);
+    parsed.quota_slack = reader.fraction("quota_slack", parsed.quota_slack, most_quota_slack);
     parsed.lease = read_span(reader, "lease_ms", parsed.lease);
     parsed.outdated_weights = read_span(reader, "outdated_weights_ms", parsed.outdated_weights);
     reader.finish();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -81,6 +81,11 @@
     // share of the requests, and so many more in any ten seconds.
     double retry_ratio = 0.2;
     double retry_slack = 50;
+    // How far the sum over all entries may go above a team's quota in any window of this length: by
+    // this part of the quota, and by so many units on top.
+    base::seconds quota_window{8};
+    double quota_excess = 0.0;
+    double quota_slack = 0.0;
     // Two entries that order upstreams keep at least this far apart.
     base::milliseconds lease{3000};
     // A request may begin on outdated weights for this long.
