Hold the soak, real processes and the stand-ins' fleet to quotas and to losses in one moment

The soak has a team that asks for several times its quota all the while; the checker counts its runs at the engines, in every window, whatever the entries believe. One seed in five loses most engines in one moment, twice, while one call is popular. `checker_tests` breaks the new promise by hand.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -122,7 +122,8 @@
         -d "{\"expected\":[],\"puts\":[{\"key\":\"$1\",\"value\":\"$value\"}],\"deletes\":[]}"
 }
 
-# put_config VERSION: routes for plain calls, calls that must not run twice, and streams.
+# put_config VERSION: routes for plain calls, calls that must not run twice, and streams. TEAM_QUOTA, if
+# set, holds further fields of the team.
 put_config() {
     route() {
         printf '{"name":"%s","host":"desk.example","prefix":"/%s/","kind":"%s","timeoutMs":8000,' "$1" "$1" "$2"
@@ -131,7 +132,7 @@
     put_item op/config "{\"version\":$1,\"routes\":[$(route confirm unsafe false slots),\
 $(route status safe false slots),$(route stream stream true pool)],\
 \"services\":[{\"name\":\"slots\"},{\"name\":\"pool\"}],\"limits\":{},\
-\"tenants\":[{\"name\":\"desk\",\"keys\":[\"$TEAM_KEY\"]}]}"
+\"tenants\":[{\"name\":\"desk\",\"keys\":[\"$TEAM_KEY\"]${TEAM_QUOTA:-}}]}"
 }
 
 # start_platform_engine ID NUMBER POOL [OPTION...]
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -18,6 +18,7 @@
 constexpr int mean_pause_ms = 60;
 constexpr base::milliseconds patience{4000};
 constexpr std::uint64_t calls_a_fatal_one = 12;
+constexpr std::uint64_t calls_a_popular_one = 3;
 
 } // namespace
 
@@ -44,8 +45,9 @@
                 this);
             bufferevent_enable(this->socket, EV_READ | EV_WRITE);
         }
-        const std::string body =
-            this->call.fatal ? this->owner->fatal_body : "body of " + this->call.id;
+        const std::string body = this->call.fatal     ? this->owner->fatal_body
+                                 : this->call.popular ? "popular"
+                                                      : "body of " + this->call.id;
         const std::string bytes =
             std::string("POST ") + path_of(this->call.kind) +
             "x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer " + this->call.key +
@@ -128,8 +130,8 @@
     bool busy = false;
 };
 
-callers::callers(adapters::event_loop& loop, history& seen, std::uint64_t seed)
-    : loop(&loop), seen(&seen), random{seed} {}
+callers::callers(adapters::event_loop& loop, history& seen, std::uint64_t seed, std::string name)
+    : loop(&loop), seen(&seen), random{seed}, name(std::move(name)) {}
 
 callers::~callers() = default;
 
@@ -160,10 +162,11 @@
         one->busy = true;
         one->reader = http::response_reader({});
         one->call = {};
-        one->call.id = "call-" + std::to_string(++this->calls);
+        one->call.id = this->name + "-" + std::to_string(++this->calls);
         one->call.kind = static_cast<call_kind>(base::below(this->random, 4));
         one->call.key = this->keys.at(base::below(this->random, this->keys.size()));
         this->make_fatal(one->call);
+        this->make_popular(one->call);
         one->call.entry = one->entry;
         one->call.sent_at = adapters::boot_now();
         one->send();
@@ -185,6 +188,15 @@
     call.key = this->keys.back();
 }
 
+void callers::make_popular(call_seen& call) {
+    if (!this->popular || call.fatal || base::below(this->random, calls_a_popular_one) > 0) {
+        return;
+    }
+    call.popular = true;
+    call.kind = call_kind::resumable_stream;
+    call.key = this->keys.back();
+}
+
 void callers::end_call(const std::shared_ptr<caller>& one) {
     one->busy = false;
     one->call.ended_at = adapters::boot_now();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -14,7 +14,8 @@
 // end closes it: also while its entry is being stopped, and until the process is gone.
 class callers {
 public:
-    callers(adapters::event_loop& loop, history& seen, std::uint64_t seed);
+    // `name` tells the ids of their calls from those of others.
+    callers(adapters::event_loop& loop, history& seen, std::uint64_t seed, std::string name);
     ~callers();
     callers(const callers&) = delete;
     callers& operator=(const callers&) = delete;
@@ -29,10 +30,13 @@
 
     // Until then, every few calls a fatal one is sent, the same each time.
     void send_fatal_until(base::instant until);
+    // From now on every few calls are one and the same harmless one.
+    void send_popular() { this->popular = true; }
 
 private:
     struct caller;
     void make_fatal(call_seen& call);
+    void make_popular(call_seen& call);
     void begin_call(const std::shared_ptr<caller>& one);
     void end_call(const std::shared_ptr<caller>& one);
 
@@ -45,6 +49,8 @@
     std::int64_t calls = 0;
     base::instant fatal_until{};
     std::string fatal_body;
+    bool popular = false;
+    std::string name;
     bool stopping = false;
 };
 
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int first_error = 300;
+constexpr int status_over_quota = 429;
 
 using runs_by_id = std::map<std::string, std::vector<const run_seen*>>;
 using findings = std::vector<std::string>;
@@ -259,6 +260,37 @@
     }
 }
 
+bool is_of_limited_team(const call_seen& call, const promised& promises) {
+    return "team-of-" + call.key == promises.quota_team;
+}
+
+// Counted at the back ends alone, whatever the entries believe.
+void check_quota(const history& seen, const promised& promises, findings& found) {
+    std::vector<base::instant> ran;
+    for (const auto& run : seen.runs) {
+        if (run.team == promises.quota_team) {
+            ran.push_back(run.at);
+        }
+    }
+    std::sort(ran.begin(), ran.end());
+    const std::chrono::duration<double> window = promises.quota_window;
+    const double given = promises.quota_rate_per_s * window.count() + promises.quota_burst;
+    const double most = given * (1.0 + promises.quota_excess) + promises.quota_slack;
+    std::size_t first = 0;
+    std::size_t fullest = 0;
+    for (std::size_t last = 0; last < ran.size(); ++last) {
+        while (ran[last] - ran[first] >= promises.quota_window) {
+            ++first;
+        }
+        fullest = std::max(fullest, last - first + 1);
+    }
+    if (static_cast<double>(fullest) > most) {
+        found.push_back("quotas hold over all entries: " + std::to_string(fullest) +
+                        " runs in one window, " + std::to_string(static_cast<int>(most)) +
+                        " allowed");
+    }
+}
+
 void check_end(const history& seen, const promised& promises, findings& found) {
     double all = 0;
     double served = 0;
@@ -266,7 +298,9 @@
         const bool removed =
             std::any_of(seen.removed.begin(), seen.removed.end(),
                         [&call](const key_removed& each) { return each.key == call.key; });
-        if (call.sent_at < seen.settled_at || removed || call.fatal) {
+        const bool over_quota =
+            call.status == status_over_quota && is_of_limited_team(call, promises);
+        if (call.sent_at < seen.settled_at || removed || call.fatal || over_quota) {
             continue;
         }
         all += 1;
@@ -305,6 +339,7 @@
     check_fatal(seen, promises, found);
     check_leaving(seen, promises, found);
     check_pauses(seen, promises, found);
+    check_quota(seen, promises, found);
     for (const auto& exit : seen.exits) {
         found.push_back("processes stay up: " + exit);
     }
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -23,6 +23,13 @@
     // Calls that may reach a back end from one entry within a pause, later than the first moment.
     std::size_t calls_in_a_pause = 2;
     base::milliseconds pause_begins{500};
+    // The team with a quota: what its runs may add up to over all entries, in any window.
+    std::string quota_team = "team-of-limited";
+    double quota_rate_per_s = 4.0;
+    double quota_burst = 8.0;
+    base::milliseconds quota_window{8000};
+    double quota_excess = 0.1;
+    double quota_slack = 12.0;
     // Share of calls that must be served once everything is sound again.
     double served_at_the_end = 0.95;
 };
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -154,6 +154,24 @@
         seen.faults = {{"kill", 0, at(22000), at(22500), false}};
         CHECK(soak::check(seen, {}).empty());
     }
+    SECTION("a team that ran more than its quota over all entries") {
+        for (int each = 0; each < 56; ++each) {
+            const std::string id = "q" + std::to_string(each);
+            seen.calls.push_back(call(id, soak::call_kind::safe, 200, 1000 + 140 * each));
+            seen.calls.back().key = "limited";
+            seen.calls.back().entry = each % 3;
+            seen.runs.push_back(run(id, 1010 + 140 * each));
+            seen.runs.back().team = "team-of-limited";
+        }
+        CHECK(soak::check(seen, {}).empty());
+        seen.calls.push_back(call("one more", soak::call_kind::safe, 200, 8800));
+        seen.calls.back().key = "limited";
+        seen.runs.push_back(run("one more", 8810));
+        seen.runs.back().team = "team-of-limited";
+        CHECK(only_finding(seen).rfind("quotas hold over all entries", 0) == 0);
+        seen.runs.back().at = at(9020);
+        CHECK(soak::check(seen, {}).empty());
+    }
     SECTION("a process that ended by itself, and one that does not recover") {
         seen.exits = {"entry 1, code 139"};
         CHECK(only_finding(seen).rfind("processes stay up", 0) == 0);
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -49,6 +49,8 @@
     bool whole = false;
     // It crashes the engine that runs it.
     bool fatal = false;
+    // The same for many callers, and harmless.
+    bool popular = false;
     // The answer says that its engine leaves.
     bool says_leaving = false;
 };
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 25> names{"kill",
+constexpr std::array<std::string_view, 26> names{"kill",
                                                  "stop",
                                                  "pause",
                                                  "reload",
@@ -33,10 +33,13 @@
                                                  "name_weights",
                                                  "fatal_requests",
                                                  "engine_says_leaving",
-                                                 "engine_asks_for_pause"};
+                                                 "engine_asks_for_pause",
+                                                 "engines_lost_together"};
 // The first ones are drawn at random; the others are added at the end of a run.
 constexpr std::uint64_t drawn_kinds = 22;
 constexpr std::uint64_t quiet_stream = 0xfa7a1;
+// One seed in so many loses engines together.
+constexpr std::uint64_t seeds_a_loss = 5;
 constexpr base::milliseconds calm_before_quiet{4000};
 constexpr base::milliseconds quiet_span{8000};
 constexpr int shortest_span_ms = 300;
@@ -78,6 +81,10 @@
 void add_quiet_faults(std::vector<planned_fault>& plan, std::uint64_t seed, const plan_size& size) {
     base::random_source random{seed ^ quiet_stream};
     const auto at = size.length + calm_before_quiet;
+    if (seed % seeds_a_loss == seeds_a_loss - 1) {
+        plan.push_back({at, quiet_span, fault_kind::engines_lost_together, 0});
+        return;
+    }
     if (base::below(random, 2) > 0) {
         plan.push_back({at, quiet_span, fault_kind::fatal_requests, 0});
         return;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -40,6 +40,8 @@
     // An engine says in its answers that it leaves, and the list calls it ready.
     engine_says_leaving,
     engine_asks_for_pause,
+    // Most engines end in the same moment, twice, while one request is popular.
+    engines_lost_together,
 };
 
 const char* name_of(fault_kind kind);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds unlisted_after{1500};
 // An engine that crashed under a fatal request, or has left, is back after this long.
 constexpr milliseconds engine_absence{1500};
+constexpr milliseconds first_loss{1500};
+constexpr milliseconds second_loss{5500};
+// Enough of them to ask for several times their quota.
+constexpr int limited_callers = 3;
 constexpr milliseconds drain{3000};
 constexpr milliseconds reload_time{1000};
 constexpr milliseconds link_delay{120};
@@ -48,7 +52,8 @@
 
 soak::soak(soak_options options)
     : options(std::move(options)), store(this->loop),
-      calling(this->loop, this->seen, this->options.seed ^ 0x5eedULL) {
+      calling(this->loop, this->seen, this->options.seed ^ 0x5eedULL, "call"),
+      limited(this->loop, this->seen, this->options.seed ^ 0x11317ULL, "limited") {
     this->set_up_store();
     this->set_up_back_ends();
     this->write_config();
@@ -120,8 +125,11 @@
         this->entries.push_back(std::move(one));
     }
     this->calling.set_keys(this->keys);
-    this->after(start_time,
-                [this, addresses] { this->calling.start(addresses, this->options.callers); });
+    this->limited.set_keys({"limited"});
+    this->after(start_time, [this, addresses] {
+        this->calling.start(addresses, this->options.callers);
+        this->limited.start(addresses, limited_callers);
+    });
 }
 
 void soak::list(const back_end& one, const std::string& state) {
@@ -145,6 +153,12 @@
         const json held = removed ? json::array() : json::array({key});
         teams.push_back({{"name", "team-of-" + key}, {"keys", held}});
     }
+    const promised promises;
+    teams.push_back({{"name", promises.quota_team},
+                     {"keys", {"limited"}},
+                     {"unit", "requests"},
+                     {"ratePerS", promises.quota_rate_per_s},
+                     {"burst", promises.quota_burst}});
     const json config{{"version", ++this->config_version},
                       {"routes",
                        {route_of(call_kind::once, "unsafe", 1, false, "app"),
@@ -165,7 +179,10 @@
     const auto healed = start_time + this->options.size.length;
     this->after(healed, [this] { this->heal(); });
     this->after(healed + settle_time, [this] { this->seen.settled_at = adapters::boot_now(); });
-    this->after(healed + settle_time + calm_time, [this] { this->calling.stop(); });
+    this->after(healed + settle_time + calm_time, [this] {
+        this->calling.stop();
+        this->limited.stop();
+    });
     this->after(healed + settle_time + calm_time + last_answers, [this] { this->loop.stop(); });
     this->loop.every(look_period, [this] { this->look_at_processes(); });
     this->loop.run();
@@ -203,6 +220,12 @@
         this->note(fault);
         this->calling.send_fatal_until(adapters::boot_now() + fault.span);
         return;
+    case fault_kind::engines_lost_together:
+        this->note(fault);
+        this->calling.send_popular();
+        this->after(first_loss, [this] { this->lose_engines_together(); });
+        this->after(second_loss, [this] { this->lose_engines_together(); });
+        return;
     case fault_kind::name_weights:
         this->store.put("op/version/m0", json{{"model", "m0"}, {"version", ++this->named}}.dump());
         return;
@@ -288,6 +311,19 @@
     });
 }
 
+void soak::lose_engines_together() {
+    std::vector<back_end*> engines;
+    for (auto& one : this->back_ends) {
+        if (one.pool == "pool") {
+            engines.push_back(&one);
+        }
+    }
+    engines.resize((engines.size() * 5 + 7) / 8);
+    for (auto* one : engines) {
+        this->restart_engine(*one, engine_absence);
+    }
+}
+
 void soak::strike_engine(const planned_fault& fault, back_end& one) {
     this->note(fault);
     switch (fault.kind) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -57,6 +57,7 @@
     void list(const back_end& one, const std::string& state);
     void strike(const planned_fault& fault);
     void strike_entry(const planned_fault& fault, entry& one);
+    void lose_engines_together();
     void strike_engine(const planned_fault& fault, back_end& one);
     void strike_store(const planned_fault& fault);
     void restart_engine(back_end& one, base::milliseconds away);
@@ -78,6 +79,8 @@
     std::vector<back_end> back_ends;
     std::vector<entry> entries;
     callers calling;
+    // Those of the team with a quota, who ask for more than that.
+    callers limited;
     std::vector<std::string> keys{"k0", "k1", "k2", "k3", "k4", "k5"};
     std::vector<std::string> removed_keys;
     std::int64_t config_version = 1;
