Give a team what its window allows, part of it evenly

Change: where a tolerance is set, a team may use all that a window allows, its burst included, and two fifths of the tolerance; 0.7 of what goes beyond the rate is given out evenly.

--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -16,13 +16,28 @@
 constexpr seconds least_spread{0.2};
 constexpr seconds longest_spread{10.0};
 
-double given_rate(const team_account& account, const quota_rules& rules) {
-    return account.limit.rate_per_s * (1.0 + rules.tolerance_used * rules.allowed.excess);
+bool looks_at_windows(const tolerance& allowed) {
+    return allowed.excess > 0.0 || allowed.slack > 0.0;
+}
+
+// What a team may use in a window beyond its rate.
+double beyond_rate(const routes::team_quota& limit, const quota_rules& rules) {
+    const double in_window = limit.rate_per_s * seconds(rules.allowed.window).count();
+    const double tolerated = (in_window + limit.burst) * rules.allowed.excess + rules.allowed.slack;
+    return limit.burst + rules.tolerance_used * tolerated;
+}
+
+double given_rate(const routes::team_quota& limit, const quota_rules& rules) {
+    if (!looks_at_windows(rules.allowed)) {
+        return limit.rate_per_s;
+    }
+    return limit.rate_per_s +
+           rules.steady_part * beyond_rate(limit, rules) / seconds(rules.allowed.window).count();
 }
 
 double bucket_size(const routes::team_quota& limit, const quota_rules& rules) {
-    return limit.burst * (1.0 + rules.tolerance_used * rules.allowed.excess) +
-           rules.tolerance_used * rules.allowed.slack;
+    const bool windows = looks_at_windows(rules.allowed);
+    return windows ? (1.0 - rules.steady_part) * beyond_rate(limit, rules) : limit.burst;
 }
 
 // No bucket ever holds what a larger request asks for. It must not count as demand either, or a
@@ -34,7 +49,7 @@
 void fill(team_account& account, double share, base::instant now, const quota_rules& rules) {
     const seconds passed = now - std::max(account.filled_at, base::instant{});
     account.filled_at = now;
-    const double rate = given_rate(account, rules);
+    const double rate = given_rate(account.limit, rules);
     const double most = bucket_size(account.limit, rules) * share;
     const double debt = rate * seconds(rules.longest_debt).count();
     account.balance += rate * share * std::max(0.0, passed.count());
@@ -285,7 +300,7 @@
     taken.share = share_of(state, account, rules);
     fill(account, taken.share, now, rules);
     note_asked(account, cost, now, rules);
-    taken.rate = given_rate(account, rules) * taken.share;
+    taken.rate = given_rate(account.limit, rules) * taken.share;
     taken.demand = demand_of(state, account, now, rules);
     taken.balance =
         account.balance - likely_untold(account, taken.demand, state.peers.size() + 1, now, rules);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -28,6 +28,7 @@
 };
 
 // How far operators let the sum over all entries go above the quota, in any window of this length.
+// Without an excess or slack no window is looked at, and a quota is its rate and its burst.
 struct tolerance {
     base::micros window = base::seconds(8);
     // As a part of the quota in the window.
@@ -39,7 +40,11 @@
 struct quota_rules {
     tolerance allowed;
     // Part of the tolerance that teams are given; the rest is for what entries learn late.
-    double tolerance_used = 0.5;
+    double tolerance_used = 0.4;
+    // Where operators look at windows, a team may use all that a window allows, its burst included,
+    // in each of them. This part of what goes beyond its rate is given out evenly, the rest as the
+    // size of the bucket.
+    double steady_part = 0.7;
     // A bucket that is above or below empty is brought back there within this time.
     base::micros balance_time = base::milliseconds(500);
     // A team owes at most what it is given in this time.
