--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -83,6 +83,12 @@
     return found;
 }
 
+bool peers::has_earlier_place() const {
+    const auto& items = this->context.state.store.items;
+    return this->lease == 0 &&
+           items.count(this->list_prefix() + this->context.settings.id.value) > 0;
+}
+
 std::vector<base::entry_id> peers::linked() const {
     std::vector<base::entry_id> found;
     for (const auto& [key, each] : this->links) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -33,6 +33,8 @@
     [[nodiscard]] std::int64_t count() const;
     // Other entries that the platform lists.
     [[nodiscard]] std::set<base::entry_id> listed_others() const;
+    // Whether the place of an earlier life of this entry still stands on the list.
+    [[nodiscard]] bool has_earlier_place() const;
     // Entries that a link stands to.
     [[nodiscard]] std::vector<base::entry_id> linked() const;
 
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -70,6 +70,9 @@
     const auto rules = quota_rules_of(this->settings);
     const base::instant now = this->context.now();
     quota::set_entries(this->state.quotas, this->others.listed_others(), now, rules);
+    if (this->others.has_earlier_place()) {
+        quota::trust_list(this->state.quotas);
+    }
     const auto changes = quota::silence_changes(this->state.quotas, now, rules);
     if (this->state.quotas.teams.empty()) {
         return;
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -284,6 +284,10 @@
     forget_gone(state, now, rules);
 }
 
+void trust_list(ledger& state) {
+    state.settled = true;
+}
+
 decision take(ledger& state, const base::team_id& team, units cost, std::uint64_t lot,
               base::instant now, const quota_rules& rules) {
     const auto found = state.teams.find(team);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -175,6 +175,9 @@
 void set_entries(ledger& state, const std::set<base::entry_id>& listed, base::instant now,
                  const quota_rules& rules);
 
+// The list of entries is older than this process, so it names those that started with it.
+void trust_list(ledger& state);
+
 // Whether the account's limit and the inputs of a decision allowed a request.
 struct decision {
     bool admitted = true;
--- a/src/quota/quota_tests.cpp
+++ b/src/quota/quota_tests.cpp
@@ -110,6 +110,11 @@
         one.hear("entry-2", 20, 0, 0);
         CHECK(one.take(50, 60).share > 0.9);
     }
+    SECTION("or the list is older than this process") {
+        quota::set_entries(one.state, {{"entry-2"}, {"entry-3"}}, entry::at(20), one.rules);
+        quota::trust_list(one.state);
+        CHECK(one.take(50, 60).share == Approx(1.0 / 3));
+    }
     SECTION("for a short while") {
         CHECK(one.take(50, 2100).share == 1.0);
     }
