Rely on the list of entries once this entry is on it

An entry that is on the list knows all that were listed before it, and 150 ms later those that were listed at the same time.

Change: until then each takes 1/32.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -6,6 +6,8 @@
 #include "once/ledger.h"
 #include "once/ownership.h"
 #include "process/config_keeper.h"
+#include "proxy/peer_messages.h"
+#include "quota/quota.h"
 #include "routing/engine_view.h"
 #include "routing/router.h"
 #include "wire/messages.h"
@@ -224,6 +226,52 @@
     }
 }
 
+// Entries that all have counted all teams: the most that is ever known.
+void quota_slopes() {
+    constexpr int teams = 320;
+    for (const int entries : {22, 100, 400}) {
+        const auto label = std::to_string(entries) + " entries, 320 teams";
+        quota::ledger known;
+        quota::quota_rules rules;
+        std::vector<routes::team> limited(teams);
+        for (int each = 0; each < teams; ++each) {
+            limited[static_cast<std::size_t>(each)].id = {"team-" + std::to_string(each)};
+            limited[static_cast<std::size_t>(each)].quota = {routes::quota_unit::tokens, 1e6, 1e6,
+                                                             1};
+        }
+        const base::instant now{base::seconds(1000)};
+        quota::set_limits(known, limited, now, rules);
+        quota::usage_report report{{}, {}, base::seconds(100), {}};
+        for (const auto& team : limited) {
+            report.counts.push_back({team.id, 1, base::seconds(10), {1000}, {1000}});
+        }
+        for (int entry = 1; entry < entries; ++entry) {
+            report.from = {"entry-" + std::to_string(entry)};
+            quota::take_report(known, report, now, rules);
+        }
+        print("decision by a quota", label,
+              microseconds_each(20000,
+                                [&](int round) {
+                                    const auto number = static_cast<std::uint64_t>(round);
+                                    (void)quota::take(known, limited[number % teams].id, {1},
+                                                      base::mix(number, 1), now, rules);
+                                }),
+              "us");
+        report.counts.resize(4);
+        print("taking four counts of an entry", label,
+              microseconds_each(
+                  20000, [&](int /*round*/) { quota::take_report(known, report, now, rules); }),
+              "us");
+    }
+    print("count of one team of one entry, held", "one",
+          static_cast<double>(sizeof(quota::told_count)), "bytes");
+    proxy::told_load told;
+    const auto bare = proxy::encode(proxy::peer_load{{told}}).size();
+    told.usage = {{{"team-17"}, 1796236207773000, base::seconds(100), {123456789}, {234567890}}};
+    print("count of one team, told", "one",
+          static_cast<double>(proxy::encode(proxy::peer_load{{told}}).size() - bare), "bytes");
+}
+
 } // namespace
 
 int main() {
@@ -234,5 +282,6 @@
     message_slopes();
     config_slopes();
     once_slopes();
+    quota_slopes();
     return 0;
 }
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -73,22 +73,18 @@
     return static_cast<std::int64_t>(all.size()) + (listed_self ? 0 : 1);
 }
 
-std::set<base::entry_id> peers::listed_others() const {
-    std::set<base::entry_id> found;
+quota::listed_entries peers::listed_entries() const {
+    quota::listed_entries found;
     for (const auto& [id, address] : this->listed()) {
-        if (id != this->context.settings.id) {
-            found.insert(id);
+        if (id == this->context.settings.id) {
+            found.self = true;
+        } else {
+            found.others.insert(id);
         }
     }
     return found;
 }
 
-bool peers::has_earlier_place() const {
-    const auto& items = this->context.state.store.items;
-    return this->lease == 0 &&
-           items.count(this->list_prefix() + this->context.settings.id.value) > 0;
-}
-
 std::vector<base::entry_id> peers::linked() const {
     std::vector<base::entry_id> found;
     for (const auto& [key, each] : this->links) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -31,10 +31,8 @@
     // Leaves the list.
     void resign();
     [[nodiscard]] std::int64_t count() const;
-    // Other entries that the platform lists.
-    [[nodiscard]] std::set<base::entry_id> listed_others() const;
-    // Whether the place of an earlier life of this entry still stands on the list.
-    [[nodiscard]] bool has_earlier_place() const;
+    // The entries that the platform lists, as quotas go by them.
+    [[nodiscard]] quota::listed_entries listed_entries() const;
     // Entries that a link stands to.
     [[nodiscard]] std::vector<base::entry_id> linked() const;
 
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -34,6 +34,7 @@
     if (upstreams) {
         this->take_upstreams(told_by);
     }
+    this->follow_entries();
     this->note_readiness();
 }
 
@@ -69,10 +70,7 @@
 void proxy::follow_entries() {
     const auto rules = quota_rules_of(this->settings);
     const base::instant now = this->context.now();
-    quota::set_entries(this->state.quotas, this->others.listed_others(), now, rules);
-    if (this->others.has_earlier_place()) {
-        quota::trust_list(this->state.quotas);
-    }
+    quota::set_entries(this->state.quotas, this->others.listed_entries(), now, rules);
     const auto changes = quota::silence_changes(this->state.quotas, now, rules);
     if (this->state.quotas.teams.empty()) {
         return;
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -227,7 +227,8 @@
         return;
     }
     state.silence_checked_at = now;
-    state.settled = state.settled || uptime(state, now) > rules.settling;
+    const bool knows_all = state.listed_at && now - *state.listed_at >= rules.list_delay;
+    state.settled = state.settled || knows_all || uptime(state, now) > rules.longest_settling;
     for (auto& [id, peer] : state.peers) {
         const bool silent = !peer.heard_at || now - *peer.heard_at > rules.silence;
         if (silent == peer.silent) {
@@ -272,22 +273,21 @@
                   [&limited](const auto& each) { return limited.count(each.first) == 0; });
 }
 
-void set_entries(ledger& state, const std::set<base::entry_id>& listed, base::instant now,
+void set_entries(ledger& state, const listed_entries& listed, base::instant now,
                  const quota_rules& rules) {
     note_start(state, now);
+    if (listed.self && !state.listed_at) {
+        state.listed_at = now;
+    }
     for (auto& [id, peer] : state.peers) {
-        peer.listed = listed.count(id) > 0;
+        peer.listed = listed.others.count(id) > 0;
     }
-    for (const auto& id : listed) {
+    for (const auto& id : listed.others) {
         peer_of(state, id, now).listed = true;
     }
     forget_gone(state, now, rules);
 }
 
-void trust_list(ledger& state) {
-    state.settled = true;
-}
-
 decision take(ledger& state, const base::team_id& team, units cost, std::uint64_t lot,
               base::instant now, const quota_rules& rules) {
     const auto found = state.teams.find(team);
@@ -337,7 +337,7 @@
     auto& peer = peer_of(state, report.from, now);
     const base::instant at = now - report.age;
     peer.heard_at = std::max(peer.heard_at.value_or(at), at);
-    state.settled = state.settled || report.uptime > rules.settling;
+    state.settled = state.settled || report.uptime > rules.longest_settling;
     for (const auto& count : report.counts) {
         take_count(state, peer, count, at, now, rules);
     }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -59,10 +59,12 @@
     base::micros longest_unlisted = base::seconds(6);
     // Part of the limit that is reserved for silent entries alike, whatever they were asked for.
     double even_part = 0.25;
-    // When all entries start at once, all of them are listed after this time. Until then each takes
-    // a small part.
-    base::micros settling = base::seconds(2);
-    double unsettled_share = 1.0 / 64;
+    // Entries that start at once know of each other this long after they are listed themselves.
+    // Until then each takes a small part.
+    base::micros list_delay = base::milliseconds(150);
+    double unsettled_share = 1.0 / 32;
+    // An entry that has run for this long and is not listed goes by the list as it is.
+    base::micros longest_settling = base::seconds(10);
     // Who is silent is looked at this often.
     base::micros silence_period = base::milliseconds(20);
     // Callers of a request that is larger than its team's quota are told to wait for this long.
@@ -155,7 +157,8 @@
 struct ledger {
     // When this entry began to count; nothing before it was asked for anything.
     std::optional<base::instant> started_at;
-    // Whether the list of entries can be relied upon.
+    // When this entry was first seen on the list of entries, and whether that can be relied upon.
+    std::optional<base::instant> listed_at;
     bool settled = false;
     std::uint32_t last_index = 0;
     base::instant silence_checked_at{};
@@ -171,13 +174,15 @@
 void set_limits(ledger& state, const std::vector<routes::team>& teams, base::instant now,
                 const quota_rules& rules);
 
-// Takes which other entries the platform lists.
-void set_entries(ledger& state, const std::set<base::entry_id>& listed, base::instant now,
+// The entries that the platform lists.
+struct listed_entries {
+    std::set<base::entry_id> others;
+    // This entry is one of them, in this life or an earlier one.
+    bool self = false;
+};
+void set_entries(ledger& state, const listed_entries& listed, base::instant now,
                  const quota_rules& rules);
 
-// The list of entries is older than this process, so it names those that started with it.
-void trust_list(ledger& state);
-
 // Whether the account's limit and the inputs of a decision allowed a request.
 struct decision {
     bool admitted = true;
