Tell counts of quotas when they have changed by enough to matter

Change: a count is told once an entry has been asked for its part of half a bucket, half a second after any change, and again after two seconds.

--- a/src/proxy/load_exchange.cpp
+++ b/src/proxy/load_exchange.cpp
@@ -74,7 +74,7 @@
     load.reads = std::exchange(this->context.state.untold_reads, {});
     auto& quotas = this->context.state.quotas;
     load.uptime = std::chrono::duration_cast<base::milliseconds>(quota::uptime(quotas, now));
-    load.usage = quota::collect(quotas, load.whole, now, quota_rules_of(this->context.settings));
+    load.usage = quota::collect(quotas, now, quota_rules_of(this->context.settings));
     return load;
 }
 
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -92,6 +92,7 @@
 
 void note_asked(team_account& account, units cost, base::instant now, const quota_rules& rules) {
     account.asked += cost.value;
+    account.asked_untold += cost.value;
     account.untold = true;
     account.changed_at = now;
     account.own_demand = decayed(account.own_demand, account.own_demand_at, now, rules) +
@@ -245,6 +246,17 @@
     }
 }
 
+bool is_to_be_told(const team_account& account, std::size_t entries, base::instant now,
+                   const quota_rules& rules) {
+    const base::micros age = now - account.told_at;
+    if (!account.untold) {
+        return account.asked > 0 && age > rules.told_again;
+    }
+    const double own_part =
+        rules.told_part * bucket_size(account.limit, rules) / static_cast<double>(entries);
+    return age > rules.told_late || static_cast<double>(account.asked_untold) > own_part;
+}
+
 } // namespace
 
 base::micros uptime(const ledger& state, base::instant now) {
@@ -343,8 +355,7 @@
     }
 }
 
-std::vector<usage_count> collect(ledger& state, bool all, base::instant now,
-                                 const quota_rules& rules) {
+std::vector<usage_count> collect(ledger& state, base::instant now, const quota_rules& rules) {
     std::vector<usage_count> counts;
     for (auto& [team, account] : state.teams) {
         const bool idle = now - account.changed_at > rules.idle_count;
@@ -353,11 +364,13 @@
         }
         std::erase_if(account.told,
                       [&](const told_count& each) { return now - each.at > 2 * rules.idle_count; });
-        if (account.untold || (all && account.asked > 0)) {
+        if (is_to_be_told(account, state.peers.size() + 1, now, rules)) {
             counts.push_back(
                 {team, account.number, now - account.began, {account.used}, {account.asked}});
+            account.untold = false;
+            account.asked_untold = 0;
+            account.told_at = now;
         }
-        account.untold = false;
     }
     return counts;
 }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -69,6 +69,12 @@
     base::micros silence_period = base::milliseconds(20);
     // Callers of a request that is larger than its team's quota are told to wait for this long.
     base::micros longest_unservable = base::minutes(1);
+    // A count is told once an entry has been asked for its part of this much of the bucket, and
+    // when it has changed at all after the longer time; again after the longest, in case it was
+    // lost.
+    double told_part = 0.5;
+    base::micros told_late = base::milliseconds(500);
+    base::micros told_again = base::seconds(2);
     // A count that has not changed for this long is dropped.
     base::micros idle_count = base::seconds(20);
 };
@@ -139,7 +145,10 @@
     std::int64_t asked = 0;
     // Of the requests refused here.
     std::int64_t refused = 0;
+    // Since it was last told.
+    std::int64_t asked_untold = 0;
     bool untold = false;
+    base::instant told_at{};
     double own_demand = 0.0;
     base::instant own_demand_at{};
     std::vector<recent_use> recent;
@@ -211,9 +220,9 @@
 // How long this entry has been counting.
 base::micros uptime(const ledger& state, base::instant now);
 
-// The counts to tell now: those that have changed, or all. Drops those that have long been idle.
-std::vector<usage_count> collect(ledger& state, bool all, base::instant now,
-                                 const quota_rules& rules);
+// The counts to tell now: those that have changed by enough to matter, or long ago. Drops those
+// that have long been idle.
+std::vector<usage_count> collect(ledger& state, base::instant now, const quota_rules& rules);
 
 // Finds out who is heard; to be asked every so often. Gives what has changed since it was last
 // asked.
