Read the quota module once more

Who is silent takes longer to tell where there are many entries, since they tell less often; the draw uses the seeded generator; shorter branches.

--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -1,6 +1,7 @@
 #include "quota/quota.h"
 
 #include "base/hash.h"
+#include "base/random.h"
 #include "quota/reserves.h"
 
 #include <algorithm>
@@ -47,7 +48,7 @@
 }
 
 void fill(team_account& account, double share, base::instant now, const quota_rules& rules) {
-    const seconds passed = now - std::max(account.filled_at, base::instant{});
+    const seconds passed = now - account.filled_at;
     account.filled_at = now;
     const double rate = given_rate(account.limit, rules);
     const double most = bucket_size(account.limit, rules) * share;
@@ -129,13 +130,16 @@
 // The part of all that is asked for that may pass.
 double passing_part(double rate, double balance, double demand, const quota_rules& rules) {
     const double wanted = rate + balance / seconds(rules.balance_time).count();
-    return demand <= 0.0 ? (wanted > 0.0 ? 1.0 : 0.0) : std::clamp(wanted / demand, 0.0, 1.0);
+    if (wanted >= demand) {
+        return 1.0;
+    }
+    return std::max(0.0, wanted / demand);
 }
 
+// From 0 up to 1, the same for the same lot.
 double draw(std::uint64_t lot, std::uint64_t salt) {
-    constexpr int unused_bits = 11;
-    constexpr double most = 9007199254740992.0;
-    return static_cast<double>(base::mix(lot, salt) >> unused_bits) / most;
+    base::random_source source{base::mix(lot, salt)};
+    return base::unit(source);
 }
 
 // When the team has room again, and then as long as it takes to let through what was refused within
@@ -230,8 +234,10 @@
     state.silence_checked_at = now;
     const bool knows_all = state.listed_at && now - *state.listed_at >= rules.list_delay;
     state.settled = state.settled || knows_all || uptime(state, now) > rules.longest_settling;
+    const auto entries = static_cast<std::int64_t>(state.peers.size());
+    const base::micros span = std::max(rules.silence, rules.silence_an_entry * entries);
     for (auto& [id, peer] : state.peers) {
-        const bool silent = !peer.heard_at || now - *peer.heard_at > rules.silence;
+        const bool silent = !peer.heard_at || now - *peer.heard_at > span;
         if (silent == peer.silent) {
             continue;
         }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -53,8 +53,10 @@
     base::micros demand_time = base::seconds(1);
     // Entries have told each other of what they let through within this time.
     base::micros news_delay = base::milliseconds(150);
-    // An entry that has told nothing for this long may have been cut off.
+    // An entry that has told nothing for this long may have been cut off. The more entries there
+    // are, the less often they tell.
     base::micros silence = base::milliseconds(600);
+    base::micros silence_an_entry = base::milliseconds(3);
     // One that is cut off and no longer listed serves no callers after this time.
     base::micros longest_unlisted = base::seconds(6);
     // Part of the limit that is reserved for silent entries alike, whatever they were asked for.
@@ -192,13 +194,13 @@
 void set_entries(ledger& state, const listed_entries& listed, base::instant now,
                  const quota_rules& rules);
 
-// Whether the account's limit and the inputs of a decision allowed a request.
+// Whether a request is let through, and what that was decided by.
 struct decision {
     bool admitted = true;
     // When the caller may come back, if it was refused.
     base::micros retry_after{0};
-    // What the decision was taken by: units left over all entries, what the team asks for and is
-    // given in a second, and the part of its limit that this entry and those it hears may use.
+    // Units left over all entries, what the team asks for and is given in a second, and the part of
+    // its limit that this entry and those it hears may use.
     double balance = 0.0;
     double demand = 0.0;
     double rate = 0.0;
