--- a/tests/process/shared_quota.sh
+++ b/tests/process/shared_quota.sh
@@ -5,7 +5,7 @@
 
 burst=6
 start_store
-TEAM_QUOTA=',"unit":"requests","ratePerS":1,"burst":6'
+TEAM_QUOTA=',"unit":"requests","ratePerS":0.25,"burst":6'
 put_config 3
 start_platform_engine slots-1 1 slots
 for number in 0 1 2; do start_proxy "entry-$((number + 1))" "$number"; done
@@ -22,7 +22,7 @@
 
 runs() { grep -c '^ran' "$OUT/engine_slots-1.log" || true; }
 # Whole seconds round down, a request may be on its way to each entry, and the burst is there once.
-allowed() { echo $(($(date +%s) - began + 1 + burst + 3)); }
+allowed() { echo $((($(date +%s) - began + 1) / 4 + 1 + burst + 3)); }
 ask() {
     for each in $(seq 1 "$2"); do send "$1" /status/x "$3-$each" -i; done >"$OUT/answers-$3"
 }
