Look up an entry's count of a team in one place

The search for an entry's count in a team's account stood twice, in quota.cpp for taking a count and in reserves.cpp for its reserve. `place_of` serves both; decisions stay as they are.

--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -154,11 +154,9 @@
 }
 
 told_count& count_from(team_account& account, std::uint32_t entry) {
-    const auto at = std::lower_bound(
-        account.told.begin(), account.told.end(), entry,
-        [](const told_count& each, std::uint32_t wanted) { return each.entry < wanted; });
-    if (at != account.told.end() && at->entry == entry) {
-        return *at;
+    const auto at = place_of(account, entry);
+    if (is_count_of(account, at, entry)) {
+        return account.told[static_cast<std::size_t>(at - account.told.cbegin())];
     }
     return *account.told.insert(at, told_count{.entry = entry});
 }
--- a/src/quota/reserves.cpp
+++ b/src/quota/reserves.cpp
@@ -11,15 +11,18 @@
     return static_cast<double>(state.peers.size() + 1);
 }
 
-const told_count* count_of(const team_account& account, std::uint32_t entry) {
-    const auto found = std::lower_bound(
+} // namespace
+
+std::vector<told_count>::const_iterator place_of(const team_account& account, std::uint32_t entry) {
+    return std::lower_bound(
         account.told.begin(), account.told.end(), entry,
         [](const told_count& each, std::uint32_t wanted) { return each.entry < wanted; });
-    const bool known = found != account.told.end() && found->entry == entry;
-    return known ? &*found : nullptr;
 }
 
-} // namespace
+bool is_count_of(const team_account& account, std::vector<told_count>::const_iterator at,
+                 std::uint32_t entry) {
+    return at != account.told.end() && at->entry == entry;
+}
 
 double decayed(double demand, base::instant at, base::instant now, const quota_rules& rules) {
     const std::chrono::duration<double> passed = now - at;
@@ -47,9 +50,9 @@
         if (!peer.silent) {
             continue;
         }
-        const auto* count = count_of(account, peer.index);
+        const auto count = place_of(account, peer.index);
         const double unknown = peer.heard_at ? rules.even_part / entries : 1.0 / entries;
-        reserved += count != nullptr ? count->reserved : unknown;
+        reserved += is_count_of(account, count, peer.index) ? count->reserved : unknown;
     }
     return std::clamp(1.0 - reserved, rules.even_part / entries, 1.0);
 }
--- a/src/quota/reserves.h
+++ b/src/quota/reserves.h
@@ -6,6 +6,11 @@
 // serving callers all the same.
 namespace camphorrail::quota {
 
+// Where the count of an entry stands among a team's, or would stand.
+std::vector<told_count>::const_iterator place_of(const team_account& account, std::uint32_t entry);
+bool is_count_of(const team_account& account, std::vector<told_count>::const_iterator at,
+                 std::uint32_t entry);
+
 // Demand that decays from when it was last told.
 double decayed(double demand, base::instant at, base::instant now, const quota_rules& rules);
 
