Count what an entry lets through first at entries that started after it

Cause: an account's count began when the account was opened, so at the start of the process. Entries take what a count holds at first for old where it began before they did, and the first report of a count is sent only once something was asked for. So the first report of each entry, up to its part of half a bucket, was left out by all entries that had started after it, by however little: in the test whenever a millisecond lay between the two.

Change: a count begins with the first request that it holds. Who was there by then has missed nothing. The two worlds of the test also stop their clocks, so that a slow machine changes nothing.

--- a/src/proxy/request_quota_tests.cpp
+++ b/src/proxy/request_quota_tests.cpp
@@ -19,6 +19,7 @@
 // An entry by itself that has been running for long, with two teams of which one has a quota.
 struct quota_world : tests::proxy_world {
     explicit quota_world(routes::team_quota quota) {
+        this->stop_clock();
         this->config.teams = {{.id = {"north"}, .keys = {"k1"}, .quota = quota},
                               {.id = {"south"}, .keys = {"k2"}}};
         routes::index(this->config);
--- a/src/quota/quota.cpp
+++ b/src/quota/quota.cpp
@@ -91,7 +91,12 @@
     account.limit = limit;
 }
 
+// A count begins with the first request that it holds: entries that were there by then have missed
+// nothing of it, however long this one had been running before.
 void note_asked(team_account& account, units cost, base::instant now, const quota_rules& rules) {
+    if (account.asked == 0) {
+        begin_count(account, now);
+    }
     account.asked += cost.value;
     account.asked_untold += cost.value;
     account.untold = true;
--- a/src/quota/quota_tests.cpp
+++ b/src/quota/quota_tests.cpp
@@ -154,6 +154,37 @@
     }
 }
 
+// The failure: what an entry has let through first is missed by those that started after it, and
+// they give it out once more.
+TEST_CASE("the first count that an entry tells is all new to entries that started after it",
+          "[quota]") {
+    entry teller;
+    entry listener;
+    teller.limit(1000, 1000, 0);
+    listener.limit(1000, 1000, 5);
+    const auto tell = [&](int ms) {
+        quota::take_report(listener.state,
+                           {{"entry-2"},
+                            base::micros(0),
+                            milliseconds(ms),
+                            quota::collect(teller.state, entry::at(ms), teller.rules)},
+                           entry::at(ms), listener.rules);
+    };
+    tell(11'000);
+    const auto before = listener.take(1, 11'000).balance;
+    CHECK(teller.ask(100, 11'000, 11'009, 1) == 900);
+    tell(11'010);
+    CHECK(listener.take(1, 11'010).balance < before - 800);
+
+    SECTION("also once it has begun to count anew after a rest") {
+        tell(60'000);
+        const auto rested = listener.take(1, 60'000).balance;
+        CHECK(teller.ask(100, 60'000, 60'009, 1) == 900);
+        tell(60'010);
+        CHECK(listener.take(1, 60'010).balance < rested - 800);
+    }
+}
+
 // The failure: an entry that a cut hides goes on serving, and the others give out its part as well.
 TEST_CASE("a part of the limit is reserved for an entry that is not heard", "[quota]") {
     entry one;
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -196,7 +196,7 @@
 proxy_world::proxy_world()
     : words(platform::make_dialect()),
       log((pipe(this->log_pipe.data()), this->log_pipe[1]), "entry-1", {}, [] { return 1000; }),
-      connections(this->loop.base(), [this] { return adapters::boot_now() + this->moved; }),
+      connections(this->loop.base(), [this] { return this->now(); }),
       context{this->loop,
               this->settings,
               this->words,
@@ -204,7 +204,7 @@
               this->connections,
               this->log,
               this->metrics,
-              [this] { return adapters::boot_now() + this->moved; },
+              [this] { return this->now(); },
               [](const base::upstream_instance&, base::micros, const char*) {},
               [](const base::upstream_instance&, base::micros) {},
               [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
@@ -265,6 +265,10 @@
     close(this->log_pipe[1]);
 }
 
+base::instant proxy_world::now() const {
+    return this->stopped_at.value_or(adapters::boot_now()) + this->moved;
+}
+
 void proxy_world::prove_config() {
     this->state.config = std::make_shared<const routes::operators_config>(this->config);
     mirror::prove(this->state.store, this->context.now());
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -110,6 +111,8 @@
     // Runs the loop until a condition holds; false when it does not within some seconds.
     bool run_until(const std::function<bool()>& condition);
     void move_clock(base::micros by) { this->moved += by; }
+    // Has the entry's clock move by `move_clock` alone, so that a slow machine changes nothing.
+    void stop_clock() { this->stopped_at = adapters::boot_now(); }
     void prove_config();
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_watch& crash_watch() { return this->crashes; }
@@ -137,7 +140,10 @@
     std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
     std::vector<std::unique_ptr<scripted_engine>> engines;
     std::vector<std::shared_ptr<caller>> callers;
+    [[nodiscard]] base::instant now() const;
+
     base::micros moved{0};
+    std::optional<base::instant> stopped_at;
 };
 
 // A request of the kind that the name of its route says: "/once/", "/safe/", "/stream/",
