Cut off what may go on elsewhere before any upstream changes weights

Change: upstreams of both lanes are drained, and ordered to cut off the rest once no call is left that may not be repeated, at the earliest after 0.4 s; after 1.2 s they finish what is left, as before. The rule is weights/drain, pure; its load test has 17 upstreams under answers of three seconds.

--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_client.h"
 #include "proxy/control_call.h"
+#include "weights/drain.h"
 
 #include <algorithm>
 #include <limits>
@@ -29,13 +30,6 @@
 constexpr base::milliseconds still_busy{350};
 // Nothing new is sent to an upstream that is about to load, for as long as a load usually takes.
 constexpr base::milliseconds load_time{900};
-// An upstream of the lane for short prompts has thirty to fifty answers under way, which take up to
-// six seconds to end; with a few upstreams waiting for theirs at a time, weights were outdated for
-// longer than allowed before the last ones changed. It gets nothing new for this long, and what is
-// then left goes on at other upstreams: less than half of them.
-constexpr base::milliseconds drain_time{400};
-// Upstreams for long prompts finish their short answers in about this time.
-constexpr base::milliseconds wait_time{600};
 // From the naming of a version to the first orders: the watch, and a tick.
 constexpr base::seconds first_load{1};
 
@@ -95,7 +89,7 @@
     made.in_flight = fleet::all_work(one, now).in_flight;
     made.unused = since < now && now - since >= longest_outdated(this->context.settings);
     made.lane = one.short_lane ? 1 : 0;
-    made.change_time = one.short_lane ? drain_time + load_time : wait_time + load_time;
+    made.change_time = weights::drain_rules{}.usual + load_time;
     made.suspected = !membership::usable(one.health, now);
     if (const auto last = this->loaded_at.find(made.id); last != this->loaded_at.end()) {
         made.loaded_at = last->second;
@@ -105,7 +99,7 @@
         return made;
     }
     auto& order = sent->second;
-    if (order.drained_at) {
+    if (order.drained_since) {
         made.loading = true;
         return made;
     }
@@ -160,8 +154,8 @@
         return;
     }
     auto& one = this->context.state.fleet.members.at(id);
-    if (one.short_lane && fleet::estimated_load(one, this->context.now(),
-                                                fleet_rules_of(this->context.settings)) > 0) {
+    if (fleet::estimated_load(one, this->context.now(), fleet_rules_of(this->context.settings)) >
+        0) {
         this->drain(one, version);
         return;
     }
@@ -171,8 +165,8 @@
 
 void weights_loader::drain(fleet::member& one, std::int64_t version) {
     const base::instant now = this->context.now();
-    this->orders[one.listed.id] = {version, now, false, {}, now + drain_time};
-    this->keep_away(one, drain_time + load_time);
+    this->orders[one.listed.id] = {version, now, false, {}, now};
+    this->keep_away(one, std::chrono::ceil<base::milliseconds>(weights::drain_rules{}.longest));
 }
 
 void weights_loader::order_the_drained(const base::model_id& model, std::int64_t version) {
@@ -182,8 +176,14 @@
         const auto known = this->accepted_orders.find(id);
         const bool there = found != this->context.state.fleet.members.end() &&
                            known != this->accepted_orders.end();
-        if (order.drained_at && now >= *order.drained_at && there) {
-            this->send_order(found->second, model, version, known->second);
+        if (!order.drained_since || !there) {
+            continue;
+        }
+        auto& one = found->second;
+        const auto unrepeatable = fleet::all_work(one, now).unrepeatable;
+        if (weights::is_drained({now - *order.drained_since, unrepeatable}, {})) {
+            this->keep_away(one, load_time);
+            this->send_order(one, model, version, known->second);
         }
     }
 }
@@ -195,7 +195,7 @@
     const base::instant now = this->context.now();
     ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
                             expected_orders};
-    order.cut_running = one.short_lane && fleet::all_work(one, now).unrepeatable == 0;
+    order.cut_running = fleet::all_work(one, now).unrepeatable == 0;
     this->orders[id] = {version, now, false, {}, {}};
     this->context.log.line(importance::keep, "load_ordered")
         .text("upstream", id.value)
--- a/src/proxy/weights_loader.h
+++ b/src/proxy/weights_loader.h
@@ -32,8 +32,8 @@
         base::instant at;
         bool accepted = false;
         base::instant next_look{};
-        // It is not sent yet: the upstream gets nothing new until then.
-        std::optional<base::instant> drained_at;
+        // It is not sent yet: the upstream has been getting nothing new since then.
+        std::optional<base::instant> drained_since;
     };
 
     // What is known of an upstream's orders, by its life. Its count of orders starts anew with
--- a/src/proxy/weights_loader_tests.cpp
+++ b/src/proxy/weights_loader_tests.cpp
@@ -111,3 +111,36 @@
         CHECK(led.member().listed.incarnation.value == 105);
     }
 }
+
+// The failure: an engine with answers of several seconds under way finishes them before it loads,
+// and serves nobody else for as long.
+TEST_CASE("an engine cuts off what can go on elsewhere when it is to load", "[proxy][weights]") {
+    led_world led;
+    led.world.stop_clock();
+    led.born = 100;
+    auto& work = led.member().ours;
+    fleet::begin_work(work, {800, 800, false, true});
+    const auto begun = led.world.entry().now();
+    const auto passed = [&] { return led.world.entry().now() - begun; };
+
+    SECTION("after a moment in which it gets nothing new") {
+        REQUIRE(led.wait_for_orders(1));
+        CHECK(led.ordered[0].find(R"("mode":"cut")") != std::string::npos);
+        CHECK(passed() >= base::milliseconds(400));
+        CHECK(led.member().changing_until > led.world.entry().now());
+    }
+    SECTION("once its calls that would be lost have ended") {
+        fleet::begin_work(work, {9000, 3000, true, false});
+        led.tick_until([&] { return passed() > base::milliseconds(700); });
+        CHECK(led.ordered.empty());
+        fleet::end_work(work, {9000, 3000, true, false}, true);
+        REQUIRE(led.wait_for_orders(1));
+        CHECK(led.ordered[0].find(R"("mode":"cut")") != std::string::npos);
+    }
+    SECTION("and finishes all of it where such a call takes long") {
+        fleet::begin_work(work, {9000, 3000, true, false});
+        REQUIRE(led.wait_for_orders(1));
+        CHECK(led.ordered[0].find(R"("mode":"wait")") != std::string::npos);
+        CHECK(passed() >= base::milliseconds(1200));
+    }
+}
--- /dev/null
+++ b/src/weights/drain_tests.cpp
@@ -0,0 +1,182 @@
+#include "weights/drain.h"
+#include "weights/load_plan.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace camphorrail;
+using base::milliseconds;
+
+namespace {
+
+base::instant at(int ms) {
+    return base::instant(milliseconds(ms));
+}
+
+// What is left of a pool after a loss, under load: answers of three and a half seconds that may go
+// on at another upstream, and calls of one second that may not.
+struct loaded_pool {
+    static constexpr int step_ms = 20;
+    static constexpr int answer_ms = 3400;
+    static constexpr int call_ms = 1000;
+    static constexpr int load_ms = 420;
+
+    struct upstream {
+        weights::load_candidate seen;
+        std::vector<int> answers_end;
+        std::vector<int> calls_end;
+        int drained_since = -1;
+        int changed_at = -1;
+    };
+
+    std::vector<upstream> all;
+    int moved_answers = 0;
+    int answers = 0;
+    std::size_t fewest_serving = 0;
+    int next_answer = 0;
+    int next_call = 0;
+
+    explicit loaded_pool(std::size_t count) : all(count), fewest_serving(count) {
+        for (std::size_t each = 0; each < count; ++each) {
+            this->all[each].seen.id = {"e" + std::to_string(10 + each)};
+            this->all[each].seen.version = 1;
+        }
+    }
+
+    [[nodiscard]] static bool serves(const upstream& one) {
+        return one.drained_since < 0 && one.changed_at < 0;
+    }
+
+    [[nodiscard]] static bool is_less_busy(const upstream& left, const upstream& right) {
+        const auto work = [](const upstream& one) {
+            return one.answers_end.size() + one.calls_end.size();
+        };
+        return std::pair(!serves(left), work(left)) < std::pair(!serves(right), work(right));
+    }
+
+    upstream& least_busy() {
+        return *std::min_element(this->all.begin(), this->all.end(), is_less_busy);
+    }
+
+    // 175 answers and 60 calls a second.
+    void take_requests(int now) {
+        for (; this->next_answer <= now * 175 / 1000; ++this->next_answer) {
+            this->least_busy().answers_end.push_back(now + answer_ms);
+            ++this->answers;
+        }
+        for (; this->next_call <= now * 60 / 1000; ++this->next_call) {
+            this->least_busy().calls_end.push_back(now + call_ms);
+        }
+    }
+
+    void finish(upstream& one, int now) {
+        const auto is_over = [now](int end) { return end <= now; };
+        std::erase_if(one.answers_end, is_over);
+        std::erase_if(one.calls_end, is_over);
+        if (one.changed_at >= 0 && now >= one.changed_at) {
+            one.changed_at = -1;
+            one.seen.loading = false;
+            one.seen.loaded_at = at(now);
+            ++one.seen.version;
+        }
+    }
+
+    void change(upstream& one, int now) {
+        one.drained_since = -1;
+        one.changed_at = now + load_ms;
+        if (one.calls_end.empty()) {
+            for (const int end : std::exchange(one.answers_end, {})) {
+                this->least_busy().answers_end.push_back(end);
+                ++this->moved_answers;
+            }
+        }
+        // What is not cut off is finished first.
+        for (const auto* ends : {&one.answers_end, &one.calls_end}) {
+            for (const int end : *ends) {
+                one.changed_at = std::max(one.changed_at, end + load_ms);
+            }
+        }
+    }
+
+    void drain(upstream& one, int now) {
+        const auto unrepeatable = static_cast<std::int64_t>(one.calls_end.size());
+        if (weights::is_drained({milliseconds(now - one.drained_since), unrepeatable}, {})) {
+            this->change(one, now);
+        }
+    }
+
+    void step(int now, bool named) {
+        for (auto& each : this->all) {
+            this->finish(each, now);
+            each.seen.in_flight =
+                static_cast<std::int64_t>(each.answers_end.size() + each.calls_end.size());
+            if (each.drained_since >= 0) {
+                this->drain(each, now);
+            }
+        }
+        std::vector<weights::load_candidate> seen;
+        for (const auto& each : this->all) {
+            seen.push_back(each.seen);
+        }
+        const auto due =
+            named ? weights::plan_loads(seen, 2, at(now), {}) : std::vector<base::upstream_id>{};
+        for (const auto& id : due) {
+            const auto found = std::find_if(this->all.begin(), this->all.end(),
+                                            [&id](const auto& one) { return one.seen.id == id; });
+            found->seen.loading = true;
+            found->drained_since = now;
+        }
+        const auto serving = std::count_if(this->all.begin(), this->all.end(), serves);
+        this->fewest_serving = std::min(this->fewest_serving, static_cast<std::size_t>(serving));
+        this->take_requests(now);
+    }
+
+    // Plays until all hold the second version, and gives how long that took after it was named.
+    int run(int named_ms) {
+        constexpr int longest_ms = 60'000;
+        for (int now = 0; now < longest_ms; now += step_ms) {
+            this->step(now, now >= named_ms);
+            const bool done = std::all_of(this->all.begin(), this->all.end(),
+                                          [](const auto& one) { return one.seen.version == 2; });
+            if (done) {
+                return now - named_ms;
+            }
+        }
+        return longest_ms;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an upstream is drained before its weights change", "[weights]") {
+    SECTION("for a moment, for what ends by itself") {
+        CHECK_FALSE(weights::is_drained({milliseconds(300), 0}, {}));
+        CHECK(weights::is_drained({milliseconds(400), 0}, {}));
+    }
+    SECTION("for longer while calls are under way that would be lost") {
+        CHECK_FALSE(weights::is_drained({milliseconds(1100), 1}, {}));
+    }
+    SECTION("but not for ever") {
+        CHECK(weights::is_drained({milliseconds(1200), 1}, {}));
+    }
+}
+
+// The failure: each upstream of a pool that has lost some finishes answers of several seconds
+// before it changes, so that a third of them serve nobody for as long as the new weights go round.
+TEST_CASE("new weights go through a loaded pool before the old ones are outdated for too long",
+          "[weights]") {
+    constexpr int bound_ms = 10'000;
+    loaded_pool pool(17);
+    CHECK(pool.run(6000) < bound_ms);
+
+    SECTION("while two in three upstreams serve") {
+        CHECK(pool.fewest_serving * 3 >= pool.all.size() * 2);
+    }
+    SECTION("and fewer than half of the answers have to go on elsewhere") {
+        CHECK(pool.moved_answers < pool.answers / 2);
+    }
+}
