Let answers go on under new weights where the pool is crowded

Cause, from the logs: 7 of 24 upstreams are away, five more in change. The rest has 576 slots for 650 requests: answers that are cut off, and what comes while an upstream is drained, wait for slots, and slow all others down.

Change: an order to load says what becomes of running requests: they end first, are cut off, or go on under the new weights. They go on where more is under way in the pool than 0.65 of what its other upstreams can run at once; elsewhere they are cut off as before.

--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -98,6 +98,16 @@
     std::int64_t version = 0;
 };
 
+// What becomes of the requests that an upstream is running when it is to load weights.
+enum class running_requests {
+    // They end on the old weights first, while it takes nothing new.
+    finish,
+    // It cuts them off.
+    cut,
+    // The rest of each is made by the new weights.
+    go_on,
+};
+
 // An order to load weights.
 struct load_order {
     base::model_id model;
@@ -107,8 +117,7 @@
     std::int64_t fence = 0;
     // The order is void where the upstream has accepted another number of orders before.
     std::int64_t expected_orders = 0;
-    // Requests that are running are cut off; otherwise they are finished first.
-    bool cut_running = false;
+    running_requests running = running_requests::finish;
 };
 
 // What an upstream says of itself when asked.
--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -2,7 +2,6 @@
 
 #include "adapters/http_client.h"
 #include "proxy/control_call.h"
-#include "weights/drain.h"
 
 #include <algorithm>
 #include <limits>
@@ -33,6 +32,18 @@
 // From the naming of a version to the first orders: the watch, and a tick.
 constexpr base::seconds first_load{1};
 
+const char* name_of(ports::running_requests running) {
+    switch (running) {
+    case ports::running_requests::finish:
+        return "finish";
+    case ports::running_requests::cut:
+        return "cut";
+    case ports::running_requests::go_on:
+        return "go_on";
+    }
+    return "finish";
+}
+
 const char* name_of(ports::order_outcome outcome) {
     switch (outcome) {
     case ports::order_outcome::accepted:
@@ -154,8 +165,9 @@
         return;
     }
     auto& one = this->context.state.fleet.members.at(id);
-    if (fleet::estimated_load(one, this->context.now(), fleet_rules_of(this->context.settings)) >
-        0) {
+    const auto in_flight =
+        fleet::estimated_load(one, this->context.now(), fleet_rules_of(this->context.settings));
+    if (in_flight > 0 && !weights::is_crowded(this->pool_load_beside(one), {})) {
         this->drain(one, version);
         return;
     }
@@ -163,6 +175,30 @@
     this->send_order(one, model, version, known->second);
 }
 
+weights::pool_load weights_loader::pool_load_beside(const fleet::member& changing) const {
+    const base::instant now = this->context.now();
+    weights::pool_load found;
+    for (const auto& [id, one] : this->context.state.fleet.members) {
+        if (one.listed.pool != changing.listed.pool || !fleet::is_listed(one)) {
+            continue;
+        }
+        found.in_flight += fleet::all_work(one, now).in_flight;
+        const bool serves = membership::usable(one.health, now) && now >= one.changing_until;
+        if (serves && &one != &changing) {
+            found.slots += one.listed.slots;
+        }
+    }
+    return found;
+}
+
+ports::running_requests weights_loader::running_requests_of(const fleet::member& one) const {
+    if (weights::is_crowded(this->pool_load_beside(one), {})) {
+        return ports::running_requests::go_on;
+    }
+    const bool may_cut = fleet::all_work(one, this->context.now()).unrepeatable == 0;
+    return may_cut ? ports::running_requests::cut : ports::running_requests::finish;
+}
+
 void weights_loader::drain(fleet::member& one, std::int64_t version) {
     const base::instant now = this->context.now();
     this->orders[one.listed.id] = {version, now, false, {}, now};
@@ -195,7 +231,8 @@
     const base::instant now = this->context.now();
     ports::load_order order{model, version, this->leader.name(), this->leader.fence(),
                             expected_orders};
-    order.cut_running = fleet::all_work(one, now).unrepeatable == 0;
+    order.running = this->running_requests_of(one);
+    const auto beside = this->pool_load_beside(one);
     this->orders[id] = {version, now, false, {}, {}};
     this->context.log.line(importance::keep, "load_ordered")
         .text("upstream", id.value)
@@ -203,7 +240,9 @@
         .number("from_version", fleet::weights_of(one, model))
         .number("fence", order.fence)
         .number("expected_orders", order.expected_orders)
-        .flag("cut_running", order.cut_running)
+        .text("running", name_of(order.running))
+        .number("pool_in_flight", beside.in_flight)
+        .number("pool_slots", beside.slots)
         .number("in_flight",
                 fleet::estimated_load(one, now, fleet_rules_of(this->context.settings)));
     this->context.metrics.count("camphorrail_load_orders_total");
--- a/src/proxy/weights_loader.h
+++ b/src/proxy/weights_loader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/context.h"
+#include "weights/drain.h"
 #include "weights/load_plan.h"
 
 #include <functional>
@@ -48,6 +49,9 @@
                                                        const base::model_id& model,
                                                        const weights_history& history);
     void order(const base::upstream_id& id, const base::model_id& model, std::int64_t version);
+    // What is under way in an upstream's pool, and what the others there can take.
+    [[nodiscard]] weights::pool_load pool_load_beside(const fleet::member& changing) const;
+    [[nodiscard]] ports::running_requests running_requests_of(const fleet::member& one) const;
     void drain(fleet::member& one, std::int64_t version);
     void send_order(const fleet::member& one, const base::model_id& model, std::int64_t version,
                     std::int64_t expected_orders);
--- a/src/proxy/weights_loader_tests.cpp
+++ b/src/proxy/weights_loader_tests.cpp
@@ -118,6 +118,8 @@
     led_world led;
     led.world.stop_clock();
     led.born = 100;
+    auto& other = led.world.state.fleet.members[{"i-2"}];
+    other.listed = {.id = {"i-2"}, .pool = {"pool"}, .slots = 48};
     auto& work = led.member().ours;
     fleet::begin_work(work, {800, 800, false, true});
     const auto begun = led.world.entry().now();
@@ -137,6 +139,12 @@
         REQUIRE(led.wait_for_orders(1));
         CHECK(led.ordered[0].find(R"("mode":"cut")") != std::string::npos);
     }
+    SECTION("but has it go on where the rest of the pool has no room for it") {
+        other.listed.slots = 1;
+        REQUIRE(led.wait_for_orders(1));
+        CHECK(led.ordered[0].find(R"("mode":"keep")") != std::string::npos);
+        CHECK(passed() < base::milliseconds(400));
+    }
     SECTION("and finishes all of it where such a call takes long") {
         fleet::begin_work(work, {9000, 3000, true, false});
         REQUIRE(led.wait_for_orders(1));
--- a/src/weights/drain.h
+++ b/src/weights/drain.h
@@ -20,6 +20,9 @@
     // Calls that may not be cut off are waited for up to this time; from then on the upstream
     // itself finishes them before it changes.
     base::micros longest = base::milliseconds(1200);
+    // From this part of their slots on, the upstreams that go on serving can't take over what one
+    // of them cuts off.
+    double crowded_part = 0.65;
 };
 
 // Whether the change may be ordered now.
@@ -29,4 +32,17 @@
 // lose a third of the rest for as long as the new weights go through it.
 bool is_drained(const draining& one, const drain_rules& rules);
 
+// A pool of which one upstream is about to change its weights.
+struct pool_load {
+    // Requests under way at all of its upstreams.
+    std::int64_t in_flight = 0;
+    // Requests that the others can run at once, without those that are in change or out of order.
+    std::int64_t slots = 0;
+};
+
+// Whether an upstream's running requests had better go on under the new weights. Drained one after
+// the other, the upstreams of a pool that has hardly any slots left would have requests wait at the
+// rest until they are late, or be refused.
+bool is_crowded(const pool_load& pool, const drain_rules& rules);
+
 } // namespace camphorrail::weights
