--- a/src/weights/drain.h
+++ b/src/weights/drain.h
@@ -22,7 +22,7 @@
     base::micros longest = base::milliseconds(1200);
     // From this part of their slots on, the upstreams that go on serving can't take over what one
     // of them cuts off.
-    double crowded_part = 0.65;
+    double crowded_part = 0.5;
 };
 
 // Whether the change may be ordered now.
