--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -5,8 +5,8 @@
 #include "config/edits.h"
 #include "once/ledger.h"
 #include "once/ownership.h"
+#include "peering/messages.h"
 #include "process/config_keeper.h"
-#include "proxy/peer_messages.h"
 #include "quota/quota.h"
 #include "routing/engine_view.h"
 #include "routing/router.h"
@@ -265,11 +265,12 @@
     }
     print("count of one team of one entry, held", "one",
           static_cast<double>(sizeof(quota::told_count)), "bytes");
-    proxy::told_load told;
-    const auto bare = proxy::encode(proxy::peer_load{{told}}).size();
+    peering::entry_load told;
+    const auto bare = peering::encode(peering::load_report{{told}}).size();
     told.usage = {{{"team-17"}, 1796236207773000, base::seconds(100), {123456789}, {234567890}}};
     print("count of one team, told", "one",
-          static_cast<double>(proxy::encode(proxy::peer_load{{told}}).size() - bare), "bytes");
+          static_cast<double>(peering::encode(peering::load_report{{told}}).size() - bare),
+          "bytes");
 }
 
 } // namespace
--- a/src/proxy/peer_messages.cpp
+++ b/src/peering/messages.cpp
@@ -1,8 +1,8 @@
-#include "proxy/peer_messages.h"
+#include "peering/messages.h"
 
 #include <nlohmann/json.hpp>
 
-namespace camphorrail::proxy {
+namespace camphorrail::peering {
 
 namespace {
 
@@ -16,24 +16,24 @@
     return {{read.at(0).get<std::string>()}, {read.at(1).get<std::int64_t>()}};
 }
 
-json to_json(const peer_hello& message) {
+json to_json(const hello& message) {
     return {"hello", message.from.value, message.zone.value};
 }
 
-json to_json(const peer_suspicion& message) {
+json to_json(const suspicion& message) {
     return {"suspicion", to_json(message.upstream), message.span.count(), message.why,
             message.changing};
 }
 
-json to_json(const peer_weights& message) {
+json to_json(const weights_held& message) {
     return {"weights", to_json(message.upstream), message.model.value, message.version};
 }
 
-json to_json(const peer_named& message) {
+json to_json(const weights_named& message) {
     return {"named", message.model.value, message.version, message.age.count()};
 }
 
-json to_json(const peer_store_ask& message) {
+json to_json(const store_ask& message) {
     return {"ask", message.number, message.revision};
 }
 
@@ -56,13 +56,13 @@
     return changes;
 }
 
-json to_json(const peer_store_view& message) {
+json to_json(const store_view& message) {
     return {"view",         message.number,
             message.proved, message.age.count(),
             message.whole,  changes_to_json(message.changes)};
 }
 
-json to_json(const peer_store_changes& message) {
+json to_json(const store_changes& message) {
     return {"changes", message.after, message.large, changes_to_json(message.changes)};
 }
 
@@ -84,13 +84,13 @@
             to_json(read.by), read.saved,      to_json(read.shown)};
 }
 
-json to_json(const load_item& item) {
+json to_json(const upstream_load& item) {
     return {to_json(item.upstream), item.work.in_flight,    item.work.unread_tokens,
             item.work.held_tokens,  item.work.unrepeatable, item.work.short_prompts,
             item.heard_ago.count()};
 }
 
-json to_json(const load_transfer& transfer) {
+json to_json(const store_transfer& transfer) {
     return {transfer.store, transfer.ms};
 }
 
@@ -98,7 +98,7 @@
     return {request.digest.value, request.body_bytes};
 }
 
-json to_json(const told_victim& victim) {
+json to_json(const crash_victim& victim) {
     return {to_json(victim.request), victim.sent_ago.count(), victim.begun_ago.count()};
 }
 
@@ -106,7 +106,7 @@
     return {count.team.value, count.number, count.age.count(), count.used.value, count.asked.value};
 }
 
-json to_json(const told_load& load);
+json to_json(const entry_load& load);
 
 template <class Part>
 json list_of(const std::vector<Part>& parts) {
@@ -117,17 +117,17 @@
     return list;
 }
 
-json to_json(const told_load& load) {
+json to_json(const entry_load& load) {
     return {load.from.value,     load.age.count(),    load.period.count(),
             load.whole,          list_of(load.items), list_of(load.transfers),
             list_of(load.reads), load.uptime.count(), list_of(load.usage)};
 }
 
-json to_json(const peer_load& message) {
+json to_json(const load_report& message) {
     return {"load", list_of(message.all)};
 }
 
-json to_json(const peer_kept& message) {
+json to_json(const kept_parts& message) {
     json parts = json::array();
     for (const auto& each : message.parts) {
         parts.push_back({each.part, each.tokens});
@@ -139,20 +139,20 @@
     return {{read.at(0).get<std::string>()}, read.at(1).get<std::size_t>()};
 }
 
-json to_json(const peer_crash& message) {
+json to_json(const crash_report& message) {
     return {"crash", to_json(message.upstream), message.age.count(), list_of(message.victims)};
 }
 
-json to_json(const peer_hold& message) {
+json to_json(const hold_report& message) {
     return {"hold", to_json(message.request), message.left.count()};
 }
 
-json to_json(const peer_leaving& message) {
+json to_json(const upstream_leaving& message) {
     return {"leaving", to_json(message.upstream)};
 }
 
-peer_crash read_crash(const json& read) {
-    peer_crash crash;
+crash_report read_crash(const json& read) {
+    crash_report crash;
     crash.upstream = read_instance(read.at(1));
     crash.age = base::micros(read.at(2).get<std::int64_t>());
     for (const auto& each : read.at(3)) {
@@ -179,8 +179,8 @@
     return one;
 }
 
-peer_kept read_kept(const json& read) {
-    peer_kept kept;
+kept_parts read_kept(const json& read) {
+    kept_parts kept;
     kept.store = read.at(1).get<std::string>();
     kept.whole = read.at(2).get<bool>();
     kept.down = read.at(3).get<bool>();
@@ -190,8 +190,8 @@
     return kept;
 }
 
-peer_store_view read_view(const json& read) {
-    peer_store_view view;
+store_view read_view(const json& read) {
+    store_view view;
     view.number = read.at(1).get<std::int64_t>();
     view.proved = read.at(2).get<bool>();
     view.age = base::micros(read.at(3).get<std::int64_t>());
@@ -200,7 +200,7 @@
     return view;
 }
 
-load_item read_load_item(const json& read) {
+upstream_load read_load_item(const json& read) {
     const fleet::workload work{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>(),
                                read.at(3).get<std::int64_t>(), read.at(4).get<std::int64_t>(),
                                read.at(5).get<std::int64_t>()};
@@ -215,8 +215,8 @@
             {read.at(4).get<std::int64_t>()}};
 }
 
-told_load read_told_load(const json& read) {
-    told_load load;
+entry_load read_told_load(const json& read) {
+    entry_load load;
     load.from = {read.at(0).get<std::string>()};
     load.age = base::milliseconds(read.at(1).get<std::int64_t>());
     load.period = base::milliseconds(read.at(2).get<std::int64_t>());
@@ -237,26 +237,26 @@
     return load;
 }
 
-peer_load read_load(const json& read) {
-    peer_load load;
+load_report read_load(const json& read) {
+    load_report load;
     for (const auto& each : read.at(1)) {
         load.all.push_back(read_told_load(each));
     }
     return load;
 }
 
-peer_message read_message(const json& read) {
+message read_message(const json& read) {
     const std::string kind = read.at(0).get<std::string>();
     if (kind == "hello") {
-        return peer_hello{{read.at(1).get<std::string>()}, {read.at(2).get<std::string>()}};
+        return hello{{read.at(1).get<std::string>()}, {read.at(2).get<std::string>()}};
     }
     if (kind == "suspicion") {
-        return peer_suspicion{read_instance(read.at(1)),
-                              base::milliseconds(read.at(2).get<std::int64_t>()),
-                              read.at(3).get<std::string>(), read.at(4).get<bool>()};
+        return suspicion{read_instance(read.at(1)),
+                         base::milliseconds(read.at(2).get<std::int64_t>()),
+                         read.at(3).get<std::string>(), read.at(4).get<bool>()};
     }
     if (kind == "weights") {
-        return peer_weights{read_instance(read.at(1)),
+        return weights_held{read_instance(read.at(1)),
                             {read.at(2).get<std::string>()},
                             read.at(3).get<std::int64_t>()};
     }
@@ -264,20 +264,19 @@
         return read_load(read);
     }
     if (kind == "named") {
-        return peer_named{{read.at(1).get<std::string>()},
-                          read.at(2).get<std::int64_t>(),
-                          base::micros(read.at(3).get<std::int64_t>())};
+        return weights_named{{read.at(1).get<std::string>()},
+                             read.at(2).get<std::int64_t>(),
+                             base::micros(read.at(3).get<std::int64_t>())};
     }
     if (kind == "ask") {
-        return peer_store_ask{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>()};
+        return store_ask{read.at(1).get<std::int64_t>(), read.at(2).get<std::int64_t>()};
     }
     if (kind == "view") {
         return read_view(read);
     }
     if (kind == "changes") {
-        return peer_store_changes{read.at(1).get<std::int64_t>(),
-                                  read.at(2).get<std::set<std::string>>(),
-                                  read_changes(read.at(3))};
+        return store_changes{read.at(1).get<std::int64_t>(),
+                             read.at(2).get<std::set<std::string>>(), read_changes(read.at(3))};
     }
     if (kind == "kept") {
         return read_kept(read);
@@ -286,19 +285,19 @@
         return read_crash(read);
     }
     if (kind == "hold") {
-        return peer_hold{read_identity(read.at(1)),
-                         base::milliseconds(read.at(2).get<std::int64_t>())};
+        return hold_report{read_identity(read.at(1)),
+                           base::milliseconds(read.at(2).get<std::int64_t>())};
     }
     if (kind == "leaving") {
-        return peer_leaving{read_instance(read.at(1))};
+        return upstream_leaving{read_instance(read.at(1))};
     }
     throw std::invalid_argument("no such message");
 }
 
 } // namespace
 
-peer_crash told_crash(const quarantine::crash_report& report, base::instant now) {
-    peer_crash told{report.upstream, now - report.at, {}};
+crash_report to_message(const quarantine::crash_report& report, base::instant now) {
+    crash_report told{report.upstream, now - report.at, {}};
     for (const auto& each : report.victims) {
         const base::micros begun_ago = each.begun_at ? now - *each.begun_at : base::micros(-1);
         told.victims.push_back({each.request, now - each.sent_at, begun_ago});
@@ -306,7 +305,7 @@
     return told;
 }
 
-quarantine::crash_report heard_crash(const peer_crash& told, base::instant now) {
+quarantine::crash_report from_message(const crash_report& told, base::instant now) {
     quarantine::crash_report report{told.upstream, now - told.age, {}};
     for (const auto& each : told.victims) {
         quarantine::crash_victim victim{each.request, now - each.sent_ago, {}};
@@ -318,14 +317,14 @@
     return report;
 }
 
-std::string encode(const peer_message& message) {
-    const json written = std::visit([](const auto& each) { return to_json(each); }, message);
+std::string encode(const message& told) {
+    const json written = std::visit([](const auto& each) { return to_json(each); }, told);
     std::string bytes;
     json::to_cbor(written, nlohmann::detail::output_adapter<char>(bytes));
     return bytes;
 }
 
-base::result<peer_message> decode(std::string_view bytes) {
+base::result<message> decode(std::string_view bytes) {
     try {
         return read_message(json::from_cbor(bytes));
     } catch (const std::exception&) {
@@ -333,4 +332,4 @@
     }
 }
 
-} // namespace camphorrail::proxy
+} // namespace camphorrail::peering
--- a/src/proxy/peer_messages.h
+++ b/src/peering/messages.h
@@ -17,16 +17,16 @@
 #include <variant>
 #include <vector>
 
-namespace camphorrail::proxy {
+namespace camphorrail::peering {
 
 // The first message on a link: who is at the other end.
-struct peer_hello {
+struct hello {
     base::entry_id from;
     base::availability_zone zone;
 };
 
 // An upstream takes nothing new for a while.
-struct peer_suspicion {
+struct suspicion {
     base::upstream_instance upstream;
     base::milliseconds span{0};
     std::string why;
@@ -35,14 +35,14 @@
 };
 
 // An upstream holds these weights now; said before the platform's list does.
-struct peer_weights {
+struct weights_held {
     base::upstream_instance upstream;
     base::model_id model;
     std::int64_t version = 0;
 };
 
 // What an entry has under way at one upstream; nothing in flight where that has ended.
-struct load_item {
+struct upstream_load {
     base::upstream_instance upstream;
     fleet::workload work;
     // How long ago the upstream last sent that entry a byte.
@@ -50,14 +50,14 @@
 };
 
 // What an entry has ordered of a store of kept KV cache since it last told.
-struct load_transfer {
+struct store_transfer {
     std::string store;
     double ms = 0.0;
 };
 
 // What one entry has under way at upstreams, and what its requests have had read since it last
 // told.
-struct told_load {
+struct entry_load {
     base::entry_id from;
     // How long ago it said so, where another entry passes it on.
     base::milliseconds age{0};
@@ -65,8 +65,8 @@
     base::milliseconds period{0};
     // All upstreams at which it has something under way, or those where that has changed.
     bool whole = false;
-    std::vector<load_item> items;
-    std::vector<load_transfer> transfers;
+    std::vector<upstream_load> items;
+    std::vector<store_transfer> transfers;
     std::vector<kvcache::prompt_read> reads;
     // How long it has been running, and what it has let through of teams' quotas.
     base::milliseconds uptime{0};
@@ -74,12 +74,12 @@
 };
 
 // The sender's own load, and those of entries of other zones that it passes on.
-struct peer_load {
-    std::vector<told_load> all;
+struct load_report {
+    std::vector<entry_load> all;
 };
 
 // What a store of kept KV cache holds, by its own events: all of it, or what has changed.
-struct peer_kept {
+struct kept_parts {
     std::string store;
     bool whole = false;
     // The sender can't reach it.
@@ -89,21 +89,21 @@
 
 // A version of weights that was named, and how long ago the sender saw it. Said when a link stands:
 // a process that has just started can't know how long weights have been outdated.
-struct peer_named {
+struct weights_named {
     base::model_id model;
     std::int64_t version = 0;
     base::micros age{0};
 };
 
 // Asks for what the other end knows of the store. Asked by an entry that the store turns away.
-struct peer_store_ask {
+struct store_ask {
     std::int64_t number = 0;
     std::int64_t revision = 0;
 };
 
 // What an entry knows of the store, and how old the proof of it is. Ages and no times of day:
 // clocks differ between VMs, and jump.
-struct peer_store_view {
+struct store_view {
     std::int64_t number = 0;
     bool proved = false;
     base::micros age{0};
@@ -114,7 +114,7 @@
 
 // What has changed in the store, from an entry that watches it. It proves nothing: it may have been
 // on its way for long.
-struct peer_store_changes {
+struct store_changes {
     // The sender's revision before.
     std::int64_t after = 0;
     // Items whose values are too large to be told by a few to all, and are left out of `changes`:
@@ -124,7 +124,7 @@
 };
 
 // A request that was under way at an upstream when it crashed.
-struct told_victim {
+struct crash_victim {
     quarantine::request_identity request;
     // How long ago it was sent there, and when its answer began; less than 0 where it had not.
     base::micros sent_ago{0};
@@ -132,34 +132,34 @@
 };
 
 // An upstream has crashed, with these requests of the sender's on it.
-struct peer_crash {
+struct crash_report {
     base::upstream_instance upstream;
     base::micros age{0};
-    std::vector<told_victim> victims;
+    std::vector<crash_victim> victims;
 };
 
 // A request is held back, for so long from now on.
-struct peer_hold {
+struct hold_report {
     quarantine::request_identity request;
     base::milliseconds left{0};
 };
 
 // An upstream has said in an answer that it leaves.
-struct peer_leaving {
+struct upstream_leaving {
     base::upstream_instance upstream;
 };
 
-using peer_message = std::variant<peer_hello, peer_suspicion, peer_weights, peer_load, peer_named,
-                                  peer_store_ask, peer_store_view, peer_kept, peer_store_changes,
-                                  peer_crash, peer_hold, peer_leaving>;
+using message =
+    std::variant<hello, suspicion, weights_held, load_report, weights_named, store_ask, store_view,
+                 kept_parts, store_changes, crash_report, hold_report, upstream_leaving>;
 
 // A crash as other entries are told of it, and as they take it. Times go as ages.
-peer_crash told_crash(const quarantine::crash_report& report, base::instant now);
-quarantine::crash_report heard_crash(const peer_crash& told, base::instant now);
+crash_report to_message(const quarantine::crash_report& report, base::instant now);
+quarantine::crash_report from_message(const crash_report& told, base::instant now);
 
-std::string encode(const peer_message& message);
+std::string encode(const message& told);
 
 // frame_malformed where the bytes are no message.
-base::result<peer_message> decode(std::string_view bytes);
+base::result<message> decode(std::string_view bytes);
 
-} // namespace camphorrail::proxy
+} // namespace camphorrail::peering
--- a/src/proxy/peer_messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -1,18 +1,18 @@
-#include "proxy/peer_messages.h"
+#include "peering/messages.h"
 
 #include <catch2/catch.hpp>
 
 using namespace camphorrail;
 
 TEST_CASE("entries' messages survive the way between them", "[proxy]") {
-    const proxy::peer_store_view view{7,
-                                      true,
-                                      base::micros(1500),
-                                      true,
-                                      {42, {{{"config", std::string("\xff\0x", 3), 9}, false}}}};
-    const auto read = proxy::decode(proxy::encode(view));
+    const peering::store_view view{7,
+                                   true,
+                                   base::micros(1500),
+                                   true,
+                                   {42, {{{"config", std::string("\xff\0x", 3), 9}, false}}}};
+    const auto read = peering::decode(peering::encode(view));
     REQUIRE(read.has_value());
-    const auto& got = std::get<proxy::peer_store_view>(read.value());
+    const auto& got = std::get<peering::store_view>(read.value());
     CHECK(got.number == 7);
     CHECK(got.proved);
     CHECK(got.age == base::micros(1500));
@@ -21,15 +21,15 @@
     REQUIRE(got.changes.items.size() == 1);
     CHECK(got.changes.items[0].item.value == view.changes.items[0].item.value);
 
-    proxy::told_load told;
+    peering::entry_load told;
     told.from = {"entry-3"};
     told.age = base::milliseconds(70);
     told.whole = true;
     told.items = {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}};
     told.uptime = base::milliseconds(12'000);
     told.usage = {{{"north"}, 4, base::micros(1500), {9230}, {18460}}};
-    const auto load = proxy::decode(proxy::encode(proxy::peer_load{{{}, told}}));
-    const auto& relayed = std::get<proxy::peer_load>(load.value()).all.at(1);
+    const auto load = peering::decode(peering::encode(peering::load_report{{{}, told}}));
+    const auto& relayed = std::get<peering::load_report>(load.value()).all.at(1);
     CHECK(relayed.from.value == "entry-3");
     CHECK(relayed.age == base::milliseconds(70));
     CHECK(relayed.whole);
@@ -42,27 +42,27 @@
     CHECK(relayed.items.at(0).work.unread_tokens == 900);
     CHECK(relayed.items.at(0).work.held_tokens == 1900);
     CHECK(relayed.items.at(0).work.unrepeatable == 1);
-    const auto suspicion = proxy::decode(proxy::encode(
-        proxy::peer_suspicion{{{"e1"}, {17}}, base::milliseconds(250), "silent", true}));
-    CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).why == "silent");
-    CHECK(std::get<proxy::peer_suspicion>(suspicion.value()).changing);
+    const auto suspicion = peering::decode(peering::encode(
+        peering::suspicion{{{"e1"}, {17}}, base::milliseconds(250), "silent", true}));
+    CHECK(std::get<peering::suspicion>(suspicion.value()).why == "silent");
+    CHECK(std::get<peering::suspicion>(suspicion.value()).changing);
 }
 
 TEST_CASE("bytes that are no message are refused", "[proxy]") {
     const std::vector<std::string> broken{"", "\x81", "hello", "\x81\x64nope",
                                           std::string("\x82\x63") + "ask\x01"};
     for (const auto& bytes : broken) {
-        CHECK(proxy::decode(bytes).error() == base::code::frame_malformed);
+        CHECK(peering::decode(bytes).error() == base::code::frame_malformed);
     }
 }
 
 TEST_CASE("what entries tell of the store's changes survives the way", "[proxy]") {
-    proxy::peer_store_changes told;
+    peering::store_changes told;
     told.after = 41;
     told.large = {"a"};
     told.changes = {43, {{{"a", "\xff", 42}, false}, {{"b", "", 43}, true}}};
-    const auto read = proxy::decode(proxy::encode(told));
-    const auto& got = std::get<proxy::peer_store_changes>(read.value());
+    const auto read = peering::decode(peering::encode(told));
+    const auto& got = std::get<peering::store_changes>(read.value());
     CHECK(got.after == 41);
     CHECK(got.large == told.large);
     CHECK(got.changes.revision == 43);
@@ -78,19 +78,19 @@
     told.by = {{"e1"}, {17}};
     told.saved = true;
     told.shown = {{2890.0, 400.0, 1.5}, 62.5};
-    proxy::told_load load;
+    peering::entry_load load;
     load.reads = {told};
-    const auto reads = proxy::decode(proxy::encode(proxy::peer_load{{load}}));
-    const auto& read = std::get<proxy::peer_load>(reads.value()).all.at(0).reads.at(0);
+    const auto reads = peering::decode(peering::encode(peering::load_report{{load}}));
+    const auto& read = std::get<peering::load_report>(reads.value()).all.at(0).reads.at(0);
     CHECK(read.levels.at(1).key == ~0ULL);
     CHECK(read.levels.at(1).tokens == 3780);
     CHECK(read.shown.work.to_read == 2890.0);
     CHECK(read.shown.ms == 62.5);
     CHECK(read.by.id.value == "e1");
     CHECK(read.saved);
-    const auto kept =
-        proxy::decode(proxy::encode(proxy::peer_kept{"10.9.9.9:1", true, false, {{~0ULL, 2520}}}));
-    const auto& view = std::get<proxy::peer_kept>(kept.value());
+    const auto kept = peering::decode(
+        peering::encode(peering::kept_parts{"10.9.9.9:1", true, false, {{~0ULL, 2520}}}));
+    const auto& view = std::get<peering::kept_parts>(kept.value());
     CHECK(view.whole);
     CHECK(view.parts.at(0).part == ~0ULL);
     CHECK(view.parts.at(0).tokens == 2520);
--- a/src/proxy/crash_watch.cpp
+++ b/src/proxy/crash_watch.cpp
@@ -101,13 +101,13 @@
         }
         --this->tells_left;
         report.victims.resize(std::min(report.victims.size(), most_told_victims));
-        this->tell(told_crash(report, this->context.now()));
+        this->tell(peering::to_message(report, this->context.now()));
     }
     this->untold.clear();
 }
 
-void crash_watch::take(const base::entry_id& from, const peer_crash& told) {
-    const auto report = heard_crash(told, this->context.now());
+void crash_watch::take(const base::entry_id& from, const peering::crash_report& told) {
+    const auto report = peering::from_message(told, this->context.now());
     quarantine::note_crash(this->context.state.quarantine, report, this->context.now(), {});
     this->context.log.line(importance::keep, "upstream_crash_told")
         .text("upstream", told.upstream.id.value)
@@ -116,7 +116,7 @@
         .span("age_ms", told.age);
 }
 
-void crash_watch::take(const base::entry_id& from, const peer_hold& told) {
+void crash_watch::take(const base::entry_id& from, const peering::hold_report& told) {
     const base::micros longest = quarantine::quarantine_rules{}.longest_hold;
     const bool makes_sense = told.left > base::milliseconds(0) && told.left <= longest;
     if (makes_sense) {
@@ -149,11 +149,11 @@
         .text("told_by", told_by);
 }
 
-std::vector<peer_message> crash_watch::greeting() const {
-    std::vector<peer_message> all;
+std::vector<peering::message> crash_watch::greeting() const {
+    std::vector<peering::message> all;
     for (const auto& one : quarantine::held(this->context.state.quarantine, this->context.now())) {
-        all.emplace_back(
-            peer_hold{one.request, std::chrono::duration_cast<base::milliseconds>(one.span)});
+        all.emplace_back(peering::hold_report{
+            one.request, std::chrono::duration_cast<base::milliseconds>(one.span)});
     }
     return all;
 }
@@ -168,8 +168,8 @@
     for (const auto& begun : quarantine::take_decisions(state, now, {})) {
         this->log_hold(begun, "");
         this->context.metrics.count("camphorrail_requests_quarantined_total");
-        this->tell(
-            peer_hold{begun.request, std::chrono::duration_cast<base::milliseconds>(begun.span)});
+        this->tell(peering::hold_report{
+            begun.request, std::chrono::duration_cast<base::milliseconds>(begun.span)});
         this->held_back(begun, true);
     }
     quarantine::expire(state, now, {});
--- a/src/proxy/crash_watch.h
+++ b/src/proxy/crash_watch.h
@@ -2,8 +2,8 @@
 
 #include "adapters/address_probe.h"
 #include "adapters/timer.h"
+#include "peering/messages.h"
 #include "proxy/context.h"
-#include "proxy/peer_messages.h"
 
 #include <functional>
 #include <map>
@@ -27,16 +27,16 @@
     void note_ended(const base::upstream_instance& ended);
     // Another upstream has taken its address. This entry may never have known the one before.
     void note_replaced(const base::upstream_id& replaced);
-    void take(const base::entry_id& from, const peer_crash& told);
-    void take(const base::entry_id& from, const peer_hold& told);
+    void take(const base::entry_id& from, const peering::crash_report& told);
+    void take(const base::entry_id& from, const peering::hold_report& told);
     // A hold that stands in the platform's store.
     void take_written(const quarantine::hold& written);
     // What an entry is told that has just linked: all holds.
-    [[nodiscard]] std::vector<peer_message> greeting() const;
+    [[nodiscard]] std::vector<peering::message> greeting() const;
     void tick();
 
     // Tells the other entries.
-    std::function<void(const peer_message&)> tell;
+    std::function<void(const peering::message&)> tell;
     // A request is held back from now on; `decided_here`: by this entry and not on another's word.
     std::function<void(const quarantine::hold&, bool decided_here)> held_back;
 
--- a/src/proxy/kv_store_follower.cpp
+++ b/src/proxy/kv_store_follower.cpp
@@ -112,7 +112,7 @@
     if (lost) {
         return;
     }
-    peer_kept told{address, listing, false, {}};
+    peering::kept_parts told{address, listing, false, {}};
     for (const auto& each : news.parts) {
         told.parts.push_back({kvcache::part_key(each.salt, each.part), each.tokens});
     }
@@ -154,7 +154,7 @@
         .text("store", address);
 }
 
-void kv_store_follower::take(const base::entry_id& from, const peer_kept& told) {
+void kv_store_follower::take(const base::entry_id& from, const peering::kept_parts& told) {
     const base::instant now = this->context.now();
     this->stores[told.store].told_at = now;
     auto& kept = this->context.state.kept[told.store];
@@ -172,14 +172,14 @@
     }
 }
 
-std::vector<peer_message> kv_store_follower::whole_views() const {
-    std::vector<peer_message> views;
+std::vector<peering::message> kv_store_follower::whole_views() const {
+    std::vector<peering::message> views;
     for (const auto& [address, store] : this->stores) {
         const auto known = this->context.state.kept.find(address);
         if (!store.followed || !store.listed || known == this->context.state.kept.end()) {
             continue;
         }
-        peer_kept view{address, true, false, {}};
+        peering::kept_parts view{address, true, false, {}};
         for (const auto& [part, tokens] : known->second.parts) {
             view.parts.push_back({part, tokens});
         }
--- a/src/proxy/kv_store_follower.h
+++ b/src/proxy/kv_store_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "peering/messages.h"
 #include "proxy/context.h"
-#include "proxy/peer_messages.h"
 
 #include <functional>
 #include <map>
@@ -21,12 +21,12 @@
     // Asks the stores that it is this entry's turn to ask.
     void tick();
     // Takes what another entry says.
-    void take(const base::entry_id& from, const peer_kept& told);
+    void take(const base::entry_id& from, const peering::kept_parts& told);
     // All that the stores hold which this entry asks, for an entry that has just linked to us.
-    [[nodiscard]] std::vector<peer_message> whole_views() const;
+    [[nodiscard]] std::vector<peering::message> whole_views() const;
 
     // Tells the other entries; to be set before the first tick.
-    std::function<void(const peer_kept&)> tell;
+    std::function<void(const peering::kept_parts&)> tell;
 
 private:
     // A store, as this entry asks it.
--- a/src/proxy/kv_store_follower_tests.cpp
+++ b/src/proxy/kv_store_follower_tests.cpp
@@ -13,7 +13,7 @@
     std::string listing = R"({"bootEpoch":7,"next":3,"held":[["m.1","aa",2520,"m"]]})";
     std::string changes = R"({"bootEpoch":7,"next":3,"lost":false,"events":[]})";
     std::vector<base::entry_id> linked;
-    std::vector<proxy::peer_kept> told;
+    std::vector<peering::kept_parts> told;
     tests::scripted_engine& store;
     proxy::kv_store_follower follower;
 
@@ -28,7 +28,7 @@
           follower(this->world.entry(), [this] { return this->linked; }) {
         this->world.config.kv_stores = {{this->store.address(), {"a"}, 1000}};
         this->world.prove_config();
-        this->follower.tell = [this](const proxy::peer_kept& message) {
+        this->follower.tell = [this](const peering::kept_parts& message) {
             this->told.push_back(message);
         };
     }
@@ -86,7 +86,7 @@
     SECTION("and an entry that links to it later hears all") {
         const auto views = world.follower.whole_views();
         REQUIRE(views.size() == 1);
-        CHECK(std::get<proxy::peer_kept>(views.front()).parts.size() == 1);
+        CHECK(std::get<peering::kept_parts>(views.front()).parts.size() == 1);
     }
 }
 
--- a/src/proxy/load_exchange.cpp
+++ b/src/proxy/load_exchange.cpp
@@ -30,7 +30,7 @@
     return std::max(period_each * static_cast<std::int64_t>(linked), least_period);
 }
 
-bool is_empty(const told_load& load) {
+bool is_empty(const peering::entry_load& load) {
     return load.items.empty() && load.transfers.empty() && load.reads.empty() && load.usage.empty();
 }
 
@@ -41,16 +41,16 @@
     return std::max(period_each * count, least_period);
 }
 
-told_load load_exchange::own_load(std::size_t linked) {
+peering::entry_load load_exchange::own_load(std::size_t linked) {
     const base::instant now = this->context.now();
-    told_load load;
+    peering::entry_load load;
     load.from = this->context.settings.id;
     load.period = whole_period(linked);
     load.whole = now >= this->next_whole;
     if (load.whole) {
         this->next_whole = now + load.period;
     }
-    std::map<base::upstream_id, load_item> telling;
+    std::map<base::upstream_id, peering::upstream_load> telling;
     for (const auto& [id, one] : this->context.state.fleet.members) {
         const auto before = this->told.find(id);
         const bool known = before != this->told.end();
@@ -58,7 +58,7 @@
             continue;
         }
         const auto heard = std::chrono::duration_cast<base::milliseconds>(now - one.heard_at);
-        const load_item item{fleet::instance_of(one), one.ours, heard};
+        const peering::upstream_load item{fleet::instance_of(one), one.ours, heard};
         const bool is_news = !known || !same_work(before->second.work, item.work);
         if (is_news || (load.whole && one.ours.in_flight > 0)) {
             load.items.push_back(item);
@@ -78,9 +78,9 @@
     return load;
 }
 
-std::vector<told_load> load_exchange::relayed_loads() {
+std::vector<peering::entry_load> load_exchange::relayed_loads() {
     const base::instant now = this->context.now();
-    std::vector<told_load> loads;
+    std::vector<peering::entry_load> loads;
     for (auto& each : std::exchange(this->to_relay, {})) {
         each.load.age += std::chrono::duration_cast<base::milliseconds>(now - each.heard_at);
         loads.push_back(std::move(each.load));
@@ -108,16 +108,16 @@
     }
     auto relayed = this->relayed_loads();
     if (says_something) {
-        made.far = peer_load{{own}};
+        made.far = peering::load_report{{own}};
         relayed.insert(relayed.begin(), std::move(own));
     }
     if (!relayed.empty()) {
-        made.near = peer_load{std::move(relayed)};
+        made.near = peering::load_report{std::move(relayed)};
     }
     return made;
 }
 
-void load_exchange::take(const peer_load& message, bool passes_on) {
+void load_exchange::take(const peering::load_report& message, bool passes_on) {
     for (const auto& load : message.all) {
         this->take_load(load);
     }
@@ -126,7 +126,7 @@
     }
 }
 
-void load_exchange::take_load(const told_load& load) {
+void load_exchange::take_load(const peering::entry_load& load) {
     const base::instant now = this->context.now();
     const base::instant until = now + std::max(load.period * believed_periods, least_belief);
     auto& state = this->context.state;
--- a/src/proxy/load_exchange.h
+++ b/src/proxy/load_exchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entries/relays.h"
+#include "peering/messages.h"
 #include "proxy/context.h"
-#include "proxy/peer_messages.h"
 
 #include <map>
 #include <optional>
@@ -27,28 +27,28 @@
     // What the entries of the own zone are to hear now, with what is passed on, and the relays of
     // other zones; nothing where there is no news. `linked`: entries that a link stands to.
     struct news {
-        std::optional<peer_load> near;
-        std::optional<peer_load> far;
+        std::optional<peering::load_report> near;
+        std::optional<peering::load_report> far;
     };
     news collect(std::size_t linked);
     // Takes what was heard from an entry. `passes_on`: it is of another zone, and ours relies on
     // this entry to hear of it.
-    void take(const peer_load& message, bool passes_on);
+    void take(const peering::load_report& message, bool passes_on);
 
 private:
-    told_load own_load(std::size_t linked);
-    std::vector<told_load> relayed_loads();
-    void take_load(const told_load& load);
+    peering::entry_load own_load(std::size_t linked);
+    std::vector<peering::entry_load> relayed_loads();
+    void take_load(const peering::entry_load& load);
     [[nodiscard]] bool heartbeat_due();
 
     struct relayed {
-        told_load load;
+        peering::entry_load load;
         base::instant heard_at{};
     };
 
     entry_context& context;
     // What was last told of each upstream.
-    std::map<base::upstream_id, load_item> told;
+    std::map<base::upstream_id, peering::upstream_load> told;
     std::vector<relayed> to_relay;
     base::instant next_whole{};
     base::instant next_heartbeat{};
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -185,17 +185,18 @@
 
 void peers::greet(peer_link& to) {
     to.open = true;
-    to.link->send(encode(peer_hello{this->context.settings.id, this->context.settings.zone}));
+    to.link->send(
+        peering::encode(peering::hello{this->context.settings.id, this->context.settings.zone}));
     const base::instant now = this->context.now();
     for (const auto& [model, history] : this->context.state.weights) {
         for (const auto& [version, seen] : history.seen) {
             if (is_dated(seen)) {
-                to.link->send(encode(peer_named{model, version, now - seen}));
+                to.link->send(peering::encode(peering::weights_named{model, version, now - seen}));
             }
         }
     }
     for (const auto& message : this->greeting()) {
-        to.link->send(encode(message));
+        to.link->send(peering::encode(message));
     }
 }
 
@@ -227,8 +228,8 @@
     this->context.loop.after(base::micros(0), [link = held.link] { link->close(); });
 }
 
-void peers::tell(const peer_message& message) {
-    const std::string bytes = encode(message);
+void peers::tell(const peering::message& message) {
+    const std::string bytes = peering::encode(message);
     for (const auto& [key, each] : this->links) {
         if (each.open) {
             each.link->send(bytes);
@@ -249,10 +250,10 @@
     this->load_timer.set(load_exchange::period(relays));
     const auto news = this->loads.collect(linked.size());
     if (news.near) {
-        this->tell_to(relays.near, encode(*news.near));
+        this->tell_to(relays.near, peering::encode(*news.near));
     }
     if (news.far) {
-        this->tell_to(relays.far, encode(*news.far));
+        this->tell_to(relays.far, peering::encode(*news.far));
     }
 }
 
@@ -296,7 +297,8 @@
 void peers::ask(peer_link& of) {
     of.asked = ++this->last_ask;
     of.asked_at = this->context.now();
-    of.link->send(encode(peer_store_ask{of.asked, this->context.state.store.revision}));
+    of.link->send(
+        peering::encode(peering::store_ask{of.asked, this->context.state.store.revision}));
 }
 
 void peers::drop_silent() {
@@ -317,7 +319,7 @@
     if (this->links.count(key) == 0) {
         return;
     }
-    const auto message = decode(bytes);
+    const auto message = peering::decode(bytes);
     if (!message.has_value()) {
         this->context.log.line(importance::keep, "entry_message_unreadable");
         this->drop(key);
@@ -326,13 +328,13 @@
     std::visit([this, key](const auto& each) { this->take(key, each); }, message.value());
 }
 
-void peers::take(link_key key, const peer_hello& message) {
+void peers::take(link_key key, const peering::hello& message) {
     this->links.at(key).id = message.from;
     this->links.at(key).zone = message.zone;
     this->context.log.line(importance::keep, "entry_link_stands").text("entry", message.from.value);
 }
 
-void peers::take(link_key key, const peer_suspicion& message) {
+void peers::take(link_key key, const peering::suspicion& message) {
     auto* found = fleet::find_instance(this->context.state.fleet, message.upstream);
     if (found == nullptr) {
         return;
@@ -352,37 +354,37 @@
         .number("for_ms", message.span.count());
 }
 
-void peers::take(link_key /*key*/, const peer_weights& message) {
+void peers::take(link_key /*key*/, const peering::weights_held& message) {
     this->weights_changed(message);
 }
 
-void peers::take(link_key key, const peer_load& message) {
+void peers::take(link_key key, const peering::load_report& message) {
     const auto& from = this->links.at(key);
     const bool is_far = !from.zone.empty() && from.zone != this->context.settings.zone;
     this->loads.take(message, is_far);
 }
 
-void peers::take(link_key /*key*/, const peer_named& message) {
+void peers::take(link_key /*key*/, const peering::weights_named& message) {
     this->named_weights_told(message);
 }
 
-void peers::take(link_key key, const peer_kept& message) {
+void peers::take(link_key key, const peering::kept_parts& message) {
     this->kept_told(this->links.at(key).id, message);
 }
 
-void peers::take(link_key key, const peer_crash& message) {
+void peers::take(link_key key, const peering::crash_report& message) {
     this->crash_told(this->links.at(key).id, message);
 }
 
-void peers::take(link_key key, const peer_hold& message) {
+void peers::take(link_key key, const peering::hold_report& message) {
     this->hold_told(this->links.at(key).id, message);
 }
 
-void peers::take(link_key key, const peer_leaving& message) {
+void peers::take(link_key key, const peering::upstream_leaving& message) {
     note_says_leaving(this->context, message.upstream, this->links.at(key).id.value);
 }
 
-void peers::take(link_key key, const peer_store_changes& message) {
+void peers::take(link_key key, const peering::store_changes& message) {
     if (this->store_told(message)) {
         return;
     }
@@ -393,9 +395,9 @@
     }
 }
 
-void peers::take(link_key key, const peer_store_ask& message) {
+void peers::take(link_key key, const peering::store_ask& message) {
     const auto& store = this->context.state.store;
-    peer_store_view view;
+    peering::store_view view;
     view.number = message.number;
     if (const auto age = mirror::age(store, this->context.now())) {
         view.proved = true;
@@ -404,10 +406,10 @@
     auto since = mirror::changes_since(store, message.revision);
     view.whole = !since;
     view.changes = since ? std::move(*since) : whole_store(store);
-    this->links.at(key).link->send(encode(view));
+    this->links.at(key).link->send(peering::encode(view));
 }
 
-void peers::take(link_key key, const peer_store_view& message) {
+void peers::take(link_key key, const peering::store_view& message) {
     auto& asked = this->links.at(key);
     if (message.number != asked.asked) {
         return;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -2,9 +2,9 @@
 
 #include "adapters/link.h"
 #include "adapters/timer.h"
+#include "peering/messages.h"
 #include "proxy/context.h"
 #include "proxy/load_exchange.h"
-#include "proxy/peer_messages.h"
 
 #include <functional>
 #include <map>
@@ -25,7 +25,7 @@
     // Renews this entry's place on the list of entries, connects to new ones, and asks for the
     // store's contents where our own proof grows old.
     void tick();
-    void tell(const peer_message& message);
+    void tell(const peering::message& message);
     // Asks for the store's contents at the next tick, whatever the age of our proof.
     void ask_soon() { this->ask_wanted = true; }
     // Leaves the list.
@@ -38,22 +38,22 @@
 
     // Told what another entry said, once it is applied to the mirror where it tells of the store.
     std::function<void(const std::set<std::string>&)> store_changed;
-    std::function<void(const peer_weights&)> weights_changed;
-    std::function<void(const peer_named&)> named_weights_told;
-    std::function<void(const base::entry_id& from, const peer_kept&)> kept_told;
+    std::function<void(const peering::weights_held&)> weights_changed;
+    std::function<void(const peering::weights_named&)> named_weights_told;
+    std::function<void(const base::entry_id& from, const peering::kept_parts&)> kept_told;
     // Takes what an entry that follows the store tells of it; false where something before it was
     // not heard of.
-    std::function<bool(const peer_store_changes&)> store_told;
+    std::function<bool(const peering::store_changes&)> store_told;
     // Whether what was told is still being read; nobody is asked for it meanwhile.
     std::function<bool()> awaits_store;
     // Whether this entry proves the store's contents for all, and so needs others' proofs only when
     // it fails to.
     std::function<bool()> proves_store;
     // Told of crashed upstreams, and of requests that are held back for them.
-    std::function<void(const base::entry_id& from, const peer_crash&)> crash_told;
-    std::function<void(const base::entry_id& from, const peer_hold&)> hold_told;
+    std::function<void(const base::entry_id& from, const peering::crash_report&)> crash_told;
+    std::function<void(const base::entry_id& from, const peering::hold_report&)> hold_told;
     // What a new link is told beside who we are.
-    std::function<std::vector<peer_message>()> greeting;
+    std::function<std::vector<peering::message>()> greeting;
     // The number of entries has changed.
     std::function<void()> count_changed;
 
@@ -84,18 +84,18 @@
     void add(const adapters::link_ptr& link, base::entry_id id);
     void drop(link_key key);
     void received(link_key key, std::string_view bytes);
-    void take(link_key key, const peer_hello& message);
-    void take(link_key key, const peer_suspicion& message);
-    void take(link_key key, const peer_weights& message);
-    void take(link_key key, const peer_load& message);
-    void take(link_key key, const peer_named& message);
-    void take(link_key key, const peer_kept& message);
-    void take(link_key key, const peer_store_changes& message);
-    void take(link_key key, const peer_crash& message);
-    void take(link_key key, const peer_hold& message);
-    void take(link_key key, const peer_leaving& message);
-    void take(link_key key, const peer_store_ask& message);
-    void take(link_key key, const peer_store_view& message);
+    void take(link_key key, const peering::hello& message);
+    void take(link_key key, const peering::suspicion& message);
+    void take(link_key key, const peering::weights_held& message);
+    void take(link_key key, const peering::load_report& message);
+    void take(link_key key, const peering::weights_named& message);
+    void take(link_key key, const peering::kept_parts& message);
+    void take(link_key key, const peering::store_changes& message);
+    void take(link_key key, const peering::crash_report& message);
+    void take(link_key key, const peering::hold_report& message);
+    void take(link_key key, const peering::upstream_leaving& message);
+    void take(link_key key, const peering::store_ask& message);
+    void take(link_key key, const peering::store_view& message);
     [[nodiscard]] std::string list_prefix() const;
     [[nodiscard]] std::map<base::entry_id, std::string> listed() const;
 
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -25,7 +25,7 @@
 struct linked_world {
     tests::proxy_world world;
     proxy::peers others;
-    std::vector<proxy::peer_message> heard;
+    std::vector<peering::message> heard;
     adapters::link_ptr other;
     std::unique_ptr<adapters::link_listener> listener;
 
@@ -34,17 +34,17 @@
         this->others.count_changed = [] {};
         this->others.proves_store = [] { return true; };
         this->others.awaits_store = [] { return false; };
-        this->others.greeting = [] { return std::vector<proxy::peer_message>{}; };
+        this->others.greeting = [] { return std::vector<peering::message>{}; };
         const std::string key = this->world.entry().words.own_prefix + "entries/zz";
         this->world.state.store.items[key] = {key, other_address, 1};
-        this->listener =
-            adapters::listen_for_links(this->world.entry().loop.base(), other_address, {most_bytes},
-                                       [this](const adapters::link_ptr& made) {
-                                           this->other = made;
-                                           made->received.connect([this](std::string_view bytes) {
-                                               this->heard.push_back(proxy::decode(bytes).value());
-                                           });
-                                       });
+        this->listener = adapters::listen_for_links(
+            this->world.entry().loop.base(), other_address, {most_bytes},
+            [this](const adapters::link_ptr& made) {
+                this->other = made;
+                made->received.connect([this](std::string_view bytes) {
+                    this->heard.push_back(peering::decode(bytes).value());
+                });
+            });
     }
 
     // Lets time pass until a condition holds.
@@ -66,7 +66,7 @@
     linked_world linked;
     REQUIRE(linked.tick_until([&] { return !linked.heard.empty(); }));
     linked.other->send("no message");
-    linked.other->send(proxy::encode(proxy::peer_load{}));
+    linked.other->send(peering::encode(peering::load_report{}));
     REQUIRE(linked.tick_until([&] { return linked.others.linked().empty(); }));
     // It links itself anew.
     CHECK(linked.tick_until([&] { return linked.heard.size() >= 2; }));
@@ -78,16 +78,16 @@
 TEST_CASE("both ends of a new link are greeted", "[proxy]") {
     linked_world linked;
     linked.others.greeting = [] {
-        return std::vector<proxy::peer_message>{proxy::peer_kept{"10.9.9.9:1", true, false, {}}};
+        return std::vector<peering::message>{peering::kept_parts{"10.9.9.9:1", true, false, {}}};
     };
     REQUIRE(linked.others.listen());
-    std::vector<proxy::peer_message> told;
+    std::vector<peering::message> told;
     auto newcomer = adapters::connect_link(linked.world.entry().loop.base(),
                                            linked.world.entry().settings.peer_listen, {most_bytes});
     newcomer->received.connect(
-        [&](std::string_view bytes) { told.push_back(proxy::decode(bytes).value()); });
-    const auto greeted = [](const std::vector<proxy::peer_message>& got) {
-        return got.size() >= 2 && std::holds_alternative<proxy::peer_hello>(got.front());
+        [&](std::string_view bytes) { told.push_back(peering::decode(bytes).value()); });
+    const auto greeted = [](const std::vector<peering::message>& got) {
+        return got.size() >= 2 && std::holds_alternative<peering::hello>(got.front());
     };
     CHECK(linked.tick_until([&] { return greeted(linked.heard); }));
     CHECK(linked.tick_until([&] { return greeted(told); }));
@@ -103,10 +103,10 @@
     const auto& service = members.at({"service"});
     const auto now = [&] { return linked.world.entry().now(); };
     const auto send = [&](bool changing) {
-        linked.other->send(proxy::encode(proxy::peer_suspicion{{{"service"}, {}},
-                                                               base::milliseconds(60000),
-                                                               changing ? "loading" : "unreachable",
-                                                               changing}));
+        linked.other->send(peering::encode(peering::suspicion{{{"service"}, {}},
+                                                              base::milliseconds(60000),
+                                                              changing ? "loading" : "unreachable",
+                                                              changing}));
     };
     send(false);
     REQUIRE(linked.tick_until([&] { return fleet::is_suspected(service, now()); }));
@@ -132,9 +132,9 @@
     constexpr std::int64_t weights = 1;
     const auto tell = [&](std::int64_t incarnation) {
         const base::upstream_instance of{{"engine"}, {incarnation}};
-        linked.other->send(proxy::encode(
-            proxy::peer_suspicion{of, base::milliseconds(60000), "unreachable", false}));
-        proxy::told_load load;
+        linked.other->send(peering::encode(
+            peering::suspicion{of, base::milliseconds(60000), "unreachable", false}));
+        peering::entry_load load;
         load.from = {"zz"};
         load.period = base::milliseconds(60000);
         load.items = {{of, {2, 900, 1900, 0}, base::milliseconds(0)}};
@@ -143,8 +143,8 @@
         read.weights = weights;
         read.by = of;
         load.reads = {read};
-        linked.other->send(proxy::encode(proxy::peer_load{{load}}));
-        linked.other->send(proxy::encode(proxy::peer_named{{"m"}, incarnation, {}}));
+        linked.other->send(peering::encode(peering::load_report{{load}}));
+        linked.other->send(peering::encode(peering::weights_named{{"m"}, incarnation, {}}));
     };
     std::int64_t last_named = 0;
     linked.others.named_weights_told = [&](const auto& told) { last_named = told.version; };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -43,32 +43,32 @@
       log(STDOUT_FILENO, this->settings.id.value, {}, this->loop.clock().wall_ms),
       timeline(this->settings.id.value, static_cast<std::size_t>(this->settings.timeline.events)),
       connections(this->loop.base(), adapters::boot_now),
-      context{this->loop,
-              this->settings,
-              this->platform.words,
-              this->state,
-              this->connections,
-              this->log,
-              this->metrics,
-              adapters::boot_now,
-              [this](const base::upstream_instance& upstream, base::micros span, const char* why) {
-                  this->others.tell(peer_suspicion{
-                      upstream, std::chrono::duration_cast<base::milliseconds>(span), why});
-              },
-              [this](const base::upstream_instance& upstream, base::micros span) {
-                  this->others.tell(
-                      peer_suspicion{upstream, std::chrono::duration_cast<base::milliseconds>(span),
-                                     "loading", true});
-              },
-              [this](const base::upstream_instance& upstream, const base::model_id& model,
-                     std::int64_t version) {
-                  note_weights(this->context, upstream, model, version);
-                  this->others.tell(peer_weights{upstream, model, version});
-              },
-              [this](const base::upstream_instance& upstream) {
-                  this->others.tell(peer_leaving{upstream});
-              },
-              [this](const broken_attempt& broken) { this->crashes.note_broken(broken); }},
+      context{
+          this->loop,
+          this->settings,
+          this->platform.words,
+          this->state,
+          this->connections,
+          this->log,
+          this->metrics,
+          adapters::boot_now,
+          [this](const base::upstream_instance& upstream, base::micros span, const char* why) {
+              this->others.tell(peering::suspicion{
+                  upstream, std::chrono::duration_cast<base::milliseconds>(span), why});
+          },
+          [this](const base::upstream_instance& upstream, base::micros span) {
+              this->others.tell(peering::suspicion{
+                  upstream, std::chrono::duration_cast<base::milliseconds>(span), "loading", true});
+          },
+          [this](const base::upstream_instance& upstream, const base::model_id& model,
+                 std::int64_t version) {
+              note_weights(this->context, upstream, model, version);
+              this->others.tell(peering::weights_held{upstream, model, version});
+          },
+          [this](const base::upstream_instance& upstream) {
+              this->others.tell(peering::upstream_leaving{upstream});
+          },
+          [this](const broken_attempt& broken) { this->crashes.note_broken(broken); }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
                                                                   this->settings.platform.endpoint,
@@ -162,8 +162,10 @@
 
 void proxy::connect_parts() {
     this->store.linked_entries = [this] { return this->others.linked(); };
-    this->store.tell = [this](const peer_store_changes& message) { this->others.tell(message); };
-    this->others.store_told = [this](const peer_store_changes& told) {
+    this->store.tell = [this](const peering::store_changes& message) {
+        this->others.tell(message);
+    };
+    this->others.store_told = [this](const peering::store_changes& told) {
         return this->news.take(told) != store_news::outcome::missed;
     };
     this->others.awaits_store = [this] { return this->news.reading(); };
@@ -177,41 +179,46 @@
     this->store.changed = take_news("store");
     this->news.changed = take_news("entry");
     this->others.store_changed = take_news("entry_asked");
-    this->others.weights_changed = [this](const peer_weights& told) {
+    this->others.weights_changed = [this](const peering::weights_held& told) {
         note_weights(this->context, told.upstream, told.model, told.version);
     };
-    this->others.named_weights_told = [this](const peer_named& told) { this->take_named(told); };
-    this->others.kept_told = [this](const base::entry_id& from, const peer_kept& told) {
+    this->others.named_weights_told = [this](const peering::weights_named& told) {
+        this->take_named(told);
+    };
+    this->others.kept_told = [this](const base::entry_id& from, const peering::kept_parts& told) {
         this->kv_stores.take(from, told);
     };
     this->others.greeting = [this] { return this->greeting(); };
     this->connect_quarantine();
-    this->kv_stores.tell = [this](const peer_kept& message) { this->others.tell(message); };
+    this->kv_stores.tell = [this](const peering::kept_parts& message) {
+        this->others.tell(message);
+    };
     this->others.count_changed = [this] { this->set_retry_budgets(); };
 }
 
-std::vector<peer_message> proxy::greeting() const {
+std::vector<peering::message> proxy::greeting() const {
     auto all = this->kv_stores.whole_views();
     for (auto& each : this->crashes.greeting()) {
         all.push_back(std::move(each));
     }
     for (const auto& [id, one] : this->state.fleet.members) {
         if (one.says_leaving_since) {
-            all.emplace_back(peer_leaving{fleet::instance_of(one)});
+            all.emplace_back(peering::upstream_leaving{fleet::instance_of(one)});
         }
     }
     return all;
 }
 
 void proxy::connect_quarantine() {
-    this->crashes.tell = [this](const peer_message& message) { this->others.tell(message); };
+    this->crashes.tell = [this](const peering::message& message) { this->others.tell(message); };
     this->crashes.held_back = [this](const quarantine::hold& held, bool decided_here) {
         this->note_hold(held, decided_here);
     };
-    this->others.crash_told = [this](const base::entry_id& from, const peer_crash& told) {
+    this->others.crash_told = [this](const base::entry_id& from,
+                                     const peering::crash_report& told) {
         this->crashes.take(from, told);
     };
-    this->others.hold_told = [this](const base::entry_id& from, const peer_hold& told) {
+    this->others.hold_told = [this](const base::entry_id& from, const peering::hold_report& told) {
         this->crashes.take(from, told);
     };
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -47,7 +47,7 @@
     void connect_parts();
     void connect_quarantine();
     // What an entry is told that has just linked.
-    [[nodiscard]] std::vector<peer_message> greeting() const;
+    [[nodiscard]] std::vector<peering::message> greeting() const;
     void note_held_back(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
     // `told_by`: who brought the news, for the log.
@@ -57,7 +57,7 @@
     void take_upstreams(const char* told_by);
     void assign_lanes();
     void take_named_weights();
-    void take_named(const peer_named& told);
+    void take_named(const peering::weights_named& told);
     void note_hold(const quarantine::hold& held, bool decided_here);
     void set_retry_budgets();
     // Takes who is listed and who is heard, which decides what of the quotas entries may give out.
--- a/src/proxy/proxy_beliefs.cpp
+++ b/src/proxy/proxy_beliefs.cpp
@@ -186,7 +186,7 @@
     this->weights_read = true;
 }
 
-void proxy::take_named(const peer_named& told) {
+void proxy::take_named(const peering::weights_named& told) {
     note_told(this->state.weights[told.model], told.version, this->context.now() - told.age);
 }
 
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -78,7 +78,7 @@
     if (!since || since->revision == revision_before) {
         return;
     }
-    peer_store_changes told{revision_before, {}, std::move(*since)};
+    peering::store_changes told{revision_before, {}, std::move(*since)};
     for (auto& each : told.changes.items) {
         if (each.item.value.size() > most_told_bytes) {
             told.large.insert(each.item.key);
--- a/src/proxy/store_follower.h
+++ b/src/proxy/store_follower.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entries/store_duty.h"
+#include "peering/messages.h"
 #include "proxy/context.h"
-#include "proxy/peer_messages.h"
 
 #include <functional>
 #include <set>
@@ -31,7 +31,7 @@
     // Entries that a link stands to; to be set before the start.
     std::function<std::vector<base::entry_id>()> linked_entries;
     // Tells them what has changed; to be set before the start.
-    std::function<void(const peer_store_changes&)> tell;
+    std::function<void(const peering::store_changes&)> tell;
     // Whether this entry is the one that proves the store's contents for all it is linked to.
     [[nodiscard]] bool proving() const;
 
--- a/src/proxy/store_follower_tests.cpp
+++ b/src/proxy/store_follower_tests.cpp
@@ -27,9 +27,9 @@
         watch = std::move(done);
     };
     proxy::store_follower follower(world.entry(), platform);
-    std::vector<proxy::peer_store_changes> told;
+    std::vector<peering::store_changes> told;
     follower.linked_entries = [] { return std::vector<base::entry_id>{}; };
-    follower.tell = [&](const proxy::peer_store_changes& message) { told.push_back(message); };
+    follower.tell = [&](const peering::store_changes& message) { told.push_back(message); };
     follower.changed = [](const std::set<std::string>&) {};
     follower.start();
     REQUIRE(world.run_until([&] {
--- a/src/proxy/store_news.cpp
+++ b/src/proxy/store_news.cpp
@@ -18,7 +18,7 @@
 store_news::store_news(entry_context& context, ports::platform platform)
     : context(context), platform(std::move(platform)) {}
 
-store_news::outcome store_news::take(const peer_store_changes& told) {
+store_news::outcome store_news::take(const peering::store_changes& told) {
     const auto& store = this->context.state.store;
     if (this->current) {
         const bool known = told.changes.revision <= this->current->changes.revision;
@@ -47,8 +47,8 @@
 // Takes what was told with its value, and not the revision, up to which something is still missing.
 // Behind a large value, an upstream's leaving came so late that requests went there beyond the
 // bound. Items may always be newer than the mirror's revision.
-void store_news::apply_small(const peer_store_changes& told) {
-    peer_store_changes small;
+void store_news::apply_small(const peering::store_changes& told) {
+    peering::store_changes small;
     for (const auto& each : told.changes.items) {
         if (told.large.count(each.item.key) == 0) {
             small.changes.items.push_back(each);
@@ -57,7 +57,7 @@
     this->apply(small);
 }
 
-void store_news::apply(const peer_store_changes& told) {
+void store_news::apply(const peering::store_changes& told) {
     const auto keys = mirror::take_changes(this->context.state.store, told.changes);
     if (!keys.empty()) {
         this->changed(keys);
--- a/src/proxy/store_news.h
+++ b/src/proxy/store_news.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "peering/messages.h"
 #include "proxy/context.h"
-#include "proxy/peer_messages.h"
 
 #include <deque>
 #include <functional>
@@ -22,7 +22,7 @@
 
     enum class outcome { taken, reading, missed };
     // `missed`: something before it was not heard of, so it could not be taken.
-    outcome take(const peer_store_changes& told);
+    outcome take(const peering::store_changes& told);
     // A large value is being read. Until it is there, a whole view would bring it over a link.
     [[nodiscard]] bool reading() const { return this->current.has_value(); }
 
@@ -32,8 +32,8 @@
     std::function<void()> unreadable;
 
 private:
-    void apply(const peer_store_changes& told);
-    void apply_small(const peer_store_changes& told);
+    void apply(const peering::store_changes& told);
+    void apply_small(const peering::store_changes& told);
     void read_next();
     void take_value(const std::string& key, int attempt,
                     const base::result<std::optional<ports::stored_value>>& read);
@@ -43,8 +43,8 @@
     entry_context& context;
     ports::platform platform;
     // What waits for its large values, and what was told meanwhile.
-    std::optional<peer_store_changes> current;
-    std::deque<peer_store_changes> waiting;
+    std::optional<peering::store_changes> current;
+    std::deque<peering::store_changes> waiting;
 };
 
 } // namespace camphorrail::proxy
--- a/src/proxy/store_news_tests.cpp
+++ b/src/proxy/store_news_tests.cpp
@@ -53,11 +53,11 @@
     }
 };
 
-proxy::peer_store_changes small(std::int64_t after, const std::string& key) {
+peering::store_changes small(std::int64_t after, const std::string& key) {
     return {after, {}, {after + 1, {{{key, "small", after + 1}, false}}}};
 }
 
-proxy::peer_store_changes large(std::int64_t after, const std::string& key) {
+peering::store_changes large(std::int64_t after, const std::string& key) {
     return {after, {key}, {after + 1, {{{key, "", after + 1}, false}}}};
 }
 
--- a/tests/fuzz_tests.cpp
+++ b/tests/fuzz_tests.cpp
@@ -4,9 +4,9 @@
 #include "config/edits.h"
 #include "entry/caller_request.h"
 #include "once/records.h"
+#include "peering/messages.h"
 #include "platform/configuration_document.h"
 #include "platform/engine_documents.h"
-#include "proxy/peer_messages.h"
 #include "replay/trace.h"
 #include "settings/settings.h"
 #include "stream/event_splitter.h"
@@ -103,16 +103,16 @@
              "limits":{"headerBytes":1},"tenants":[{"name":"t","keys":["k"]}]})",
          [](const auto& text) { (void)platform::read_configuration(text); }},
         {"entries' loads",
-         proxy::encode(proxy::peer_load{
+         peering::encode(peering::load_report{
              {{.items = {{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)}}}}}),
-         [](const auto& text) { (void)proxy::decode(text); }},
+         [](const auto& text) { (void)peering::decode(text); }},
         {"entries' readings",
-         proxy::encode(proxy::peer_load{
+         peering::encode(peering::load_report{
              {{.reads = {{{{1, 2520}, {2, 3780}}, 90, 4, {{"e1"}, {17}}, true, {}}}}}}),
-         [](const auto& text) { (void)proxy::decode(text); }},
+         [](const auto& text) { (void)peering::decode(text); }},
         {"entries' views of the store",
-         proxy::encode(proxy::peer_store_view{7, true, base::micros(5), true, {42, {}}}),
-         [](const auto& text) { (void)proxy::decode(text); }},
+         peering::encode(peering::store_view{7, true, base::micros(5), true, {42, {}}}),
+         [](const auto& text) { (void)peering::decode(text); }},
         {"callers' bodies",
          R"({"model":"m","stream":true,"stream_options":{},"messages":[{"role":"user","content":"x"}]})",
          [](const auto& text) { (void)entry::read_request(request_of(text), tables, {}, "own"); }}};
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -209,7 +209,7 @@
               [](const base::upstream_instance&, base::micros) {},
               [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
               [this](const base::upstream_instance& upstream) {
-                  this->told.emplace_back(proxy::peer_leaving{upstream});
+                  this->told.emplace_back(peering::upstream_leaving{upstream});
               },
               [this](const proxy::broken_attempt& broken) { this->crashes.note_broken(broken); }},
       crashes(this->context),
@@ -223,9 +223,7 @@
                   flow->begin();
               },
               [] { return proxy::caller_bounds{}; }, this->context.now, [](int) {}}) {
-    this->crashes.tell = [this](const proxy::peer_message& message) {
-        this->told.push_back(message);
-    };
+    this->crashes.tell = [this](const peering::message& message) { this->told.push_back(message); };
     this->crashes.held_back = [this](const quarantine::hold& held, bool) {
         const auto under_way = this->flows;
         for (const auto& flow : under_way) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -117,7 +117,7 @@
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_watch& crash_watch() { return this->crashes; }
     // What the entry has told others.
-    std::vector<proxy::peer_message> told;
+    std::vector<peering::message> told;
 
     routes::operators_config config;
     proxy::entry_state state;
