Teach the soak's engines what becomes of streams when weights change

An order to load says whether streams under way end first, are cut off, or go on under the new weights, whose first event then has one line more. The soak's engine ignored that; it breaks them off, or writes that line, as ordered now.

--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -114,6 +114,7 @@
     }
     ++this->orders;
     this->version = wanted.at("version").get<std::int64_t>();
+    this->mode = wanted.value("mode", "wait");
     exchange.reply(status_accepted, {}, "");
     this->changed();
 }
@@ -152,7 +153,8 @@
     if (streams) {
         const std::string after = exchange->header("Last-Event-Id");
         exchange->start(status_ok, this->fields(*exchange, stamp));
-        this->send_event(exchange, call, after.empty() ? 1 : std::stoi(after) + 1, this->starts);
+        this->send_event({exchange, call, after.empty() ? 1 : std::stoi(after) + 1, this->starts,
+                          this->version});
         return;
     }
     this->loop->after(work_time, [this, exchange, call, stamp, of_start = this->starts] {
@@ -167,23 +169,29 @@
     });
 }
 
-void engine::send_event(const adapters::exchange_ptr& exchange, const std::string& call, int next,
-                        std::int64_t of_start) {
-    if (this->starts != of_start || this->server == nullptr || !exchange->open()) {
+void engine::send_event(stream_run stream) {
+    const auto& exchange = stream.exchange;
+    if (this->starts != stream.of_start || this->server == nullptr || !exchange->open()) {
         return;
     }
-    if (next > stream_events) {
+    if (stream.next > stream_events) {
         exchange->end();
         return;
     }
-    if (this->loses_answers && next > stream_events / 2) {
+    const bool reweighted = this->version != stream.version;
+    const bool loses = this->loses_answers && stream.next > stream_events / 2;
+    if (loses || (reweighted && this->mode == "cut")) {
         exchange->abort();
         return;
     }
-    exchange->send("id: " + std::to_string(next) + "\ndata: " + call + "\n\n");
-    this->loop->after(event_pause, [this, exchange, call, next, of_start] {
-        this->send_event(exchange, call, next + 1, of_start);
-    });
+    const std::string first_line = reweighted && this->mode == "keep"
+                                       ? "weight-versions: " + std::to_string(this->version) + "\n"
+                                       : "";
+    exchange->send(first_line + "id: " + std::to_string(stream.next) + "\ndata: " + stream.call +
+                   "\n\n");
+    ++stream.next;
+    stream.version = this->version;
+    this->loop->after(event_pause, [this, stream] { this->send_event(stream); });
 }
 
 } // namespace camphorrail::soak
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -39,8 +39,16 @@
     void handle(const adapters::exchange_ptr& exchange);
     void order(adapters::http_exchange& exchange);
     void run(const adapters::exchange_ptr& exchange);
-    void send_event(const adapters::exchange_ptr& exchange, const std::string& call, int next,
-                    std::int64_t of_start);
+    // A stream under way.
+    struct stream_run {
+        adapters::exchange_ptr exchange;
+        std::string call;
+        int next = 1;
+        std::int64_t of_start = 0;
+        // The weights that its last event was made by.
+        std::int64_t version = 0;
+    };
+    void send_event(stream_run stream);
     void ask_for_pause(adapters::http_exchange& exchange);
     [[nodiscard]] bool refuses(const adapters::http_exchange& exchange) const;
     [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
@@ -54,6 +62,8 @@
     std::string id;
     std::string listens_at;
     std::int64_t version = 1;
+    // What became of the streams under way when the weights changed: "wait", "cut" or "keep".
+    std::string mode;
     std::int64_t orders = 0;
     std::int64_t runs = 0;
     std::unique_ptr<adapters::http_server> server;
