--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -17,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+// What the entries of one deployment say to each other over their links.
 namespace camphorrail::peering {
 
 // The first message on a link: who is at the other end.
@@ -149,6 +150,7 @@
     base::upstream_instance upstream;
 };
 
+// One frame of a link holds one of these.
 using message =
     std::variant<hello, suspicion, weights_held, load_report, weights_named, store_ask, store_view,
                  kept_parts, store_changes, crash_report, hold_report, upstream_leaving>;
@@ -157,6 +159,7 @@
 crash_report to_message(const quarantine::crash_report& report, base::instant now);
 quarantine::crash_report from_message(const crash_report& told, base::instant now);
 
+// The message in CBOR.
 std::string encode(const message& told);
 
 // frame_malformed where the bytes are no message.
