Log the software of engines and what a stream resumes

The record's logs can't tell whether an entry ignores versions, or holds a wrong one: no line names an engine's software, and the field of the client that names the stream it resumes was not read.

The version of the platform's list is read and logged, with the request and event that a stream resumes. Nothing is decided by them yet.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -20,6 +20,8 @@
 using request_digest = id<struct request_digest_tag>;
 using team_id = id<struct team_tag>;
 using model_id = id<struct model_tag>;
+// A version of the software that an upstream runs. Versions have no order.
+using software_version = id<struct software_version_tag>;
 using entry_id = id<struct entry_tag>;
 using availability_zone = id<struct availability_zone_tag>;
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -12,7 +12,7 @@
 bool is_same_listing(const ports::listed_upstream& left, const ports::listed_upstream& right) {
     return left.incarnation == right.incarnation && left.address == right.address &&
            left.draining == right.draining && left.models == right.models &&
-           left.pool == right.pool && left.slots == right.slots;
+           left.pool == right.pool && left.slots == right.slots && left.software == right.software;
 }
 
 // Older incarnations than these can't appear in any message still in flight.
--- a/src/ports/platform_codec.h
+++ b/src/ports/platform_codec.h
@@ -35,6 +35,9 @@
     std::vector<prompt_part> prompt_parts;
     // The last event that the client received of an interrupted stream; empty for a new stream.
     std::string last_event_id;
+    // The id of the request that brought the first event of the stream that this one resumes; empty
+    // for a new stream.
+    std::string resumes;
 };
 
 // Parameters of one attempt that are sent to the upstream.
@@ -94,6 +97,7 @@
     std::vector<std::pair<base::model_id, std::int64_t>> models;
     // Heartbeats since its start, as of this entry. Orders the entries of one incarnation.
     std::int64_t heartbeats = 0;
+    base::software_version software;
 };
 
 // The version of a model's weights that the operators want in use.
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -151,6 +151,7 @@
                 .text("address", member.listed.address)
                 .flag("leaving", member.listed.draining)
                 .number("incarnation", member.listed.incarnation.value)
+                .text("software", member.listed.software.value)
                 .number("weights",
                         member.listed.models.empty() ? 0 : member.listed.models[0].second)
                 .number("revision", this->state.store.revision.number)
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -135,7 +135,11 @@
         .text("route", this->request.route->name)
         .text("kind", this->kind_name())
         .text("upstream", choice.id.value)
+        .text("software", choice.software.value)
         .text("why", choice.reason)
+        .text("resumes", this->metadata.resumes)
+        .text("after_event", parameters.last_event_id.empty() ? this->metadata.last_event_id
+                                                              : parameters.last_event_id)
         .number("store_revision", this->context.state.store.revision.number)
         .span("unlisted_ms", this->unlisted_time(choice.id))
         .number("weights", choice.weights)
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -195,6 +195,7 @@
     choice.id = target.listed.id;
     choice.incarnation = target.listed.incarnation;
     choice.address = target.listed.address;
+    choice.software = target.listed.software;
     choice.weights = placement.target.weights;
     choice.cache_salt = std::move(placement.salt);
     choice.fetch_from = std::move(placement.fetch_from);
@@ -251,6 +252,7 @@
     choice.id = target->listed.id;
     choice.incarnation = target->listed.incarnation;
     choice.address = target->listed.address;
+    choice.software = target->listed.software;
     choice.reason = "least_loaded";
     return choice;
 }
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -30,6 +30,7 @@
     base::upstream_id id;
     base::upstream_incarnation incarnation;
     std::string address;
+    base::software_version software;
     kvcache::prompt_chain chain;
     std::int64_t weights = 0;
     std::string cache_salt;
