Reproduce streams that hold events of two software versions

Each event names the software of its engine.

The stand-in of an engine lists the version that it is given, and may break off the runs that begin a stream.

--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -30,7 +30,8 @@
           pool(option(given, "pool", "pool")), address(option(given, "listen", "")),
           store(option(given, "store", "")), events(number(given, "events", 10)),
           loses_answers(option(given, "loses", "") == "yes"),
-          says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")) {
+          says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")),
+          software(option(given, "software", "v1")), breaks_after(number(given, "breaks", 0)) {
         this->list();
     }
 
@@ -87,7 +88,7 @@
         const json entry{{"service", this->pool},
                          {"address", this->address},
                          {"zone", "a"},
-                         {"version", "v1"},
+                         {"version", this->software},
                          {"slots", 8},
                          {"state", "ready"},
                          {"coldLeftMs", 0},
@@ -124,21 +125,29 @@
     void stream(const adapters::exchange_ptr& exchange) {
         const std::string after = exchange->header("Last-Event-Id");
         exchange->start(200, this->fields(*exchange, "text/event-stream"));
-        this->send_event(exchange, after.empty() ? 1 : std::stoll(after) + 1);
+        const std::int64_t breaks_at =
+            after.empty() && this->breaks_after > 0 ? this->breaks_after : this->events + 1;
+        this->send_event(exchange, after.empty() ? 1 : std::stoll(after) + 1, breaks_at);
     }
 
-    void send_event(const adapters::exchange_ptr& exchange, std::int64_t next) {
+    void send_event(const adapters::exchange_ptr& exchange, std::int64_t next,
+                    std::int64_t breaks_at) {
         if (!exchange->open()) {
             return;
         }
+        if (next > breaks_at) {
+            exchange->abort();
+            return;
+        }
         if (next > this->events) {
             exchange->end();
             return;
         }
-        exchange->send("id: " + std::to_string(next) + "\ndata: word" + std::to_string(next) +
-                       "\n\n");
-        this->loop->after(event_pause,
-                          [this, exchange, next] { this->send_event(exchange, next + 1); });
+        exchange->send("id: " + std::to_string(next) + "\ndata: " + this->software + " word" +
+                       std::to_string(next) + "\n\n");
+        this->loop->after(event_pause, [this, exchange, next, breaks_at] {
+            this->send_event(exchange, next + 1, breaks_at);
+        });
     }
 
     adapters::event_loop* loop;
@@ -152,6 +161,9 @@
     bool says_leaving;
     // What it asks for in place of running a call, in seconds; empty for nothing.
     std::string pause;
+    std::string software;
+    // It breaks off each run that begins a stream after so many events; 0 for none.
+    std::int64_t breaks_after;
     std::int64_t version = 1;
     std::int64_t orders = 0;
 };
