Continue streams only at the software that began them

The version of an engine's software was checked and dropped, and the field by which a client names the stream that it resumes was not read.

Cause class: what differs is taken for alike, since the field that tells it apart is thrown away.

The version of the engine that generates a stream's first event binds the stream. The entry records it before that event leaves, and sends the record to the entries that hold it. A client that resumes a stream at another entry is served by that record, or by asking others; without one, only where the pool can have begun streams at no other version. Everything else is refused as not run (code 314). That a pool has one version is known from a record in the store: a new version is announced there, and begins no streams until every entry that still serves by an older view is past it.

Why it is enough: no path to an engine is left that does not pass choose_upstream, which holds the stream to its version; and no stream begins at a version that another entry may not know of.

--- a/src/base/codes.cpp
+++ b/src/base/codes.cpp
@@ -55,6 +55,8 @@
                "An upstream crashed under this request, and another copy of it is being tried."},
     code_entry{code::quota_spent, "quota_spent", 429,
                "The team has used up its quota over all entries; the request has not run."},
+    code_entry{code::stream_origin_unknown, "stream_origin_unknown", 503,
+               "It is not known which software began the stream; the request has not run."},
     code_entry{code::upstream_unreachable, "upstream_unreachable", 502,
                "The upstream takes no connection; nothing was sent to it."},
     code_entry{code::upstream_failed, "upstream_failed", 502,
--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -43,6 +43,7 @@
     quarantined = 311,
     suspect_tried = 312,
     quota_spent = 313,
+    stream_origin_unknown = 314,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -25,6 +25,9 @@
 using entry_id = id<struct entry_tag>;
 using availability_zone = id<struct availability_zone_tag>;
 
+// A client's name for one of its requests, different for each attempt that it makes.
+using request_id = id<struct request_id_tag>;
+
 // A client's Idempotency-Key, qualified by its team so that keys of two teams never collide.
 using idempotency_key = id<struct idempotency_key_tag>;
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -196,13 +196,14 @@
 
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
                                 const fleet_rules& rules,
-                                const std::vector<base::upstream_id>& except) {
+                                const std::vector<base::upstream_id>& except,
+                                const std::function<bool(const member&)>& is_suitable) {
     std::vector<member*> eligible;
     std::vector<member*> suspected;
     std::vector<member*> last_resort;
     bool any_listed = false;
     for (auto& [id, one] : state.members) {
-        if (one.listed.pool != pool) {
+        if (one.listed.pool != pool || !is_suitable(one)) {
             continue;
         }
         any_listed = any_listed || (!one.unlisted_since && !one.drain_reported_at);
@@ -231,6 +232,12 @@
     return any_listed ? std::vector<member*>{} : last_resort;
 }
 
+std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
+                                const fleet_rules& rules,
+                                const std::vector<base::upstream_id>& except) {
+    return candidates(state, pool, now, rules, except, [](const member&) { return true; });
+}
+
 workload total_work(const member& one, base::instant now) {
     workload all = one.local_work;
     for (const auto& [entry, load] : one.remote_work) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,6 +7,7 @@
 #include "ports/platform_codec.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -143,7 +144,14 @@
 
 // The members of a pool that a new request may be sent to: the eligible ones; if there are none,
 // those that are only suspected; if the whole pool has just vanished or reported draining, those
-// that may serve in the grace period. Members listed in `except` are left out.
+// that may serve in the grace period. Members listed in `except` are left out. Members that are not
+// suitable are disregarded as if they were of another pool.
+std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
+                                const fleet_rules& rules,
+                                const std::vector<base::upstream_id>& except,
+                                const std::function<bool(const member&)>& is_suitable);
+
+// The same if all members are suitable.
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
                                 const fleet_rules& rules,
                                 const std::vector<base::upstream_id>& except);
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -17,7 +17,7 @@
 }
 
 json to_json(const handshake& message) {
-    return {"hello", message.from.value, message.zone.value, message.incarnation};
+    return {"hello", message.from.value, message.zone.value, message.incarnation, message.protocol};
 }
 
 json to_json(const suspicion& message) {
@@ -152,6 +152,11 @@
             count.requested.value};
 }
 
+json to_json(const stream_origin_item& item) {
+    return {item.request.value, item.origin.pool.value, item.origin.software.value,
+            to_json(item.origin.upstream), item.remaining.count()};
+}
+
 json to_json(const entry_load& load);
 
 template <class Part>
@@ -204,6 +209,43 @@
     return {"leaving", to_json(message.upstream), message.age.count()};
 }
 
+stream_origin_item read_stream_origin(const json& value) {
+    return {{value.at(0).get<std::string>()},
+            {{value.at(1).get<std::string>()},
+             {value.at(2).get<std::string>()},
+             read_instance(value.at(3))},
+            base::milliseconds(value.at(4).get<std::int64_t>())};
+}
+
+json to_json(const stream_origins& message) {
+    return {"origins", to_json_array(message.items)};
+}
+
+json to_json(const origin_query& message) {
+    return {"origin_of", message.query_id, message.request.value};
+}
+
+json to_json(const origin_reply& message) {
+    return {"origin", message.query_id, message.item ? to_json(*message.item) : json()};
+}
+
+stream_origins read_stream_origins(const json& value) {
+    stream_origins message;
+    for (const auto& each : value.at(1)) {
+        message.items.push_back(read_stream_origin(each));
+    }
+    return message;
+}
+
+origin_reply read_origin_reply(const json& value) {
+    origin_reply reply;
+    reply.query_id = value.at(1).get<std::int64_t>();
+    if (!value.at(2).is_null()) {
+        reply.item = read_stream_origin(value.at(2));
+    }
+    return reply;
+}
+
 crash_report read_crash_report(const json& value) {
     crash_report crash;
     crash.upstream = read_instance(value.at(1));
@@ -307,7 +349,8 @@
     if (kind == "hello") {
         return handshake{{value.at(1).get<std::string>()},
                          {value.at(2).get<std::string>()},
-                         value.at(3).get<std::int64_t>()};
+                         value.at(3).get<std::int64_t>(),
+                         value.size() > 4 ? value.at(4).get<std::int64_t>() : first_protocol};
     }
     if (kind == "suspicion") {
         return suspicion{read_instance(value.at(1)),
@@ -348,6 +391,15 @@
         return upstream_draining{read_instance(value.at(1)),
                                  base::micros(value.at(2).get<std::int64_t>())};
     }
+    if (kind == "origins") {
+        return read_stream_origins(value);
+    }
+    if (kind == "origin_of") {
+        return origin_query{value.at(1).get<std::int64_t>(), {value.at(2).get<std::string>()}};
+    }
+    if (kind == "origin") {
+        return read_origin_reply(value);
+    }
     throw std::invalid_argument("unknown message kind");
 }
 
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -9,6 +9,7 @@
 #include "ports/platform.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
+#include "resumption/stream_origins.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,12 +22,20 @@
 // Messages that the entries of one deployment exchange over their links.
 namespace camphorrail::peering {
 
+// The messages that an entry understands. Entries of an older build close a link on which they
+// receive a message that they don't know, so each message is sent only to entries that understand
+// it.
+inline constexpr std::int64_t first_protocol = 0;
+inline constexpr std::int64_t stream_origin_protocol = 1;
+inline constexpr std::int64_t current_protocol = stream_origin_protocol;
+
 // The first message on a link; identifies its sender.
 struct handshake {
     base::entry_id from;
     base::availability_zone zone;
     // Differs after each start of that entry.
     std::int64_t incarnation = 0;
+    std::int64_t protocol = first_protocol;
 };
 
 // The upstream should receive no new requests for `duration`.
@@ -166,6 +175,30 @@
     base::micros age{0};
 };
 
+// Where one stream began, and for how long its client may still resume it.
+struct stream_origin_item {
+    base::request_id request;
+    resumption::stream_origin origin;
+    base::milliseconds remaining{0};
+};
+
+// Where streams began, for an entry that holds their records.
+struct stream_origins {
+    std::vector<stream_origin_item> items;
+};
+
+// Asks where a stream began; `request` is the one that brought its first event.
+struct origin_query {
+    std::int64_t query_id = 0;
+    base::request_id request;
+};
+
+// The reply to a query; empty if the sender does not know the stream.
+struct origin_reply {
+    std::int64_t query_id = 0;
+    std::optional<stream_origin_item> item;
+};
+
 // Stands for the era of a revision from an entry whose build does not send eras; earlier than any.
 inline constexpr std::int64_t unknown_era = -1;
 
@@ -175,9 +208,10 @@
 void replace_unknown_eras(store_changes& message, std::int64_t era);
 
 // The content of one frame of a link.
-using message = std::variant<handshake, suspicion, loaded_weights, load_report, store_query,
-                             store_view, kv_store_contents, store_changes, crash_report,
-                             quarantine_notice, upstream_draining>;
+using message =
+    std::variant<handshake, suspicion, loaded_weights, load_report, store_query, store_view,
+                 kv_store_contents, store_changes, crash_report, quarantine_notice,
+                 upstream_draining, stream_origins, origin_query, origin_reply>;
 
 // A message with its sender's uptime when it was sent. The receiver derives the send time from the
 // uptime: the message may be buffered for long, and its ages and durations count from when it was
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -153,3 +153,38 @@
         CHECK(got.revision == base::revision{0, 42});
     }
 }
+
+TEST_CASE("messages on the origins of streams are unchanged by encoding and decoding", "[proxy]") {
+    const peering::stream_origin_item item{
+        {"r1"}, {{"pool"}, {"v1.2"}, {{"i-1"}, {17}}}, base::milliseconds(4200)};
+    const auto sent = peering::decode(peering::encode({peering::stream_origins{{item, item}}}));
+    const auto& origins = std::get<peering::stream_origins>(sent.value().payload);
+    REQUIRE(origins.items.size() == 2);
+    CHECK(origins.items[1].request.value == "r1");
+    CHECK(origins.items[1].origin.pool.value == "pool");
+    CHECK(origins.items[1].origin.software.value == "v1.2");
+    CHECK(origins.items[1].origin.upstream == item.origin.upstream);
+    CHECK(origins.items[1].remaining == base::milliseconds(4200));
+    const auto asked = peering::decode(peering::encode({peering::origin_query{7, {"r1"}}}));
+    CHECK(std::get<peering::origin_query>(asked.value().payload).query_id == 7);
+    CHECK(std::get<peering::origin_query>(asked.value().payload).request.value == "r1");
+    const auto known = peering::decode(peering::encode({peering::origin_reply{7, item}}));
+    CHECK(std::get<peering::origin_reply>(known.value().payload).item->request.value == "r1");
+    const auto unknown = peering::decode(peering::encode({peering::origin_reply{8, {}}}));
+    CHECK(std::get<peering::origin_reply>(unknown.value().payload).query_id == 8);
+    CHECK_FALSE(std::get<peering::origin_reply>(unknown.value().payload).item.has_value());
+}
+
+// An older build does not state which messages it understands, and closes a link on which it gets
+// others.
+TEST_CASE("an entry that states no protocol understands the first one", "[proxy]") {
+    const nlohmann::json sent = {5, {"hello", "entry-1", "zone-a", 3}};
+    const auto bytes = nlohmann::json::to_cbor(sent);
+    const auto read = peering::decode(std::string(bytes.begin(), bytes.end()));
+    REQUIRE(read.has_value());
+    CHECK(std::get<peering::handshake>(read.value().payload).protocol == peering::first_protocol);
+    const peering::handshake current{{"entry-1"}, {"zone-a"}, 3, peering::current_protocol};
+    const auto understood = peering::decode(peering::encode({current}));
+    CHECK(std::get<peering::handshake>(understood.value().payload).protocol ==
+          peering::current_protocol);
+}
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -17,6 +17,8 @@
 #include "proxy/weights_history.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
+#include "resumption/software_versions.h"
+#include "resumption/stream_origins.h"
 #include "settings/settings.h"
 
 #include <map>
@@ -51,6 +53,10 @@
     quarantine::quarantine quarantine;
     // Use of the teams' quotas over all entries.
     quota::ledger quotas;
+    // The software versions of the pools that serve streams, and where streams began that clients
+    // may resume.
+    std::map<base::pool_id, resumption::pool_versions> software;
+    resumption::origin_table origins;
     // Number of entries that share the retry budget, including this one.
     std::int64_t entry_count = 1;
     bool stopping = false;
@@ -64,6 +70,13 @@
     quarantine::crash_victim victim;
 };
 
+// What other entries replied about the origin of a stream.
+struct origin_answer {
+    std::optional<resumption::stream_origin> origin;
+    // All entries that were asked have replied. If not, one that knows may be reachable soon.
+    bool is_final = false;
+};
+
 // Shared services and state that all components of an entry use.
 struct entry_context {
     adapters::event_loop& loop;
@@ -87,6 +100,13 @@
     std::function<void(const base::upstream_instance&)> broadcast_drain;
     // Records an attempt during which its upstream may have crashed.
     std::function<void(const broken_attempt&)> record_broken_attempt;
+    // Records where a stream began whose client waits for `deadline`, here and at other entries.
+    std::function<void(const base::request_id&, const resumption::stream_origin&,
+                       base::milliseconds deadline)>
+        record_stream_origin;
+    // Asks other entries where a stream began. `done` is called once, maybe at once.
+    std::function<void(const base::request_id&, std::function<void(const origin_answer&)> done)>
+        find_stream_origin;
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -118,6 +118,22 @@
     return found;
 }
 
+std::vector<entries::linked_entry> peers::linked_entries(std::int64_t protocol) const {
+    std::vector<entries::linked_entry> found;
+    for (const auto& [key, peer] : this->links) {
+        if (peer.open && !peer.id.empty() && peer.protocol >= protocol) {
+            found.push_back({peer.id, peer.zone});
+        }
+    }
+    return found;
+}
+
+void peers::send(const std::vector<base::entry_id>& to, const peering::message& message) {
+    if (!to.empty()) {
+        this->send_to(to, this->encode_frame(message));
+    }
+}
+
 bool peers::listen() {
     this->listener = adapters::listen_for_links(
         this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
@@ -257,9 +273,9 @@
 
 void peers::send_handshake(peer_link& peer) {
     peer.open = true;
-    peer.link->send(this->encode_frame(
-        peering::handshake{this->context.settings.id, this->context.settings.zone,
-                           this->started_at.time_since_epoch().count()}));
+    peer.link->send(this->encode_frame(peering::handshake{
+        this->context.settings.id, this->context.settings.zone,
+        this->started_at.time_since_epoch().count(), peering::current_protocol}));
     for (const auto& message : this->initial_messages()) {
         peer.link->send(this->encode_frame(message));
     }
@@ -267,8 +283,11 @@
 
 void peers::add_link(const adapters::link_ptr& link, base::entry_id id) {
     const link_key key = ++this->last_link_key;
-    this->links[key] = {link, std::move(id), {}, std::make_shared<base::sender_clock>(), false, 0,
-                        {}};
+    peer_link added;
+    added.link = link;
+    added.id = std::move(id);
+    added.clock = std::make_shared<base::sender_clock>();
+    this->links[key] = std::move(added);
     // Anything sent before the link is open would be lost.
     link->opened.connect([this, key] {
         const auto found = this->links.find(key);
@@ -308,12 +327,7 @@
 }
 
 void peers::send_load() {
-    std::vector<entries::linked_entry> connected;
-    for (const auto& [key, peer] : this->links) {
-        if (peer.open && !peer.id.empty()) {
-            connected.push_back({peer.id, peer.zone});
-        }
-    }
+    const auto connected = this->linked_entries(peering::first_protocol);
     const auto& settings = this->context.settings;
     const auto relays =
         entries::choose_relay_targets(connected, settings.id, settings.zone, this->context.now());
@@ -414,6 +428,7 @@
     peer.clock = known.clock;
     peer.id = message.from;
     peer.zone = message.zone;
+    peer.protocol = message.protocol;
 }
 
 void peers::handle(link_key key, const peering::handshake& message, base::instant /*written*/) {
@@ -422,6 +437,19 @@
         this->context.state.store.awaiting_peers && peer.query_id == 0) {
         this->send_query(peer);
     }
+    this->entry_connected(message.from);
+}
+
+void peers::handle(link_key key, const peering::stream_origins& message, base::instant written) {
+    this->origin_message_received(this->links.at(key).id, message, written);
+}
+
+void peers::handle(link_key key, const peering::origin_query& message, base::instant written) {
+    this->origin_message_received(this->links.at(key).id, message, written);
+}
+
+void peers::handle(link_key key, const peering::origin_reply& message, base::instant written) {
+    this->origin_message_received(this->links.at(key).id, message, written);
 }
 
 void peers::handle(link_key key, const peering::suspicion& message, base::instant written) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace camphorrail::proxy {
@@ -19,6 +20,10 @@
 // The drain announcements this entry knows of, ready to be sent to another entry.
 std::vector<peering::upstream_draining> collect_drain_reports(const entry_context& context);
 
+// The messages on where streams began.
+using origin_message =
+    std::variant<peering::stream_origins, peering::origin_query, peering::origin_reply>;
+
 // Maintains the links to the other entries. An entry that the platform's store does not answer
 // stays up to date through the entries that still reach it, and what one entry finds out about an
 // upstream reaches all others at once.
@@ -41,6 +46,10 @@
     [[nodiscard]] quota::listed_entries listed_entries() const;
     // The entries with an open link whose handshake has arrived.
     [[nodiscard]] std::vector<base::entry_id> connected_entries() const;
+    // Those of them that understand the messages of a protocol.
+    [[nodiscard]] std::vector<entries::linked_entry> linked_entries(std::int64_t protocol) const;
+    // Sends a message to some connected entries.
+    void send(const std::vector<base::entry_id>& to, const peering::message& message);
 
     // Called with the changed keys after a peer's store view has been applied to the mirror.
     std::function<void(const std::set<std::string>&)> store_changed;
@@ -68,6 +77,11 @@
     std::function<void(const base::entry_id& from, const peering::quarantine_notice&,
                        base::instant written)>
         quarantine_notice_received;
+    // Called when the handshake of a new link has arrived.
+    std::function<void(const base::entry_id& from)> entry_connected;
+    // Handles a message on the origins of streams, written at that time.
+    std::function<void(const base::entry_id& from, const origin_message&, base::instant written)>
+        origin_message_received;
     // The messages sent on a new link after the handshake.
     std::function<std::vector<peering::message>()> initial_messages;
     // Called when the number of registered entries has changed.
@@ -78,6 +92,7 @@
         adapters::link_ptr link;
         base::entry_id id;
         base::availability_zone zone;
+        std::int64_t protocol = peering::first_protocol;
         // Shared by all links to the same incarnation of an entry.
         std::shared_ptr<base::sender_clock> clock;
         bool open = false;
@@ -127,6 +142,9 @@
     void handle(link_key key, const peering::crash_report& message, base::instant written);
     void handle(link_key key, const peering::quarantine_notice& message, base::instant written);
     void handle(link_key key, const peering::upstream_draining& message, base::instant written);
+    void handle(link_key key, const peering::stream_origins& message, base::instant written);
+    void handle(link_key key, const peering::origin_query& message, base::instant written);
+    void handle(link_key key, const peering::origin_reply& message, base::instant written);
     void handle(link_key key, const peering::store_query& message, base::instant written);
     void handle(link_key key, const peering::store_view& message, base::instant written);
     void apply_store_view(const peer_link& peer, const peering::store_view& view);
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -39,6 +39,7 @@
         this->others.verifies_store = [] { return true; };
         this->others.is_reading_store = [] { return false; };
         this->others.initial_messages = [] { return std::vector<peering::message>{}; };
+        this->others.entry_connected = [](const base::entry_id&) {};
         this->others.target_weights_received = [this](const auto& from, const auto& reports,
                                                       base::instant queried_at) {
             proxy::apply_reported_targets(this->world.entry(), from, reports, queried_at);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -66,7 +66,12 @@
           [this](const base::upstream_instance& upstream) {
               this->peer_entries.broadcast(peering::upstream_draining{upstream});
           },
-          [this](const broken_attempt& broken) { this->crashes.record_broken_attempt(broken); }},
+          [this](const broken_attempt& broken) { this->crashes.record_broken_attempt(broken); },
+          [this](const base::request_id& request, const resumption::stream_origin& origin,
+                 base::milliseconds deadline) { this->origins.record(request, origin, deadline); },
+          [this](const base::request_id& request, auto done) {
+              this->origins.find(request, std::move(done));
+          }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
                                                                   this->settings.platform.endpoint,
@@ -84,6 +89,8 @@
       peer_entries(this->context, this->store_calls), crashes(this->context),
       quarantine_store(this->context, this->store_calls,
                        [this] { return this->leader.fencing_token() != 0; }),
+      origins(this->context), software(this->context, this->store_calls,
+                                       [this] { return this->leader.fencing_token() != 0; }),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {}
 
 bool proxy::listen() {
@@ -214,6 +221,7 @@
         };
     this->peer_entries.initial_messages = [this] { return this->initial_messages(); };
     this->connect_quarantine();
+    this->connect_stream_origins();
     this->kv_stores.broadcast = [this](const peering::kv_store_contents& message) {
         this->peer_entries.broadcast(message);
     };
@@ -250,6 +258,27 @@
                base::instant written) { this->crashes.receive(from, message, written); };
 }
 
+void proxy::connect_stream_origins() {
+    this->origins.connected_entries = [this] {
+        return this->peer_entries.linked_entries(peering::stream_origin_protocol);
+    };
+    this->origins.send = [this](const std::vector<base::entry_id>& to,
+                                const peering::message& message) {
+        this->peer_entries.send(to, message);
+    };
+    this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
+        this->origins.send_all_to(entry);
+    };
+    this->peer_entries.origin_message_received =
+        [this](const base::entry_id& from, const origin_message& received, base::instant written) {
+            std::visit([&](const auto& message) { this->origins.receive(from, message, written); },
+                       received);
+        };
+    this->software.several_versions = [this](const base::pool_id& pool) {
+        this->origins.send_pool(pool);
+    };
+}
+
 void proxy::on_quarantine_started(const quarantine::quarantined_request& quarantined,
                                   bool decided_here) {
     if (decided_here) {
@@ -303,6 +332,8 @@
     this->connections.close_expired();
     this->crashes.tick();
     this->quarantine_store.tick();
+    this->origins.tick();
+    this->software.tick();
     this->peer_entries.tick();
     this->update_quota_entries();
     this->store.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,10 +12,12 @@
 #include "proxy/frontend_server.h"
 #include "proxy/kv_store_follower.h"
 #include "proxy/leadership.h"
+#include "proxy/origin_exchange.h"
 #include "proxy/peers.h"
 #include "proxy/quarantine_records.h"
 #include "proxy/request_flow.h"
 #include "proxy/shutdown.h"
+#include "proxy/software_records.h"
 #include "proxy/store_follower.h"
 #include "proxy/store_updates.h"
 #include "proxy/weights_loader.h"
@@ -48,6 +50,7 @@
     [[nodiscard]] bool listen();
     void connect_parts();
     void connect_quarantine();
+    void connect_stream_origins();
     // The messages sent to a newly connected entry.
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void log_deferred_call(adapters::platform_call kind, base::micros wait);
@@ -100,6 +103,8 @@
     peers peer_entries;
     crash_detector crashes;
     quarantine_records quarantine_store;
+    origin_exchange origins;
+    software_records software;
     kv_store_follower kv_stores;
     std::unique_ptr<frontend_server> frontend;
     std::unique_ptr<adapters::http_server> balancer;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -37,6 +37,7 @@
     if (upstreams) {
         this->apply_upstream_list(source);
     }
+    this->software.apply(keys);
     this->update_quota_entries();
     this->log_readiness();
 }
--- a/src/proxy/quarantine_records_tests.cpp
+++ b/src/proxy/quarantine_records_tests.cpp
@@ -1,3 +1,4 @@
+#include "mirrored_store.h"
 #include "proxy/quarantine_records.h"
 #include "proxy_world.h"
 
@@ -7,45 +8,6 @@
 
 namespace {
 
-// A store that applies writes to the mirror and can be made unavailable.
-struct fake_store {
-    mirror::store_mirror& mirror;
-    bool unavailable = false;
-    int calls = 0;
-
-    ports::platform calls_to() {
-        ports::platform platform;
-        platform.commit = [this](const ports::transaction& change, const auto& done) {
-            ++this->calls;
-            if (this->unavailable) {
-                done(base::code::platform_unreachable);
-                return;
-            }
-            done(ports::commit_result{this->apply(change), this->mirror.revision});
-        };
-        return platform;
-    }
-
-    bool apply(const ports::transaction& change) {
-        for (const auto& each : change.preconditions) {
-            const auto found = this->mirror.items.find(each.key);
-            const auto exists = found == this->mirror.items.end() ? 0 : found->second.mod_revision;
-            if (exists != each.mod_revision) {
-                return false;
-            }
-        }
-        ++this->mirror.revision.number;
-        for (const auto& each : change.writes) {
-            if (each.erase) {
-                this->mirror.items.erase(each.key);
-            } else {
-                this->mirror.items[each.key] = {each.key, each.value, this->mirror.revision};
-            }
-        }
-        return true;
-    }
-};
-
 const quarantine::quarantined_request fatal{quarantine::identify({"/desk", "north", "fatal"}),
                                             base::minutes(10), 2};
 
@@ -63,7 +25,7 @@
 TEST_CASE("a quarantine is recorded in the store for entries that start later",
           "[proxy][quarantine]") {
     tests::proxy_world world;
-    fake_store store{world.state.store};
+    tests::mirrored_store store{world.state.store};
     bool is_leader = false;
     proxy::quarantine_records records(world.entry(), store.calls_to(),
                                       [&is_leader] { return is_leader; });
@@ -119,7 +81,7 @@
 
 TEST_CASE("a quarantine is recorded once the store is reachable again", "[proxy][quarantine]") {
     tests::proxy_world world;
-    fake_store store{world.state.store};
+    tests::mirrored_store store{world.state.store};
     proxy::quarantine_records records(world.entry(), store.calls_to(), [] { return false; });
     quarantine::impose(world.state.quarantine, fatal.request, fatal.span, world.entry().now(), {});
     store.unavailable = true;
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -121,7 +121,8 @@
 
 bool request_flow::may_retry() const {
     const bool attempts_left = this->possible_executions < this->request.route->attempts;
-    return may_repeat(*this->request.route) && attempts_left && this->has_retries_left();
+    return may_repeat(*this->request.route) && attempts_left && this->has_retries_left() &&
+           this->origin_is_certain();
 }
 
 bool request_flow::consume_retry() {
@@ -167,7 +168,7 @@
         this->abort_response(reason);
     } else if (this->possible_executions == 0) {
         this->refuse(not_run_code, base::execution_state::not_run,
-                     hint ? *hint : estimate_retry_after(this->context, this->criteria.pool));
+                     hint ? *hint : estimate_retry_after(this->context, this->criteria));
     } else {
         this->refuse(maybe_run_code, base::execution_state::unknown, milliseconds(0));
     }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -89,6 +89,7 @@
     this->criteria.hash = request_hash(this->metadata);
     this->criteria.pool = routes::choose_pool(route, this->criteria.hash);
     this->criteria.target = route.target;
+    this->criteria.begins_stream = this->may_be_resumed();
     this->criteria.prompt = route.prompt_affinity ? &this->metadata : nullptr;
     if (this->request.team != nullptr && this->request.team->isolated) {
         this->criteria.isolated_team = this->request.team->id;
@@ -99,7 +100,11 @@
         return;
     }
     this->timeout_timer.set(this->time_left());
-    this->send_attempt();
+    if (this->resumes_earlier_request()) {
+        this->resume_earlier_request();
+    } else {
+        this->send_attempt();
+    }
 }
 
 milliseconds request_flow::time_left() const {
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -66,6 +66,16 @@
     // How far the response to the client has got.
     enum class response_state { none, streaming, ended };
 
+    [[nodiscard]] bool may_be_resumed() const;
+    [[nodiscard]] bool resumes_earlier_request() const;
+    [[nodiscard]] std::optional<base::software_version> only_possible_version() const;
+    void resume_earlier_request();
+    void on_origin_answer(const origin_answer& answer);
+    void resume_at(const resumption::stream_origin& earlier_origin, const char* source);
+    void refuse_resumption(const char* reason, base::milliseconds retry_after);
+    void record_origin();
+    [[nodiscard]] base::milliseconds client_patience() const;
+    [[nodiscard]] bool origin_is_certain() const;
     void send_attempt();
     bool refuse_if_over_quota();
     void settle_quota();
@@ -141,6 +151,8 @@
     ports::client_request metadata;
     admitted_request request;
     selection_criteria criteria;
+    // Where the stream began that this request begins or resumes; empty before its first event.
+    std::optional<resumption::stream_origin> origin;
     // Units charged to the team's quota; empty if the team has no quota.
     std::optional<quota::units> charged_quota;
     base::milliseconds timeout{0};
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -97,6 +97,7 @@
     this->record_pause();
     if (this->state == response_state::none) {
         this->state = response_state::streaming;
+        this->record_origin();
         this->exchange->start(this->current->head.status, client_fields(this->current->head));
     }
     this->exchange->send(complete_events);
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -32,6 +32,20 @@
     return found;
 }
 
+// Whether the software of a member allows it to take the request.
+bool runs_suitable_software(const entry_context& context, const selection_criteria& criteria,
+                            const fleet::member& member) {
+    if (criteria.software) {
+        return member.listed.software == *criteria.software;
+    }
+    if (!criteria.begins_stream) {
+        return true;
+    }
+    const auto versions = context.state.software.find(criteria.pool);
+    return versions != context.state.software.end() &&
+           resumption::may_begin_streams(versions->second, member.listed.software);
+}
+
 const latency::first_byte_model& latency_model_of(const entry_state& state,
                                                   const base::pool_id& pool) {
     static const latency::first_byte_model untrained;
@@ -235,8 +249,9 @@
                                                const selection_criteria& criteria) {
     const base::instant now = context.now();
     const auto rules = fleet_rules_of(context.settings);
-    auto available =
-        fleet::candidates(context.state.fleet, criteria.pool, now, rules, criteria.tried);
+    auto available = fleet::candidates(
+        context.state.fleet, criteria.pool, now, rules, criteria.tried,
+        [&](const auto& member) { return runs_suitable_software(context, criteria, member); });
     if (available.empty()) {
         return std::nullopt;
     }
@@ -272,7 +287,8 @@
     return count;
 }
 
-base::milliseconds estimate_retry_after(const entry_context& context, const base::pool_id& pool) {
+base::milliseconds estimate_retry_after(const entry_context& context,
+                                        const selection_criteria& criteria) {
     constexpr base::milliseconds default_wait{250};
     // Clients retry once or twice at most, and an upstream that changes weights takes at least this
     // long.
@@ -280,7 +296,8 @@
     const base::instant now = context.now();
     std::optional<base::milliseconds> shortest_wait;
     for (const auto& [id, member] : context.state.fleet.members) {
-        if (member.listed.pool != pool || !fleet::is_available(member)) {
+        if (member.listed.pool != criteria.pool || !fleet::is_available(member) ||
+            !runs_suitable_software(context, criteria, member)) {
             continue;
         }
         const auto until =
@@ -290,6 +307,9 @@
         const auto member_wait = std::max(std::clamp(remaining, min_wait, default_wait), paused);
         shortest_wait = shortest_wait ? std::min(*shortest_wait, member_wait) : member_wait;
     }
+    if (!shortest_wait && criteria.software) {
+        return base::milliseconds(0);
+    }
     return shortest_wait.value_or(default_wait);
 }
 
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -18,6 +18,10 @@
     base::milliseconds target{0};
     // The attempt resumes a response that another upstream has begun.
     bool resumed = false;
+    // The response is a stream that may be resumed, so only versions that may begin streams do.
+    bool begins_stream = false;
+    // The software that began the stream, which no other continues; empty before its first event.
+    std::optional<base::software_version> software;
     // The request is suspected of crashing upstreams, so it goes where a crash would affect the
     // fewest other requests.
     bool suspect = false;
@@ -75,8 +79,9 @@
 
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool);
 
-// Estimates the time until an upstream of the pool may be free again; a short default if that is
-// not known.
-base::milliseconds estimate_retry_after(const entry_context& context, const base::pool_id& pool);
+// Estimates the time until an upstream may be free again that can take the request; a short default
+// if that is not known, and 0 if a stream can't be continued since no upstream runs its software.
+base::milliseconds estimate_retry_after(const entry_context& context,
+                                        const selection_criteria& criteria);
 
 } // namespace camphorrail::proxy
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -213,6 +213,15 @@
               },
               [this](const proxy::broken_attempt& broken) {
                   this->crashes.record_broken_attempt(broken);
+              },
+              [this](const base::request_id& request, const resumption::stream_origin& origin,
+                     base::milliseconds deadline) {
+                  resumption::record_origin(this->state.origins,
+                                            {request, origin, this->now() + deadline});
+              },
+              [this](const base::request_id& request, const auto& done) {
+                  this->asked_origins.push_back(request.value);
+                  done(this->origins_elsewhere[request.value]);
               }},
       crashes(this->context),
       server(this->loop.base(),
@@ -284,12 +293,17 @@
 
 scripted_engine&
 proxy_world::add_engine(const std::string& id,
-                        std::function<engine_script(const engine_request&)> answer_with) {
+                        std::function<engine_script(const engine_request&)> answer_with,
+                        const std::string& software) {
     this->engines.push_back(
         std::make_unique<scripted_engine>(this->loop.base(), std::move(answer_with)));
     auto& one = this->state.fleet.members[{id}];
     one.listed = {
         .id = {id}, .pool = {"pool"}, .address = this->engines.back()->address(), .slots = 6};
+    one.listed.software = {software};
+    auto& versions = this->state.software[{"pool"}];
+    versions.recorded = true;
+    versions.known[{software}].state = resumption::introduction::active;
     return *this->engines.back();
 }
 
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -92,7 +92,8 @@
     proxy_world& operator=(const proxy_world&) = delete;
 
     scripted_engine& add_engine(const std::string& id,
-                                std::function<engine_script(const engine_request&)> answer);
+                                std::function<engine_script(const engine_request&)> answer,
+                                const std::string& software = "v1");
     // Sends bytes on a connection of its own and runs until the answers are whole, the connection
     // has ended, or `until` holds.
     caller_view call(const std::string& bytes, std::size_t answers = 1);
@@ -125,10 +126,15 @@
     // Has the entry's clock move by `move_clock` alone, so that a slow machine changes nothing.
     void stop_clock() { this->stopped_at = adapters::boot_now(); }
     void prove_config();
+    void name_entry(const base::entry_id& id) { this->settings.id = id; }
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     // What the entry has told others.
     std::vector<peering::message> told;
+    // What other entries reply about the origins of streams, and the streams that they were asked
+    // about.
+    std::map<std::string, proxy::origin_answer> origins_elsewhere;
+    std::vector<std::string> asked_origins;
 
     routes::operators_config config;
     proxy::entry_state state;
