Play releases of engine software and resumed streams in the soak

Engines are replaced one after another by such with other software, also back to an earlier one, among all other faults. Callers leave one resumable stream in three in the middle, and resume at another entry what did not end. The checker wants each stream's events to be of one version, and streams to be resumed at least half as often as new ones begin, at entries in touch, while two engines of their version serve. checker_tests break both promises by hand.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -28,6 +28,8 @@
     // Callers use these keys from now on.
     void set_keys(std::vector<std::string> in_use) { this->keys = std::move(in_use); }
 
+    // Whether callers leave some streams in the middle, and resume those that did not end.
+    void resume_streams(bool do_resume) { this->resumes = do_resume; }
     // Until then, every few calls a fatal one is sent, the same each time.
     void send_fatal_until(base::instant until);
     // From now on every few calls are one and the same harmless one.
@@ -38,6 +40,8 @@
     void make_fatal(call_seen& call);
     void make_popular(call_seen& call);
     void make_prompt(call_seen& call);
+    void choose_new_call(caller& one);
+    void choose_resumption(caller& one);
     void begin_call(const std::shared_ptr<caller>& one);
     void end_call(const std::shared_ptr<caller>& one);
 
@@ -51,6 +55,7 @@
     base::instant fatal_until{};
     std::string fatal_body;
     bool popular = false;
+    bool resumes = false;
     std::string name;
     bool stopping = false;
 };
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -35,6 +35,11 @@
     base::milliseconds quota_window{8000};
     double quota_excess = 0.1;
     double quota_slack = 12.0;
+    // From so many resumptions on, streams are resumed at least this often, relative to the share
+    // of new ones that begin. Counted are calls through entries in touch, while two engines of the
+    // stream's software serve.
+    int least_resumptions = 12;
+    double resumed_share = 0.5;
     // Share of calls that must be served once everything is sound again.
     double served_at_the_end = 0.95;
 };
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -346,3 +346,98 @@
         CHECK(only_finding(seen).rfind("recovery", 0) == 0);
     }
 }
+
+namespace {
+
+std::string events_of(const std::string& software, const std::string& id, int from, int to) {
+    std::string body;
+    for (int event = from; event <= to; ++event) {
+        body += "software: " + software + "\n" + events(id, event, event);
+    }
+    return body;
+}
+
+// A stream that its caller leaves after three events and resumes at another entry.
+soak::history resumed_stream(const std::string& software) {
+    auto seen = sound();
+    seen.calls.push_back(call("p", soak::call_kind::resumable_stream, 200, 3000));
+    seen.calls.back().whole = false;
+    seen.calls.back().left = true;
+    seen.calls.back().body = events_of("v1", "p", 1, 3);
+    seen.calls.push_back(call("q", soak::call_kind::resumable_stream, 200, 3500));
+    seen.calls.back().resumes = "p";
+    seen.calls.back().after_event = 3;
+    seen.calls.back().body = events_of(software, "q", 4, 8);
+    seen.runs.push_back(run("p", 3010));
+    seen.runs.push_back(run("q", 3510));
+    return seen;
+}
+
+// A new stream each second, and one that is resumed.
+soak::history resumptions(int count, int refused) {
+    auto seen = sound();
+    seen.serving = {{"v1", at(0)}, {"v1", at(0)}, {"v2", at(0)}};
+    for (int each = 0; each < count; ++each) {
+        auto streams = resumed_stream("v1");
+        auto first = streams.calls[2];
+        auto second = streams.calls[3];
+        const std::string number = std::to_string(each);
+        first.id += number;
+        second.id += number;
+        first.stamp += number;
+        second.stamp += number;
+        second.resumes = first.id;
+        first.body = events_of("v1", first.id, 1, 3);
+        second.body = events_of("v1", second.id, 4, 8);
+        seen.calls.push_back(first);
+        seen.runs.push_back(run(first.id, 3010));
+        if (each < refused) {
+            second.status = 503;
+        } else {
+            seen.runs.push_back(run(second.id, 3510));
+        }
+        seen.calls.push_back(second);
+    }
+    // The end of the run, when everything is sound, is not what is judged here.
+    seen.settled_at = at(5000);
+    seen.calls.push_back(call("z", soak::call_kind::safe, 200, 6000));
+    seen.runs.push_back(run("z", 6010));
+    return seen;
+}
+
+} // namespace
+
+// A stream with events of two software versions would pass.
+TEST_CASE("the soak's checker knows which software generated a stream", "[soak]") {
+    CHECK(is_sound(resumed_stream("v1")));
+    CHECK(only_finding(resumed_stream("v2")).rfind("streams keep their software", 0) == 0);
+
+    SECTION("within one response too") {
+        auto seen = resumed_stream("v1");
+        seen.calls[2].body = events_of("v1", "p", 1, 1) + events_of("v2", "p", 2, 3);
+        CHECK(only_finding(seen).rfind("streams keep their software", 0) == 0);
+    }
+    SECTION("and that a resumed stream goes on after the last event") {
+        auto seen = resumed_stream("v1");
+        seen.calls[3].body = events_of("v1", "q", 5, 8);
+        CHECK(only_finding(seen).rfind("streams in order", 0) == 0);
+    }
+}
+
+// Entries that refuse to resume any stream would pass.
+TEST_CASE("the soak's checker wants streams to be resumed", "[soak]") {
+    CHECK(is_sound(resumptions(12, 6)));
+    CHECK(only_finding(resumptions(12, 7)).rfind("streams are resumed", 0) == 0);
+    CHECK(is_sound(resumptions(11, 11)));
+
+    SECTION("while two engines of their version serve") {
+        auto seen = resumptions(12, 12);
+        seen.serving[1].until = at(3400);
+        CHECK(is_sound(seen));
+    }
+    SECTION("and their entry is in touch") {
+        auto seen = resumptions(12, 12);
+        seen.faults = {{"pause", 0, at(1000), at(3000), false}};
+        CHECK(is_sound(seen));
+    }
+}
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -23,6 +23,9 @@
     [[nodiscard]] const std::string& address() const { return this->listens_at; }
     [[nodiscard]] std::int64_t weights() const { return this->version; }
 
+    // The version of its software, and the one that it runs from its next start on.
+    [[nodiscard]] const std::string& software() const { return this->installed; }
+    std::string next_software = "v1";
     // It fails calls, or runs them and loses their answers.
     bool fails = false;
     bool loses_answers = false;
@@ -63,6 +66,7 @@
     std::int64_t starts = 0;
     std::string id;
     std::string listens_at;
+    std::string installed;
     std::int64_t version = 1;
     // What became of the streams under way when the weights changed: "wait", "cut" or "keep".
     std::string mode;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -56,6 +56,12 @@
     bool says_leaving = false;
     // The model that it is for; empty for others.
     std::string model;
+    // The call that brought the first event of the stream that this one resumes, and the number of
+    // events that its caller had by then; empty for others.
+    std::string resumes;
+    int after_event = 0;
+    // Its caller closed the connection in the middle of the stream.
+    bool left = false;
 };
 
 // One run as a back end saw it.
@@ -72,6 +78,14 @@
     std::int64_t weights = 0;
 };
 
+// A stretch in which an engine of the pool of streams is up, is not leaving, and runs this version
+// of its software.
+struct engine_span {
+    std::string software;
+    base::instant from{};
+    base::instant until = base::instant::max();
+};
+
 // A call that a back end turned away, asking for a pause until then.
 struct pause_asked {
     std::string id;
@@ -133,6 +147,7 @@
     std::vector<version_named> named;
     std::vector<leaving_listed> leaving;
     std::vector<entry_start> starts;
+    std::vector<engine_span> serving;
     std::vector<fault_span> faults;
     // Ends of processes that nobody asked for.
     std::vector<std::string> exits;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -48,6 +48,8 @@
     // A copy of the store is saved; the store goes away and returns from its last copy.
     store_saves_copy,
     store_returns_from_copy,
+    // An engine leaves and comes back with other software.
+    engine_released,
 };
 
 const char* name_of(fault_kind kind);
@@ -68,6 +70,8 @@
     base::milliseconds engines_after{0};
     // For how long an engine leaves by the list alone; 0 for one that says so in answers too.
     base::milliseconds listed_alone{0};
+    // The number of the software version that a released engine comes back with.
+    int software = 0;
 };
 
 struct plan_size {
@@ -77,6 +81,8 @@
     // Mean time between two faults; they overlap as they last for up to four seconds.
     base::milliseconds pause{900};
     bool store_returns = true;
+    // Engines are replaced by such with other software, and callers resume streams.
+    bool releases = true;
 };
 
 // The faults of a run; the same seed gives the same plan.
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -57,6 +57,8 @@
         bool draining = false;
         // Of its entry in the store.
         std::int64_t heartbeats = 0;
+        // Index of the stretch in which it serves now.
+        std::optional<std::size_t> serving;
     };
 
     void set_up_store();
@@ -66,6 +68,8 @@
     void list(back_end& one);
     void note_leaving(const std::string& instance);
     void leave(const planned_fault& fault, back_end& one);
+    void begin_serving(back_end& one);
+    void end_serving(back_end& one);
     // Writes and deletes of operators and engines.
     void put(const std::string& key, const std::string& value);
     void erase(const std::string& key);
