--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -37,6 +37,7 @@
     if (upstreams) {
         this->apply_upstream_list(source);
     }
+    this->software.apply(keys);
     this->update_quota_entries();
     this->log_readiness();
 }
@@ -151,6 +152,7 @@
                 .text("address", member.listed.address)
                 .flag("leaving", member.listed.draining)
                 .number("incarnation", member.listed.incarnation.value)
+                .text("software", member.listed.software.value)
                 .number("weights",
                         member.listed.models.empty() ? 0 : member.listed.models[0].second)
                 .number("revision", this->state.store.revision.number)
