Introduce a software version once all entries have seen its announcement

A new version's engines begin streams only when no entry can take the old version for the only one any more. That was after a fixed time: where all engines of a pool are replaced at once, the old ones leave before it is over, and new streams are refused meanwhile.

Entries acknowledge the announcement to those that write the record, which activate the version when all registered entries have; the fixed time stays for entries that are cut off or of an older build. An entry that is not registered resumes nothing without a record: no announcement waits for it.

The record is written by three entries chosen by a hash in place of the leader, which may be cut off for as long as its lease lasts.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -229,6 +229,10 @@
     return {"origin", message.query_id, message.item ? to_json(*message.item) : json()};
 }
 
+json to_json(const software_record_seen& message) {
+    return {"software_seen", message.pool.value, message.revision.number, message.revision.era};
+}
+
 stream_origins read_stream_origins(const json& value) {
     stream_origins message;
     for (const auto& each : value.at(1)) {
@@ -400,6 +404,11 @@
     if (kind == "origin") {
         return read_origin_reply(value);
     }
+    if (kind == "software_seen") {
+        return software_record_seen{
+            {value.at(1).get<std::string>()},
+            {value.at(3).get<std::int64_t>(), value.at(2).get<std::int64_t>()}};
+    }
     throw std::invalid_argument("unknown message kind");
 }
 
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -26,8 +26,8 @@
 // receive a message that they don't know, so each message is sent only to entries that understand
 // it.
 inline constexpr std::int64_t first_protocol = 0;
-inline constexpr std::int64_t stream_origin_protocol = 1;
-inline constexpr std::int64_t current_protocol = stream_origin_protocol;
+inline constexpr std::int64_t resumption_protocol = 1;
+inline constexpr std::int64_t current_protocol = resumption_protocol;
 
 // The first message on a link; identifies its sender.
 struct handshake {
@@ -199,6 +199,12 @@
     std::optional<stream_origin_item> item;
 };
 
+// The sender has seen a pool's record of software versions, as the store holds it since `revision`.
+struct software_record_seen {
+    base::pool_id pool;
+    base::revision revision;
+};
+
 // Stands for the era of a revision from an entry whose build does not send eras; earlier than any.
 inline constexpr std::int64_t unknown_era = -1;
 
@@ -208,10 +214,10 @@
 void replace_unknown_eras(store_changes& message, std::int64_t era);
 
 // The content of one frame of a link.
-using message =
-    std::variant<handshake, suspicion, loaded_weights, load_report, store_query, store_view,
-                 kv_store_contents, store_changes, crash_report, quarantine_notice,
-                 upstream_draining, stream_origins, origin_query, origin_reply>;
+using message = std::variant<handshake, suspicion, loaded_weights, load_report, store_query,
+                             store_view, kv_store_contents, store_changes, crash_report,
+                             quarantine_notice, upstream_draining, stream_origins, origin_query,
+                             origin_reply, software_record_seen>;
 
 // A message with its sender's uptime when it was sent. The receiver derives the send time from the
 // uptime: the message may be buffered for long, and its ages and durations count from when it was
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -173,6 +173,11 @@
     const auto unknown = peering::decode(peering::encode({peering::origin_reply{8, {}}}));
     CHECK(std::get<peering::origin_reply>(unknown.value().payload).query_id == 8);
     CHECK_FALSE(std::get<peering::origin_reply>(unknown.value().payload).item.has_value());
+    const auto seen = peering::decode(
+        peering::encode({peering::software_record_seen{{"pool"}, base::revision{2, 31}}}));
+    CHECK(std::get<peering::software_record_seen>(seen.value().payload).pool.value == "pool");
+    CHECK(std::get<peering::software_record_seen>(seen.value().payload).revision ==
+          base::revision{2, 31});
 }
 
 // An older build does not state which messages it understands, and closes a link on which it gets
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -8,6 +8,18 @@
     return found == state.weights.end() ? none : found->second;
 }
 
+std::string registration_prefix(const entry_context& context) {
+    return context.codec.own_prefix + "entries/";
+}
+
+bool is_registered_entry(const entry_context& context) {
+    const std::string key = registration_prefix(context) + context.settings.id.value;
+    const auto& store = context.state.store;
+    const auto found = store.items.find(key);
+    return found != store.items.end() && found->second.value == context.settings.peer_listen &&
+           store.retained.count(key) == 0;
+}
+
 bool is_config_fresh(const entry_context& context) {
     const auto age = mirror::age(context.state.store, context.now());
     return context.state.config != nullptr && age && *age <= max_config_age(context.settings);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -114,6 +114,12 @@
 // invented ones.
 const weights_history& history_of(const entry_state& state, const base::model_id& model);
 
+// The prefix of the keys under which entries register in the store.
+std::string registration_prefix(const entry_context& context);
+
+// Whether this entry's view of the store has its registration there.
+bool is_registered_entry(const entry_context& context);
+
 // Whether the configuration was confirmed recently enough to serve requests by it.
 bool is_config_fresh(const entry_context& context);
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -77,13 +77,9 @@
     : context(context), platform(std::move(platform)), started_at(context.now()), loads(context),
       load_timer(context.loop.base(), [this] { this->send_load(); }) {}
 
-std::string peers::registration_prefix() const {
-    return this->context.codec.own_prefix + "entries/";
-}
-
 std::map<base::entry_id, std::string> peers::registered_entries() const {
     std::map<base::entry_id, std::string> found;
-    const std::string prefix = this->registration_prefix();
+    const std::string prefix = registration_prefix(this->context);
     for (const auto& item : mirror::items_with_prefix(this->context.state.store, prefix)) {
         found[{item.key.substr(prefix.size())}] = item.value;
     }
@@ -208,14 +204,9 @@
 }
 
 void peers::register_self() {
-    const std::string key = this->registration_prefix() + this->context.settings.id.value;
-    const auto& items = this->context.state.store.items;
-    const auto found = items.find(key);
-    const bool listed =
-        found != items.end() && found->second.value == this->context.settings.peer_listen;
-    const bool registered = listed && this->context.state.store.retained.count(key) == 0;
+    const std::string key = registration_prefix(this->context) + this->context.settings.id.value;
     this->registering = true;
-    if (this->lease.id != 0 && registered) {
+    if (this->lease.id != 0 && is_registered_entry(this->context)) {
         this->renew_registration();
     } else {
         this->create_registration(key);
@@ -452,6 +443,11 @@
     this->origin_message_received(this->links.at(key).id, message, written);
 }
 
+void peers::handle(link_key key, const peering::software_record_seen& message,
+                   base::instant /*written*/) {
+    this->software_record_seen_received(this->links.at(key).id, message);
+}
+
 void peers::handle(link_key key, const peering::suspicion& message, base::instant written) {
     auto* found = fleet::find_instance(this->context.state.fleet, message.upstream);
     if (found == nullptr) {
@@ -592,7 +588,8 @@
         return;
     }
     ports::transaction change;
-    change.writes = {{this->registration_prefix() + this->context.settings.id.value, "", true, 0}};
+    change.writes = {
+        {registration_prefix(this->context) + this->context.settings.id.value, "", true, 0}};
     this->platform.commit(change, [](const base::result<ports::commit_result>& /*done*/) {
         // If the call fails, the registration expires with its lease.
     });
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -82,6 +82,8 @@
     // Handles a message on the origins of streams, written at that time.
     std::function<void(const base::entry_id& from, const origin_message&, base::instant written)>
         origin_message_received;
+    std::function<void(const base::entry_id& from, const peering::software_record_seen&)>
+        software_record_seen_received;
     // The messages sent on a new link after the handshake.
     std::function<std::vector<peering::message>()> initial_messages;
     // Called when the number of registered entries has changed.
@@ -145,10 +147,10 @@
     void handle(link_key key, const peering::stream_origins& message, base::instant written);
     void handle(link_key key, const peering::origin_query& message, base::instant written);
     void handle(link_key key, const peering::origin_reply& message, base::instant written);
+    void handle(link_key key, const peering::software_record_seen& message, base::instant written);
     void handle(link_key key, const peering::store_query& message, base::instant written);
     void handle(link_key key, const peering::store_view& message, base::instant written);
     void apply_store_view(const peer_link& peer, const peering::store_view& view);
-    [[nodiscard]] std::string registration_prefix() const;
     [[nodiscard]] std::map<base::entry_id, std::string> registered_entries() const;
 
     entry_context& context;
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -446,3 +446,21 @@
         CHECK(proxy::target_weights_to_report(peer.world.entry()).empty());
     }
 }
+
+// An entry of an older build closes a link on which it gets a message that it does not know. In a
+// fleet of two builds, entries would lose each other's news with each stream.
+TEST_CASE("an entry of an older build gets no messages that it does not know", "[proxy]") {
+    peer_world world;
+    REQUIRE(world.tick_until([&] { return world.other && !world.received_messages.empty(); }));
+    const std::int64_t protocol = GENERATE(peering::first_protocol, peering::resumption_protocol);
+    bool identified = false;
+    world.others.entry_connected = [&](const base::entry_id&) { identified = true; };
+    world.send(peering::handshake{{"zz"}, {"a"}, 1, protocol});
+    REQUIRE(world.world.run_until([&] { return identified; }));
+    CHECK(world.others.linked_entries(peering::first_protocol).size() == 1);
+    const bool understands = protocol == peering::resumption_protocol;
+    CHECK(world.others.linked_entries(peering::resumption_protocol).empty() == !understands);
+    const auto* sent = std::get_if<peering::handshake>(&world.received_messages.front());
+    REQUIRE(sent != nullptr);
+    CHECK(sent->protocol == peering::current_protocol);
+}
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -89,8 +89,7 @@
       peer_entries(this->context, this->store_calls), crashes(this->context),
       quarantine_store(this->context, this->store_calls,
                        [this] { return this->leader.fencing_token() != 0; }),
-      origins(this->context), software(this->context, this->store_calls,
-                                       [this] { return this->leader.fencing_token() != 0; }),
+      origins(this->context), software(this->context, this->store_calls),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {}
 
 bool proxy::listen() {
@@ -259,24 +258,34 @@
 }
 
 void proxy::connect_stream_origins() {
-    this->origins.connected_entries = [this] {
-        return this->peer_entries.linked_entries(peering::stream_origin_protocol);
+    const auto connected = [this] {
+        return this->peer_entries.linked_entries(peering::resumption_protocol);
     };
-    this->origins.send = [this](const std::vector<base::entry_id>& to,
-                                const peering::message& message) {
+    const auto send = [this](const std::vector<base::entry_id>& to,
+                             const peering::message& message) {
         this->peer_entries.send(to, message);
     };
+    this->origins.connected_entries = connected;
+    this->origins.send = send;
+    this->software.connected_entries = connected;
+    this->software.send = send;
+    this->software.listed_entries = [this] { return this->peer_entries.listed_entries().others; };
+    this->software.several_versions = [this](const base::pool_id& pool) {
+        this->origins.send_pool(pool);
+    };
     this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
         this->origins.send_all_to(entry);
+        this->software.acknowledge_all();
     };
     this->peer_entries.origin_message_received =
         [this](const base::entry_id& from, const origin_message& received, base::instant written) {
             std::visit([&](const auto& message) { this->origins.receive(from, message, written); },
                        received);
         };
-    this->software.several_versions = [this](const base::pool_id& pool) {
-        this->origins.send_pool(pool);
-    };
+    this->peer_entries.software_record_seen_received =
+        [this](const base::entry_id& from, const peering::software_record_seen& message) {
+            this->software.receive(from, message);
+        };
 }
 
 void proxy::on_quarantine_started(const quarantine::quarantined_request& quarantined,
--- a/src/proxy/request_resumption.cpp
+++ b/src/proxy/request_resumption.cpp
@@ -48,8 +48,11 @@
     const auto versions = state.software.find(this->criteria.pool);
     // Not the age of the last verification, which covers the operators' part of the store alone.
     const auto complete_as_of = state.store.complete_as_of;
-    const bool is_fresh = complete_as_of && this->context.now() - *complete_as_of <=
-                                                resumption::version_rules{}.max_view_age;
+    // An announcement waits only for the entries that were registered before it.
+    const bool is_registered = is_registered_entry(this->context);
+    const bool is_fresh =
+        is_registered && complete_as_of &&
+        this->context.now() - *complete_as_of <= resumption::version_rules{}.max_view_age;
     return versions != state.software.end() && is_fresh ? resumption::only_version(versions->second)
                                                         : std::nullopt;
 }
--- a/src/proxy/request_resumption_tests.cpp
+++ b/src/proxy/request_resumption_tests.cpp
@@ -59,10 +59,13 @@
         }
     }
 
-    // The entry's view of the store is proved to be whole now.
+    // The entry is registered, and its view of the store is proved to be whole now.
     void prove_view() {
+        const auto& context = this->world.entry();
+        const std::string key = proxy::registration_prefix(context) + context.settings.id.value;
+        this->world.state.store.items[key] = {key, context.settings.peer_listen, 1};
         this->world.prove_config();
-        this->world.state.store.complete_as_of = this->world.entry().now();
+        this->world.state.store.complete_as_of = context.now();
     }
 
     // The versions that ran a request.
@@ -209,6 +212,11 @@
         pool.prove_view();
         CHECK(pool.world.call(resuming("last", "r1", 2)).heads.at(0).status == 200);
     }
+    SECTION("but not by an entry that is not registered, whom no announcement waits for") {
+        pool.world.state.store.items.clear();
+        const auto refused = pool.world.call(resuming("later", "r1", 2));
+        CHECK(refused.heads.at(0).status == 503);
+    }
     SECTION("and not once another version is announced, although no engine runs it") {
         pool.world.state.software[{"pool"}].known[{"v2"}] = {introduction::announced, {}, {}};
         const auto refused = pool.world.call(resuming("later", "r1", 2));
--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -1,7 +1,9 @@
 #include "proxy/software_records.h"
 
 #include "base/hash.h"
+#include "entries/record_holders.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorrail::proxy {
@@ -11,28 +13,74 @@
 using adapters::importance;
 
 constexpr base::milliseconds call_pause{100};
-// The leader writes first. If it fails, the other entries follow one after another, so that not all
-// of a large fleet call the store in the same moment.
-constexpr base::milliseconds leader_time{400};
+// Time after which the next entry writes a record that one has failed to write.
+constexpr base::milliseconds writer_time{400};
+// Time over which the entries are spread that write if none of the chosen ones does, so that not
+// all of a large fleet call the store in the same moment.
 constexpr base::milliseconds succession_time{1600};
 
+constexpr const char* software_prefix = "software/";
+
 } // namespace
 
-software_records::software_records(entry_context& context, ports::platform platform_calls,
-                                   std::function<bool()> is_leader)
-    : context(context), platform(std::move(platform_calls)), is_leader(std::move(is_leader)) {}
+software_records::software_records(entry_context& context, ports::platform platform_calls)
+    : context(context), platform(std::move(platform_calls)) {}
 
-std::string software_records::prefix() const {
-    return this->context.codec.own_prefix + "software/";
+std::string software_records::key_of(const base::pool_id& pool) const {
+    return this->context.codec.own_prefix + software_prefix + pool.value;
 }
 
-std::optional<resumption::version_record>
-software_records::stored_record(const std::string& key) const {
+resumption::stored_record software_records::stored_record(const base::pool_id& pool) const {
+    const std::string key = this->key_of(pool);
     const auto& store = this->context.state.store;
     const auto found = store.items.find(key);
     // An item that the store has lost is retained in the mirror for a while.
-    const bool is_stored = found != store.items.end() && store.retained.count(key) == 0;
-    return is_stored ? resumption::parse_record(found->second.value) : std::nullopt;
+    if (found == store.items.end() || store.retained.count(key) > 0) {
+        return {};
+    }
+    return {resumption::parse_record(found->second.value),
+            this->is_seen_by_all(pool, found->second.mod_revision)};
+}
+
+bool software_records::is_seen_by_all(const base::pool_id& pool, base::revision revision) const {
+    const auto acknowledged = this->seen.find(pool);
+    const auto others = this->listed_entries();
+    return std::all_of(others.begin(), others.end(), [&](const base::entry_id& other) {
+        if (acknowledged == this->seen.end()) {
+            return false;
+        }
+        const auto found = acknowledged->second.find(other);
+        return found != acknowledged->second.end() && !(found->second < revision);
+    });
+}
+
+void software_records::receive(const base::entry_id& from,
+                               const peering::software_record_seen& message) {
+    auto& latest = this->seen[message.pool][from];
+    latest = std::max(latest, message.revision);
+}
+
+std::vector<base::entry_id> software_records::writers_of(const base::pool_id& pool) const {
+    auto all = this->connected_entries();
+    all.push_back({this->context.settings.id, this->context.settings.zone});
+    return entries::rank_record_holders(all, this->key_of(pool), entries::record_holder_count);
+}
+
+void software_records::acknowledge(const base::pool_id& pool) {
+    const auto item = this->context.state.store.items.find(this->key_of(pool));
+    auto writers = this->writers_of(pool);
+    std::erase(writers, this->context.settings.id);
+    if (item != this->context.state.store.items.end()) {
+        this->send(writers, peering::software_record_seen{pool, item->second.mod_revision});
+    }
+}
+
+void software_records::acknowledge_all() {
+    for (const auto& [pool, versions] : this->context.state.software) {
+        if (resumption::has_announced_version(versions)) {
+            this->acknowledge(pool);
+        }
+    }
 }
 
 std::set<base::pool_id> software_records::stream_pools() const {
@@ -73,7 +121,7 @@
 void software_records::apply_pool(const base::pool_id& pool) {
     auto& versions = this->context.state.software[pool];
     const bool had_several = resumption::has_several_versions(versions);
-    const auto record = this->stored_record(this->prefix() + pool.value);
+    const auto record = this->stored_record(pool).versions;
     resumption::apply_record(versions, record, this->context.now(), {});
     this->due_since.erase(pool);
     this->context.log.line(importance::keep, "software_versions")
@@ -81,22 +129,30 @@
         .text("versions", record ? resumption::encode(*record) : "")
         .number("known", static_cast<std::int64_t>(versions.known.size()))
         .number("revision", this->context.state.store.revision.number);
+    if (resumption::has_announced_version(versions)) {
+        this->acknowledge(pool);
+    }
     if (!had_several && resumption::has_several_versions(versions)) {
         this->several_versions(pool);
     }
 }
 
-bool software_records::is_our_turn(const base::pool_id& pool) {
-    if (this->is_leader()) {
-        return true;
+base::milliseconds software_records::write_delay(const base::pool_id& pool) const {
+    const auto writers = this->writers_of(pool);
+    const auto own = std::find(writers.begin(), writers.end(), this->context.settings.id);
+    const base::milliseconds delay = writer_time * (own - writers.begin());
+    if (own != writers.end()) {
+        return delay;
     }
-    const base::instant now = this->context.now();
-    const auto [since, is_new] = this->due_since.try_emplace(pool, now);
     const auto own_share = base::stable_hash(this->context.settings.id.value) %
                            static_cast<std::uint64_t>(succession_time.count());
-    const base::milliseconds own_delay =
-        leader_time + base::milliseconds(static_cast<std::int64_t>(own_share));
-    return now - since->second >= own_delay;
+    return delay + base::milliseconds(static_cast<std::int64_t>(own_share));
+}
+
+bool software_records::is_our_turn(const base::pool_id& pool) {
+    const base::instant now = this->context.now();
+    const auto [since, is_new] = this->due_since.try_emplace(pool, now);
+    return now - since->second >= this->write_delay(pool);
 }
 
 void software_records::tick() {
@@ -108,8 +164,8 @@
         if (this->call_pending || now < this->next_call) {
             continue;
         }
-        const auto stored = this->stored_record(this->prefix() + pool.value);
-        const auto wanted = resumption::next_record(versions, stored, running_now, now, {});
+        const auto wanted =
+            resumption::next_record(versions, this->stored_record(pool), running_now, now, {});
         if (!wanted) {
             this->due_since.erase(pool);
         } else if (this->is_our_turn(pool)) {
@@ -119,7 +175,7 @@
 }
 
 void software_records::write(const base::pool_id& pool, const resumption::version_record& record) {
-    const std::string key = this->prefix() + pool.value;
+    const std::string key = this->key_of(pool);
     ports::transaction change;
     change.preconditions = {{key, mirror::store_revision_of(this->context.state.store, key)}};
     change.writes = {{key, resumption::encode(record), false, 0}};
--- a/src/proxy/software_records_tests.cpp
+++ b/src/proxy/software_records_tests.cpp
@@ -17,10 +17,12 @@
 struct record_world {
     tests::proxy_world world;
     tests::mirrored_store store{this->world.state.store};
-    bool leads = true;
     std::vector<base::pool_id> told;
-    proxy::software_records records{this->world.entry(), this->store.calls_to(),
-                                    [this] { return this->leads; }};
+    // The other entries: those that are linked, and those that are registered.
+    std::vector<entries::linked_entry> linked;
+    std::set<base::entry_id> listed;
+    std::vector<std::pair<base::entry_id, base::revision>> acknowledged;
+    proxy::software_records records{this->world.entry(), this->store.calls_to()};
 
     explicit record_world(const std::vector<std::string>& versions) {
         this->world.stop_clock();
@@ -31,6 +33,19 @@
         this->records.several_versions = [this](const base::pool_id& pool) {
             this->told.push_back(pool);
         };
+        this->records.connected_entries = [this] { return this->linked; };
+        this->records.listed_entries = [this] { return this->listed; };
+        this->records.send = [this](const std::vector<base::entry_id>& to,
+                                    const peering::message& message) {
+            for (const auto& entry : to) {
+                this->acknowledged.emplace_back(
+                    entry, std::get<peering::software_record_seen>(message).revision);
+            }
+        };
+    }
+
+    base::revision stored_revision() {
+        return this->world.state.store.items.at(this->key()).mod_revision;
     }
 
     void add_engine(const std::string& version) {
@@ -79,8 +94,9 @@
 
 } // namespace
 
-TEST_CASE("the leader records the versions of a pool that serves streams", "[proxy][resumption]") {
+TEST_CASE("an entry records the versions of a pool that serves streams", "[proxy][resumption]") {
     record_world entry({"v1", "v1"});
+    entry.listed = {{"entry-9"}};
     entry.run(base::milliseconds(200));
     CHECK(entry.stored() == version_record{{first, introduction::active}});
     CHECK(entry.may_begin(first));
@@ -98,10 +114,22 @@
         CHECK_FALSE(entry.may_begin(second));
         // Before it begins streams, other entries are told of those that began before.
         CHECK(entry.told == std::vector<base::pool_id>{{"pool"}});
-        entry.run(resumption::version_rules{}.introduction_time + base::milliseconds(200));
-        CHECK(entry.stored()->at(second) == introduction::active);
-        CHECK(entry.may_begin(second));
-        CHECK(entry.told.size() == 1);
+
+        SECTION("with time between them, if an entry does not say that it has seen the first") {
+            entry.records.receive({"entry-8"}, {{"pool"}, entry.stored_revision()});
+            entry.records.receive({"entry-9"}, {{"pool"}, base::revision{0, 1}});
+            entry.run(resumption::version_rules{}.introduction_time - base::milliseconds(300));
+            CHECK_FALSE(entry.may_begin(second));
+            entry.run(base::milliseconds(500));
+            CHECK(entry.stored()->at(second) == introduction::active);
+            CHECK(entry.may_begin(second));
+            CHECK(entry.told.size() == 1);
+        }
+        SECTION("one after the other, if all have") {
+            entry.records.receive({"entry-9"}, {{"pool"}, entry.stored_revision()});
+            entry.run(base::milliseconds(200));
+            CHECK(entry.may_begin(second));
+        }
     }
     SECTION("and writes a record again that the store has lost") {
         entry.world.state.store.items.erase(entry.key());
@@ -119,10 +147,40 @@
     }
 }
 
-TEST_CASE("another entry records a version if the leader does not", "[proxy][resumption]") {
+TEST_CASE("an entry tells those that write a record that it has seen an announcement",
+          "[proxy][resumption]") {
+    record_world entry({"v1", "v2"});
+    entry.linked = {{{"entry-8"}, {"a"}}, {{"entry-9"}, {"b"}}};
+    const version_record announced{{first, introduction::active},
+                                   {second, introduction::announced}};
+    entry.world.state.store.items[entry.key()] = {entry.key(), resumption::encode(announced), 40};
+    entry.see_store();
+    REQUIRE(entry.acknowledged.size() == 2);
+    CHECK(entry.acknowledged[0].second == entry.stored_revision());
+
+    SECTION("and an entry that connects later") {
+        entry.acknowledged.clear();
+        entry.linked.push_back({{"entry-7"}, {"c"}});
+        entry.records.acknowledge_all();
+        CHECK_FALSE(entry.acknowledged.empty());
+    }
+    SECTION("but says nothing of a record that announces no version") {
+        entry.acknowledged.clear();
+        entry.world.state.store.items[entry.key()].value =
+            resumption::encode({{first, introduction::active}, {second, introduction::active}});
+        entry.world.state.store.items[entry.key()].mod_revision = {0, 41};
+        entry.see_store();
+        entry.records.acknowledge_all();
+        CHECK(entry.acknowledged.empty());
+    }
+}
+
+TEST_CASE("another entry records a version if those chosen for it do not", "[proxy][resumption]") {
     record_world entry({"v1"});
-    entry.leads = false;
-    entry.run(base::milliseconds(300));
+    for (int each = 0; each < 60; ++each) {
+        entry.linked.push_back({{"other-" + std::to_string(each)}, {}});
+    }
+    entry.run(base::milliseconds(1000));
     CHECK_FALSE(entry.stored().has_value());
     entry.run(base::milliseconds(2200));
     CHECK(entry.stored().has_value());
--- a/src/resumption/software_versions.cpp
+++ b/src/resumption/software_versions.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace camphorrail::resumption {
 
 namespace {
@@ -87,13 +89,12 @@
     }
 }
 
-std::optional<version_record> next_record(const pool_versions& state,
-                                          const std::optional<version_record>& stored,
+std::optional<version_record> next_record(const pool_versions& state, const stored_record& stored,
                                           const std::set<base::software_version>& running,
                                           base::instant now, const version_rules& rules) {
     version_record wanted;
     // Nothing has begun a stream yet, so no entry can take one version for the only one.
-    const bool is_first = !stored && state.known.empty();
+    const bool is_first = !stored.versions && state.known.empty();
     for (const auto& version : running) {
         wanted[version] = is_first ? introduction::active : introduction::announced;
     }
@@ -102,12 +103,14 @@
         if (!is_running && now - known.last_running_at >= rules.retirement_time) {
             continue;
         }
-        const bool is_stored = stored && stored->count(version) > 0;
-        const bool is_due = known.state == introduction::active ||
-                            (is_stored && now - known.announced_at >= rules.introduction_time);
-        wanted[version] = is_due ? introduction::active : introduction::announced;
+        const bool is_announced = stored.versions && stored.versions->count(version) > 0;
+        const bool is_known_everywhere =
+            stored.seen_by_all || now - known.announced_at >= rules.introduction_time;
+        const bool is_active =
+            known.state == introduction::active || (is_announced && is_known_everywhere);
+        wanted[version] = is_active ? introduction::active : introduction::announced;
     }
-    if (wanted.empty() || wanted == stored) {
+    if (wanted.empty() || wanted == stored.versions) {
         return std::nullopt;
     }
     return wanted;
@@ -119,6 +122,12 @@
            found->second.state == introduction::active;
 }
 
+bool has_announced_version(const pool_versions& state) {
+    return std::any_of(state.known.begin(), state.known.end(), [](const auto& each) {
+        return each.second.state == introduction::announced;
+    });
+}
+
 bool has_several_versions(const pool_versions& state) {
     return state.known.size() > 1;
 }
--- a/src/resumption/software_versions.h
+++ b/src/resumption/software_versions.h
@@ -26,7 +26,8 @@
 std::optional<version_record> parse_record(const std::string& text);
 
 struct version_rules {
-    // Time between the announcement of a version and the first stream that it begins.
+    // Longest time between the announcement of a version and the first stream that it begins.
+    // Shorter if all entries are known to have seen the announcement.
     base::milliseconds introduction_time{2000};
     // An entry resumes a stream without a record of its origin, at the pool's only version, if its
     // view of the whole store is not older than this. Shorter than `introduction_time`: such an
@@ -62,10 +63,17 @@
 void record_running(pool_versions& state, const std::set<base::software_version>& running,
                     base::instant now);
 
+// A pool's record as the store holds it.
+struct stored_record {
+    // Empty if there is none.
+    std::optional<version_record> versions;
+    // All entries have seen it.
+    bool seen_by_all = false;
+};
+
 // The record that the store should hold; nothing if it holds that already, or if no engine of the
-// pool is known. `stored` is what it holds.
-std::optional<version_record> next_record(const pool_versions& state,
-                                          const std::optional<version_record>& stored,
+// pool is known.
+std::optional<version_record> next_record(const pool_versions& state, const stored_record& stored,
                                           const std::set<base::software_version>& running,
                                           base::instant now, const version_rules& rules);
 
@@ -74,6 +82,9 @@
 // the version that it believes to be the only one.
 bool may_begin_streams(const pool_versions& state, const base::software_version& version);
 
+// Whether some version waits for its introduction.
+bool has_announced_version(const pool_versions& state);
+
 // Whether streams of the pool may have begun on different versions.
 bool has_several_versions(const pool_versions& state);
 
--- a/src/resumption/software_versions_tests.cpp
+++ b/src/resumption/software_versions_tests.cpp
@@ -45,11 +45,11 @@
         resumption::apply_record(state, written, start, rules);
         CHECK(resumption::may_begin_streams(state, first));
         CHECK(resumption::only_version(state) == first);
-        CHECK_FALSE(resumption::next_record(state, written, {first}, start, rules).has_value());
+        CHECK_FALSE(resumption::next_record(state, {written}, {first}, start, rules).has_value());
 
         SECTION("a second one is announced first") {
             const auto announced =
-                resumption::next_record(state, written, {first, second}, start, rules);
+                resumption::next_record(state, {written}, {first, second}, start, rules);
             CHECK(announced == both(introduction::announced));
             resumption::apply_record(state, announced, start, rules);
             CHECK(resumption::has_several_versions(state));
@@ -62,16 +62,20 @@
                 const auto due = start + rules.introduction_time;
                 CHECK(rules.max_view_age < rules.introduction_time);
                 CHECK_FALSE(
-                    resumption::next_record(state, announced, {first, second}, soon, rules));
+                    resumption::next_record(state, {announced}, {first, second}, soon, rules));
                 const auto active =
-                    resumption::next_record(state, announced, {first, second}, due, rules);
+                    resumption::next_record(state, {announced}, {first, second}, due, rules);
                 CHECK(active == both(introduction::active));
                 resumption::apply_record(state, active, due, rules);
                 CHECK(resumption::may_begin_streams(state, second));
             }
+            SECTION("or as soon as all entries have seen the announcement") {
+                CHECK(resumption::next_record(state, {announced, true}, {first, second}, start,
+                                              rules) == both(introduction::active));
+            }
             SECTION("but not while the store does not hold the announcement") {
                 const auto due = start + rules.introduction_time;
-                CHECK(resumption::next_record(state, written, {first, second}, due, rules) ==
+                CHECK(resumption::next_record(state, {written}, {first, second}, due, rules) ==
                       announced);
             }
         }
@@ -92,10 +96,10 @@
     resumption::record_running(state, {first, second}, start + base::seconds(5));
     const auto gone_at = start + base::seconds(5);
     const auto before = gone_at + rules.retirement_time - base::seconds(1);
-    CHECK_FALSE(resumption::next_record(state, stored, {second}, before, rules).has_value());
+    CHECK_FALSE(resumption::next_record(state, {stored}, {second}, before, rules).has_value());
     const auto after = gone_at + rules.retirement_time;
     const version_record left{{second, introduction::active}};
-    CHECK(resumption::next_record(state, stored, {second}, after, rules) == left);
+    CHECK(resumption::next_record(state, {stored}, {second}, after, rules) == left);
 
     SECTION("and an entry that saw its last engine end a little later agrees") {
         resumption::apply_record(state, left, before, rules);
@@ -112,8 +116,8 @@
     resumption::apply_record(state, copy, start + base::seconds(20), rules);
     CHECK_FALSE(resumption::may_begin_streams(state, second));
     CHECK(resumption::has_several_versions(state));
-    CHECK(resumption::next_record(state, copy, {first, second}, start + base::seconds(30), rules) ==
-          both(introduction::announced));
+    CHECK(resumption::next_record(state, {copy}, {first, second}, start + base::seconds(30),
+                                  rules) == both(introduction::announced));
 
     SECTION("and one that has lost the whole record announces all") {
         resumption::apply_record(state, std::nullopt, start + base::seconds(40), rules);
