Ask an engine for its incarnation before it continues a stream

Streams of 10 of 20 clients still held events of two versions where engines restart under their ids with other software (process test, each client with a prompt of its own): the platform's list shows the engine as it was for some tenths of a second, and the restarted process takes the stream up.

Before an engine continues a stream, it states its incarnation on the connection on which the stream is sent next. The connection ends with the process, so once a connection is enough. An incarnation that an engine's own report shows first no longer inherits the software of the one before.

The test hid this at first: all its clients sent the same body, which was quarantined when two engines were killed under it.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -44,6 +44,8 @@
     member restarted;
     restarted.listed = std::move(one.listed);
     restarted.listed.incarnation = incarnation;
+    // Unknown until the platform's list shows this incarnation.
+    restarted.listed.software = {};
     restarted.id_hash = one.id_hash;
     restarted.short_lane = one.short_lane;
     restarted.unlisted_since = one.unlisted_since;
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -114,7 +114,11 @@
     this->log_sent(choice, parameters);
     this->begin_attempt(std::move(choice));
     this->start_stall_timer();
-    this->call_upstream(std::move(bytes));
+    if (this->must_ask_incarnation()) {
+        this->ask_incarnation(std::move(bytes));
+    } else {
+        this->call_upstream(std::move(bytes));
+    }
 }
 
 // Serializes the request for the upstream.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -76,6 +76,9 @@
     void record_origin();
     [[nodiscard]] base::milliseconds client_patience() const;
     [[nodiscard]] bool origin_is_certain() const;
+    [[nodiscard]] bool must_ask_incarnation() const;
+    void ask_incarnation(std::string request_bytes);
+    void on_incarnation_stated(const std::string& answer, const std::string& request_bytes);
     void send_attempt();
     bool refuse_if_over_quota();
     void settle_quota();
--- a/src/proxy/request_resumption.cpp
+++ b/src/proxy/request_resumption.cpp
@@ -1,3 +1,4 @@
+#include "http/writers.h"
 #include "proxy/request_flow.h"
 #include "proxy/request_limits.h"
 
@@ -157,4 +158,64 @@
     return !this->origin || !has_changed_software(this->context.state.fleet, *this->origin);
 }
 
+// Whether the upstream must state its incarnation before it continues the stream. It may have
+// restarted with other software a moment ago, while the platform's list shows it as it was before.
+// A connection ends with the process, so one statement on it is enough.
+bool request_flow::must_ask_incarnation() const {
+    const auto& sent = *this->current;
+    return this->origin && sent.choice.incarnation != base::upstream_incarnation{} &&
+           sent.connection->stated_incarnation != sent.choice.incarnation;
+}
+
+// Asks on the connection on which the request is sent next.
+void request_flow::ask_incarnation(std::string request_bytes) {
+    const auto& call = this->context.codec.state_request;
+    http::fields fields = call.fields;
+    fields.push_back({"Host", this->current->choice.address});
+    std::string asked =
+        http::write_request_head(call.method, call.path, fields, {http::framing::none, 0});
+    const auto answer = std::make_shared<std::string>();
+    const std::weak_ptr<request_flow> weak = this->weak_from_this();
+    const auto on_failure = [weak](call_failure reason) {
+        if (const auto self = weak.lock()) {
+            // No byte of the request itself was sent.
+            const bool withdrawn = reason == call_failure::withdrawn;
+            self->on_attempt_failed(withdrawn ? reason : call_failure::never_sent);
+        }
+    };
+    this->current->connection->call(std::move(asked),
+                                    {[](const http::response_head&) { return true; },
+                                     [answer](const std::string& bytes) { *answer += bytes; },
+                                     [weak, answer, bytes = std::move(request_bytes)] {
+                                         if (const auto self = weak.lock()) {
+                                             self->on_incarnation_stated(*answer, bytes);
+                                         }
+                                     },
+                                     on_failure,
+                                     [weak] {
+                                         const auto self = weak.lock();
+                                         return self != nullptr && self->may_still_send();
+                                     }});
+}
+
+void request_flow::on_incarnation_stated(const std::string& answer,
+                                         const std::string& request_bytes) {
+    auto& sent = *this->current;
+    const auto stated = this->context.codec.parse_state(answer);
+    const bool as_listed =
+        stated.has_value() && stated.value().incarnation == sent.choice.incarnation;
+    if (as_listed && sent.connection->reusable() && this->may_still_send()) {
+        sent.connection->stated_incarnation = sent.choice.incarnation;
+        this->call_upstream(request_bytes);
+        return;
+    }
+    this->context.log.line(importance::keep, "upstream_not_as_listed")
+        .text("request", this->metadata.request_id)
+        .text("upstream", sent.choice.id.value)
+        .number("incarnation", sent.choice.incarnation.value)
+        .number("stated", stated.has_value() ? stated.value().incarnation.value : 0)
+        .flag("connection_kept", sent.connection->reusable());
+    this->on_attempt_failed(call_failure::withdrawn);
+}
+
 } // namespace camphorrail::proxy
--- a/src/proxy/request_resumption_tests.cpp
+++ b/src/proxy/request_resumption_tests.cpp
@@ -245,3 +245,48 @@
         CHECK(versions.count("v2") == 1);
     }
 }
+
+// An engine restarts under its id with other software, and accepts a resumed stream before the
+// platform's list shows the new incarnation.
+TEST_CASE("an upstream states its incarnation before it continues a stream",
+          "[proxy][resumption]") {
+    two_versions pool(2, 0);
+    int asked = 0;
+    std::int64_t stated = 7;
+    for (std::size_t each = 0; each < pool.engines.size(); ++each) {
+        auto& listed = pool.world.state.fleet.members.at({"i-" + std::to_string(each)}).listed;
+        listed.incarnation = {7};
+        pool.engines[each]->set_answer([&](const engine_request& got) {
+            if (got.head.target != "/report") {
+                return break_new_stream(got);
+            }
+            ++asked;
+            const std::string state = R"({"born":)" + std::to_string(stated) + R"(,"seq":0})";
+            return engine_script{send(tests::answer("", state))};
+        });
+    }
+    pool.world.origins_elsewhere["r0"] = {origin_at("v1"), true};
+
+    SECTION("once on each connection") {
+        CHECK(pool.world.call(resuming("a", "r0", 2)).bodies.at(0) == events(3, event_count));
+        CHECK(asked == 1);
+        CHECK(pool.world.call(resuming("b", "r0", 2)).bodies.at(0) == events(3, event_count));
+        CHECK(asked <= 2);
+    }
+    SECTION("within a response too") {
+        CHECK(pool.world.call(tests::request("resume", "a")).bodies.at(0) ==
+              events(1, event_count));
+        CHECK(asked == 1);
+    }
+    SECTION("and does not get it if that is another one than the listed") {
+        stated = 8;
+        const auto seen = pool.world.call(resuming("a", "r0", 2));
+        CHECK(seen.heads.at(0).status == 503);
+        CHECK(asked == 2);
+        CHECK(pool.versions_of("a").empty());
+    }
+    SECTION("and new streams are sent without a question") {
+        pool.world.call(tests::request("stream", "a"));
+        CHECK(asked == 0);
+    }
+}
--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -102,7 +102,7 @@
 std::set<base::software_version> software_records::running(const base::pool_id& pool) const {
     std::set<base::software_version> versions;
     for (const auto& [id, member] : this->context.state.fleet.members) {
-        if (member.listed.pool == pool) {
+        if (member.listed.pool == pool && !member.listed.software.empty()) {
             versions.insert(member.listed.software);
         }
     }
@@ -110,7 +110,7 @@
 }
 
 void software_records::apply(const std::set<std::string>& keys) {
-    const std::string below = this->prefix();
+    const std::string below = this->context.codec.own_prefix + software_prefix;
     for (const auto& key : keys) {
         if (key.starts_with(below)) {
             this->apply_pool({key.substr(below.size())});
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/timer.h"
+#include "base/ids.h"
 #include "base/units.h"
 #include "http/readers.h"
 
@@ -62,6 +63,9 @@
 
     // Called when an idle connection closes or the upstream sends on it unasked.
     std::function<void()> on_idle_closed;
+    // The incarnation that the upstream has stated on this connection, which ends with it; 0 if it
+    // was not asked.
+    base::upstream_incarnation stated_incarnation;
 
 private:
     static void on_read(bufferevent* socket, void* raw);
--- a/tests/process/streams.sh
+++ b/tests/process/streams.sh
@@ -44,7 +44,7 @@
 # stream_served ENTRY: whether an entry begins streams now.
 stream_served() {
     probes=$((${probes:-0} + 1))
-    curl -sN -m 0.3 "http://$(proxy_of "$1")/stream/x" -H "Host: desk.example" -d '{}' \
+    curl -sN -m 0.3 "http://$(proxy_of "$1")/stream/x" -H "Host: desk.example" -d "probe $probes" \
         -H "Authorization: Bearer $TEAM_KEY" -H "Request-Id: probe-$1-$$-$probes" | grep -q '^data:'
 }
 
@@ -79,7 +79,8 @@
     try=$2
     limit=$3
     shift 3
-    curl -sN -m "$limit" "http://$(proxy_of "$entry")/stream/x" -H "Host: desk.example" -d '{}' \
+    # Each client sends a prompt of its own: one that all send is quarantined when two engines are killed under it.
+    curl -sN -m "$limit" "http://$(proxy_of "$entry")/stream/x" -H "Host: desk.example" -d "prompt of $name" \
         -H "Authorization: Bearer $TEAM_KEY" -H "Request-Id: $try" "$@" -o "$got.part" \
         -w '%{http_code}\n' >"$got.status" || true
     touch "$got.part"
--- a/tests/process/streams_keep_software_when_all_entries_restart.sh
+++ b/tests/process/streams_keep_software_when_all_entries_restart.sh
@@ -25,13 +25,14 @@
     CLIENTS=""
     for each in $(seq 1 20); do
         (
-            got=$OUT/streams/$1-$each
-            begun_by=$1-$each-1
+            name=$1-$each
+            got=$OUT/streams/$name
+            begun_by=$name-1
             last=$(grep -c '^data:' "$got" || true)
             tries=10
             for entry in 0 1 2; do
                 tries=$((tries + 1))
-                [ "$last" -gt 0 ] && [ "$last" -lt "$EVENTS" ] && send_try "$entry" "$1-$each-$tries" 20
+                [ "$last" -gt 0 ] && [ "$last" -lt "$EVENTS" ] && send_try "$entry" "$name-$tries" 20
             done
             true
         ) &
