--- a/src/proxy/request_resumption_tests.cpp
+++ b/src/proxy/request_resumption_tests.cpp
@@ -59,10 +59,13 @@
         }
     }
 
-    // The entry's view of the store is proved to be whole now.
+    // The entry is registered, and its view of the store is proved to be whole now.
     void prove_view() {
+        const auto& context = this->world.entry();
+        const std::string key = proxy::registration_prefix(context) + context.settings.id.value;
+        this->world.state.store.items[key] = {key, context.settings.peer_listen, 1};
         this->world.prove_config();
-        this->world.state.store.complete_as_of = this->world.entry().now();
+        this->world.state.store.complete_as_of = context.now();
     }
 
     // The versions that ran a request.
@@ -209,6 +212,11 @@
         pool.prove_view();
         CHECK(pool.world.call(resuming("last", "r1", 2)).heads.at(0).status == 200);
     }
+    SECTION("but not by an entry that is not registered, whom no announcement waits for") {
+        pool.world.state.store.items.clear();
+        const auto refused = pool.world.call(resuming("later", "r1", 2));
+        CHECK(refused.heads.at(0).status == 503);
+    }
     SECTION("and not once another version is announced, although no engine runs it") {
         pool.world.state.software[{"pool"}].known[{"v2"}] = {introduction::announced, {}, {}};
         const auto refused = pool.world.call(resuming("later", "r1", 2));
@@ -237,3 +245,48 @@
         CHECK(versions.count("v2") == 1);
     }
 }
+
+// An engine restarts under its id with other software, and accepts a resumed stream before the
+// platform's list shows the new incarnation.
+TEST_CASE("an upstream states its incarnation before it continues a stream",
+          "[proxy][resumption]") {
+    two_versions pool(2, 0);
+    int asked = 0;
+    std::int64_t stated = 7;
+    for (std::size_t each = 0; each < pool.engines.size(); ++each) {
+        auto& listed = pool.world.state.fleet.members.at({"i-" + std::to_string(each)}).listed;
+        listed.incarnation = {7};
+        pool.engines[each]->set_answer([&](const engine_request& got) {
+            if (got.head.target != "/report") {
+                return break_new_stream(got);
+            }
+            ++asked;
+            const std::string state = R"({"born":)" + std::to_string(stated) + R"(,"seq":0})";
+            return engine_script{send(tests::answer("", state))};
+        });
+    }
+    pool.world.origins_elsewhere["r0"] = {origin_at("v1"), true};
+
+    SECTION("once on each connection") {
+        CHECK(pool.world.call(resuming("a", "r0", 2)).bodies.at(0) == events(3, event_count));
+        CHECK(asked == 1);
+        CHECK(pool.world.call(resuming("b", "r0", 2)).bodies.at(0) == events(3, event_count));
+        CHECK(asked <= 2);
+    }
+    SECTION("within a response too") {
+        CHECK(pool.world.call(tests::request("resume", "a")).bodies.at(0) ==
+              events(1, event_count));
+        CHECK(asked == 1);
+    }
+    SECTION("and does not get it if that is another one than the listed") {
+        stated = 8;
+        const auto seen = pool.world.call(resuming("a", "r0", 2));
+        CHECK(seen.heads.at(0).status == 503);
+        CHECK(asked == 2);
+        CHECK(pool.versions_of("a").empty());
+    }
+    SECTION("and new streams are sent without a question") {
+        pool.world.call(tests::request("stream", "a"));
+        CHECK(asked == 0);
+    }
+}
