Compare versions of software with the list when either has changed

Each comparison visits all upstreams, and ran ten times a second: at 2,000 upstreams and 28 pools half a million look-ups a second for nothing. It runs when the mirror has changed, when an entry acknowledges, and twice a second.

--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -13,6 +13,9 @@
 using adapters::importance;
 
 constexpr base::milliseconds call_pause{100};
+// Records are compared with the list of upstreams when either has changed, and this often, since
+// versions become due with time. Each comparison visits all upstreams.
+constexpr base::milliseconds check_period{500};
 // Time after which the next entry writes a record that one has failed to write.
 constexpr base::milliseconds writer_time{400};
 // Time over which the entries are spread that write if none of the chosen ones does, so that not
@@ -58,6 +61,7 @@
                                const peering::software_record_seen& message) {
     auto& latest = this->seen[message.pool][from];
     latest = std::max(latest, message.revision);
+    this->next_check = {};
 }
 
 std::vector<base::entry_id> software_records::writers_of(const base::pool_id& pool) const {
@@ -110,6 +114,7 @@
 }
 
 void software_records::apply(const std::set<std::string>& keys) {
+    this->next_check = {};
     const std::string below = this->context.codec.own_prefix + software_prefix;
     for (const auto& key : keys) {
         if (key.starts_with(below)) {
@@ -157,11 +162,15 @@
 
 void software_records::tick() {
     const base::instant now = this->context.now();
+    if (this->call_pending || now < this->next_check) {
+        return;
+    }
+    this->next_check = now + check_period;
     for (const auto& pool : this->stream_pools()) {
         const auto running_now = this->running(pool);
         auto& versions = this->context.state.software[pool];
         resumption::record_running(versions, running_now, now);
-        if (this->call_pending || now < this->next_call) {
+        if (this->call_pending) {
             continue;
         }
         const auto wanted =
@@ -183,7 +192,7 @@
     this->platform.commit(change,
                           [this, pool, record](const base::result<ports::commit_result>& done) {
                               this->call_pending = false;
-                              this->next_call = this->context.now() + call_pause;
+                              this->next_check = this->context.now() + call_pause;
                               this->context.log.line(importance::keep, "software_versions_written")
                                   .text("pool", pool.value)
                                   .text("versions", resumption::encode(record))
--- a/src/proxy/software_records.h
+++ b/src/proxy/software_records.h
@@ -60,7 +60,7 @@
     // Since when the record of a pool has been due for a change that nobody has written.
     std::map<base::pool_id, base::instant> due_since;
     bool call_pending = false;
-    base::instant next_call{};
+    base::instant next_check{};
 };
 
 } // namespace camphorrail::proxy
