--- a/src/entries/record_holders_tests.cpp
+++ b/src/entries/record_holders_tests.cpp
@@ -13,6 +13,7 @@
 
 std::vector<linked_entry> fleet_of(int count, int zones) {
     std::vector<linked_entry> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int each = 0; each < count; ++each) {
         made.push_back(
             {{"entry-" + std::to_string(each)}, {"zone-" + std::to_string(each % zones)}});
