Wait for a newer view of the store before a stream is not resumed

An entry renews its view within some tenths of a second, so such a request waits for that, 600 ms at most.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -48,7 +48,11 @@
       timeout_timer(context.loop.base(), [this] { this->on_timeout(); }),
       stall_timer(context.loop.base(), [this] { this->check_for_stall(); }),
       weights_timer(context.loop.base(), [this] { this->on_weights_expired(); }),
-      trial_timer(context.loop.base(), [this] { this->retry_after_trial(); }) {}
+      trial_timer(context.loop.base(), [this] { this->retry_after_trial(); }),
+      view_timer(context.loop.base(), [this] {
+          const auto self = this->shared_from_this();
+          this->resume_earlier_request();
+      }) {}
 
 void request_flow::begin() {
     const auto self = this->shared_from_this();
@@ -198,6 +202,7 @@
     this->timeout_timer.clear();
     this->stall_timer.clear();
     this->trial_timer.clear();
+    this->view_timer.clear();
     const bool succeeded = std::string_view(outcome) == "ok";
     this->context.log.line(succeeded ? importance::routine : importance::keep, "ended")
         .text("request", this->metadata.request_id)
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -69,6 +69,7 @@
     [[nodiscard]] bool may_be_resumed() const;
     [[nodiscard]] bool resumes_earlier_request() const;
     [[nodiscard]] std::optional<base::software_version> only_possible_version() const;
+    [[nodiscard]] bool may_wait_for_view();
     void resume_earlier_request();
     void on_origin_answer(const origin_answer& answer);
     void resume_at(const resumption::stream_origin& earlier_origin, const char* source);
@@ -163,6 +164,9 @@
     adapters::timer stall_timer;
     adapters::timer weights_timer;
     adapters::timer trial_timer;
+    adapters::timer view_timer;
+    // Since when a request that resumes a stream waits for a newer view of the store.
+    std::optional<base::instant> view_awaited_since;
     std::optional<attempt> current;
     // Number of upstreams that may have begun to execute the request.
     int possible_executions = 0;
--- a/src/proxy/request_resumption.cpp
+++ b/src/proxy/request_resumption.cpp
@@ -15,6 +15,10 @@
 
 // Hint for a client whose stream another entry may know, which did not reply.
 constexpr milliseconds origin_retry_delay{250};
+// An entry renews its view of the store within some tenths of a second, also after its VM was
+// suspended.
+constexpr milliseconds max_view_wait{600};
+constexpr milliseconds view_check_period{50};
 // For how long a client is expected to wait that sets no deadline.
 constexpr base::minutes default_client_patience{1};
 
@@ -58,6 +62,19 @@
                                                         : std::nullopt;
 }
 
+// Whether a newer view of the store would tell that the pool has only one version.
+bool request_flow::may_wait_for_view() {
+    const auto versions = this->context.state.software.find(this->criteria.pool);
+    if (versions == this->context.state.software.end() ||
+        !resumption::only_version(versions->second)) {
+        return false;
+    }
+    if (!this->view_awaited_since) {
+        this->view_awaited_since = this->context.now();
+    }
+    return this->context.now() - *this->view_awaited_since < max_view_wait;
+}
+
 void request_flow::resume_earlier_request() {
     const base::request_id earlier{this->metadata.resumes};
     if (const auto record = resumption::find_origin(this->context.state.origins, earlier)) {
@@ -72,6 +89,10 @@
         this->resume_at(origin, "only_version");
         return;
     }
+    if (this->may_wait_for_view()) {
+        this->view_timer.set(view_check_period);
+        return;
+    }
     if (earlier.empty()) {
         this->refuse_resumption("origin_not_named", milliseconds(0));
         return;
--- a/src/proxy/request_resumption_tests.cpp
+++ b/src/proxy/request_resumption_tests.cpp
@@ -212,6 +212,11 @@
         pool.prove_view();
         CHECK(pool.world.call(resuming("last", "r1", 2)).heads.at(0).status == 200);
     }
+    SECTION("as soon as the entry's view is renewed, after its VM was suspended") {
+        pool.world.move_clock(base::seconds(3));
+        pool.world.entry().loop.after(base::milliseconds(100), [&] { pool.prove_view(); });
+        CHECK(pool.world.call(resuming("later", "r1", 2)).heads.at(0).status == 200);
+    }
     SECTION("but not by an entry that is not registered, whom no announcement waits for") {
         pool.world.state.store.items.clear();
         const auto refused = pool.world.call(resuming("later", "r1", 2));
