Be ready only when streams may begin

The system had just started for the first time; the entry was ready since it had a configuration and upstreams, but the first record of software versions, before which no stream begins, was not written yet. An entry waits for that, for 3 s after its start at most, since it can serve all other requests without.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -24,6 +24,9 @@
 constexpr base::milliseconds tick_period{100};
 // Part of the grace period reserved for the process to exit.
 constexpr base::milliseconds exit_margin{700};
+// An entry is ready after this time even if the store takes no records of software versions: it can
+// serve all other requests.
+constexpr base::milliseconds max_software_record_wait{3000};
 
 std::string read_file(const std::string& file) {
     std::ifstream input(file);
@@ -300,7 +303,7 @@
     }
 }
 
-bool proxy::ready() const {
+bool proxy::has_config_and_upstreams() const {
     // The platform's list may name a pool that the configuration does not contain.
     const auto& members = this->state.fleet.members;
     return !this->state.stopping && is_config_fresh(this->context) &&
@@ -309,6 +312,20 @@
            });
 }
 
+bool proxy::ready() const {
+    return this->has_config_and_upstreams() && !this->awaits_software_records;
+}
+
+// When the whole system starts for the first time, streams would be refused until the first record
+// of software versions is written.
+void proxy::check_awaited_records() {
+    if (!this->awaits_software_records || !this->has_config_and_upstreams()) {
+        return;
+    }
+    const bool has_waited = this->context.now() - this->started_at >= max_software_record_wait;
+    this->awaits_software_records = !has_waited && !this->software.is_complete();
+}
+
 void proxy::on_request(const exchange_ptr& exchange) {
     const auto flow = std::make_shared<request_flow>(this->context, exchange);
     const std::int64_t number = ++this->last_flow;
@@ -343,6 +360,7 @@
     this->quarantine_store.tick();
     this->origins.tick();
     this->software.tick();
+    this->check_awaited_records();
     this->peer_entries.tick();
     this->update_quota_entries();
     this->store.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -74,7 +74,9 @@
     void reload(const char* why);
     void stop();
     void continue_shutdown();
+    [[nodiscard]] bool has_config_and_upstreams() const;
     [[nodiscard]] bool ready() const;
+    void check_awaited_records();
     void log_readiness();
     void apply_descriptor_limits();
     [[nodiscard]] accept_status current_accept_status() const;
@@ -114,6 +116,9 @@
     std::int64_t last_flow = 0;
     shutdown_state shutdown;
     bool was_ready = false;
+    base::instant started_at = adapters::boot_now();
+    // This process has not seen yet that all pools that serve streams may begin some.
+    bool awaits_software_records = true;
     accept_log_state accepting;
     // Malformed items of the platform's list and their revisions, as last logged.
     std::map<base::upstream_id, base::revision> unreadable_upstreams;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -38,6 +38,7 @@
         this->apply_upstream_list(source);
     }
     this->software.apply(keys);
+    this->check_awaited_records();
     this->update_quota_entries();
     this->log_readiness();
 }
--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -195,6 +195,16 @@
     }
 }
 
+bool software_records::is_complete() const {
+    const auto pools = this->stream_pools();
+    return std::all_of(pools.begin(), pools.end(), [this](const base::pool_id& pool) {
+        const auto versions = this->context.state.software.find(pool);
+        const bool is_recorded =
+            versions != this->context.state.software.end() && versions->second.recorded;
+        return is_recorded || this->running(pool).empty();
+    });
+}
+
 void software_records::write(const base::pool_id& pool, const resumption::version_record& record) {
     const std::string key = this->key_of(pool);
     ports::transaction change;
--- a/src/proxy/software_records.h
+++ b/src/proxy/software_records.h
@@ -31,6 +31,9 @@
     void receive(const base::entry_id& from, const peering::software_record_seen& message);
     // Writes records that have become due.
     void tick();
+    // Whether all pools that serve streams and have upstreams have a record. Before that, they
+    // begin no streams.
+    [[nodiscard]] bool is_complete() const;
 
     // Called when streams of a pool may have begun on different versions from now on.
     std::function<void(const base::pool_id&)> several_versions;
--- a/src/proxy/software_records_tests.cpp
+++ b/src/proxy/software_records_tests.cpp
@@ -97,7 +97,10 @@
 TEST_CASE("an entry records the versions of a pool that serves streams", "[proxy][resumption]") {
     record_world entry({"v1", "v1"});
     entry.listed = {{"entry-9"}};
+    // The entry is not ready before streams may begin.
+    CHECK_FALSE(entry.records.is_complete());
     entry.run(base::milliseconds(500));
+    CHECK(entry.records.is_complete());
     CHECK(entry.stored() == version_record{{first, introduction::active}});
     CHECK(entry.may_begin(first));
     CHECK(entry.told.empty());
@@ -206,4 +209,5 @@
     entry.world.prove_config();
     entry.run(base::seconds(5));
     CHECK(entry.store.calls == 0);
+    CHECK(entry.records.is_complete());
 }
