--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -150,6 +150,7 @@
 }
 
 # start_proxy ID NUMBER: callers' port +0, operators' port +1, the balancer's +2 and the links' +3.
+# PROXY_BOUNDS, if set, holds further bounds.
 start_proxy() {
     base=$((PORT_BASE + 20 + 4 * $2))
     cat >"$OUT/$1.yaml" <<YAML
@@ -166,6 +167,7 @@
 bounds:
   revoke_ms: 2500
   grace_s: 5
+${PROXY_BOUNDS:-}
 YAML
     start "proxy_$1" "$BIN/camphorrail" proxy "$OUT/$1.yaml"
 }
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -15,6 +15,7 @@
 
 constexpr int accepted = 202;
 constexpr int conflict = 409;
+constexpr int internal_error = 500;
 constexpr int unavailable = 503;
 constexpr base::milliseconds store_timeout{1000};
 constexpr base::milliseconds event_pause{50};
@@ -31,7 +32,8 @@
           store(option(given, "store", "")), events(number(given, "events", 10)),
           loses_answers(option(given, "loses", "") == "yes"),
           says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")),
-          software(option(given, "software", "v1")), breaks_after(number(given, "breaks", 0)) {
+          software(option(given, "software", "v1")), breaks_after(number(given, "breaks", 0)),
+          fails(option(given, "fails", "") == "yes") {
         this->list();
     }
 
@@ -49,6 +51,10 @@
         } else if (exchange->body().find("fatal") != std::string::npos) {
             std::cout << "ran " << exchange->header("Request-Id") << std::endl;
             this->loop->after(crash_after, [] { std::_Exit(1); });
+        } else if (this->fails) {
+            std::cout << "failed " << exchange->header("Request-Id") << " at "
+                      << this->loop->clock().wall_ms() << std::endl;
+            exchange->reply(internal_error, this->fields(*exchange, "application/json"), "{}");
         } else if (!this->pause.empty()) {
             std::cout << "turned away " << exchange->header("Request-Id") << std::endl;
             auto all = this->fields(*exchange, "application/json");
@@ -164,6 +170,8 @@
     std::string software;
     // It breaks off each run that begins a stream after so many events; 0 for none.
     std::int64_t breaks_after;
+    // It answers each call with an error.
+    bool fails;
     std::int64_t version = 1;
     std::int64_t orders = 0;
 };
