Log an entry's share of the retry budget and the retries that it denies

Whether repeats beyond the budget come from shares that grow while others leave, from windows that start empty, or from attempts that no window counts, no log could tell: neither the share nor a denial was written.

--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -111,8 +111,15 @@
     const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entry_count, 1));
     for (const auto& [id, pool] : this->state.config->pools) {
         auto& window = this->state.retries[id];
+        const double before = window.extra_retries;
         window.extra_retries =
             std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
+        if (window.extra_retries != before) {
+            this->log.line(importance::keep, "retry_share")
+                .text("pool", id.value)
+                .number("entries", this->state.entry_count)
+                .number("extra_retries", static_cast<std::int64_t>(window.extra_retries));
+        }
         window.retries_per_request = this->settings.bounds.retry_ratio * retry_share;
     }
 }
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -126,8 +126,12 @@
 }
 
 bool request_flow::consume_retry() {
-    if (!admission::consume_retry(this->context.state.retries[this->criteria.pool],
-                                  this->context.now())) {
+    auto& window = this->context.state.retries[this->criteria.pool];
+    if (!admission::consume_retry(window, this->context.now())) {
+        this->context.log.line(importance::keep, "retry_denied")
+            .text("request", this->metadata.request_id)
+            .text("pool", this->criteria.pool.value)
+            .number("extra_retries", static_cast<std::int64_t>(window.extra_retries));
         this->context.metrics.count("camphorrail_retries_denied_total");
         return false;
     }
