Divide the retry budget by all entries that may have used it

Cause: the share of each entry is the slack divided by the registrations that it sees now. Ruled out: attempts that no window counts (a connection that took no byte reached no upstream), and requests counted twice (each has its own id and reaches one entry).

The share is now the slack divided by the largest number of entries known in a window and two seconds, registered or linked, and a process has none until it has run for so long: what its predecessor spent lies then outside of each window that it can spend in. A share may be less than one retry; the floor of one let 400 entries send 400 of 52.

--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -4,6 +4,7 @@
 #include "adapters/event_loop.h"
 #include "adapters/metrics.h"
 #include "admission/retry_window.h"
+#include "entries/entry_count.h"
 #include "fleet/fleet.h"
 #include "kvcache/cache_index.h"
 #include "kvcache/lanes.h"
@@ -57,8 +58,8 @@
     // may resume.
     std::map<base::pool_id, resumption::pool_versions> software;
     resumption::origin_table origins;
-    // Number of entries that share the retry budget, including this one.
-    std::int64_t entry_count = 1;
+    // The numbers of entries known recently, which share the retry budget.
+    entries::entry_count_history entry_counts;
     bool stopping = false;
 };
 
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -87,9 +87,14 @@
 }
 
 std::int64_t peers::count() const {
-    const auto all = this->registered_entries();
-    const bool listed_self = all.count(this->context.settings.id) > 0;
-    return static_cast<std::int64_t>(all.size()) + (listed_self ? 0 : 1);
+    std::set<base::entry_id> known{this->context.settings.id};
+    for (const auto& [id, address] : this->registered_entries()) {
+        known.insert(id);
+    }
+    for (const auto& id : this->connected_entries()) {
+        known.insert(id);
+    }
+    return static_cast<std::int64_t>(known.size());
 }
 
 quota::listed_entries peers::listed_entries() const {
@@ -159,11 +164,6 @@
         this->query_wanted = false;
         this->query_store();
     }
-    if (const auto entries = this->count(); entries != this->last_count) {
-        this->last_count = entries;
-        this->context.state.entry_count = entries;
-        this->count_changed();
-    }
 }
 
 void peers::check_startup_wait() {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -41,6 +41,8 @@
     void query_soon() { this->query_wanted = true; }
     // Removes this entry's registration from the store.
     void deregister();
+    // The number of entries that are registered or linked, including this one. A restored store may
+    // lack registrations of entries that still run.
     [[nodiscard]] std::int64_t count() const;
     // The registered entries, in the form in which quotas are divided among them.
     [[nodiscard]] quota::listed_entries listed_entries() const;
@@ -87,8 +89,6 @@
         software_record_seen_received;
     // The messages sent on a new link after the handshake.
     std::function<std::vector<peering::message>()> initial_messages;
-    // Called when the number of registered entries has changed.
-    std::function<void()> count_changed;
 
 private:
     struct peer_link {
@@ -172,7 +172,6 @@
     // The link that was queried last; peers are queried in turn.
     link_key last_queried = 0;
     std::int64_t last_query_id = 0;
-    std::int64_t last_count = 0;
     // The start of this process. Each message carries the time since then, from which the receiver
     // estimates when the message was sent.
     base::instant started_at;
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -35,7 +35,6 @@
         : others(this->world.entry(), unresponsive_store()),
           other_started(this->world.entry().now() - base::seconds(3)) {
         this->world.prove_config();
-        this->others.count_changed = [] {};
         this->others.verifies_store = [] { return true; };
         this->others.is_reading_store = [] { return false; };
         this->others.initial_messages = [] { return std::vector<peering::message>{}; };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -227,7 +227,6 @@
     this->kv_stores.broadcast = [this](const peering::kv_store_contents& message) {
         this->peer_entries.broadcast(message);
     };
-    this->peer_entries.count_changed = [this] { this->set_retry_budgets(); };
 }
 
 std::vector<peering::message> proxy::initial_messages() const {
@@ -362,6 +361,7 @@
     this->software.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
+    this->update_retry_budgets();
     this->update_quota_entries();
     this->store.tick();
     this->kv_stores.tick();
@@ -407,7 +407,7 @@
     }
     // Addresses are not reloaded, because changing them would cut off requests in flight.
     this->settings.bounds = fresh->bounds;
-    this->set_retry_budgets();
+    this->update_retry_budgets();
 }
 
 void proxy::stop() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -65,7 +65,7 @@
     void assign_lanes();
     void on_quarantine_started(const quarantine::quarantined_request& quarantined,
                                bool decided_here);
-    void set_retry_budgets();
+    void update_retry_budgets();
     // Updates the registered and the responsive entries, which determine how much of the quotas
     // each may grant.
     void update_quota_entries();
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -1,5 +1,6 @@
 #include "kvcache/lanes.h"
 #include "proxy/proxy.h"
+#include "proxy/retry_shares.h"
 #include "proxy/target_weights.h"
 #include "proxy/upstream_list.h"
 
@@ -13,10 +14,6 @@
 
 using adapters::importance;
 
-// Part of the shared retry budget that the entries use together. The rest is a reserve for entries
-// that start or vanish meanwhile and for calls that are counted late.
-constexpr double retry_share = 0.7;
-
 } // namespace
 
 void proxy::on_store_change(const std::set<std::string>& keys, const char* source) {
@@ -73,7 +70,7 @@
         .number("routes", static_cast<std::int64_t>(read.value().routes.size()))
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
     this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
-    this->set_retry_budgets();
+    this->update_retry_budgets();
     quota::set_limits(this->state.quotas, this->state.config->teams, this->context.now(),
                       quota_rules_of(this->settings));
     this->prune_prompt_sizes();
@@ -104,24 +101,9 @@
                   [&names](const auto& each) { return names.count(each.first) == 0; });
 }
 
-void proxy::set_retry_budgets() {
-    if (this->state.config == nullptr) {
-        return;
-    }
-    const auto entries = static_cast<double>(std::max<std::int64_t>(this->state.entry_count, 1));
-    for (const auto& [id, pool] : this->state.config->pools) {
-        auto& window = this->state.retries[id];
-        const double before = window.extra_retries;
-        window.extra_retries =
-            std::max(1.0, this->settings.bounds.retry_slack * retry_share / entries);
-        if (window.extra_retries != before) {
-            this->log.line(importance::keep, "retry_share")
-                .text("pool", id.value)
-                .number("entries", this->state.entry_count)
-                .number("extra_retries", static_cast<std::int64_t>(window.extra_retries));
-        }
-        window.retries_per_request = this->settings.bounds.retry_ratio * retry_share;
-    }
+void proxy::update_retry_budgets() {
+    update_retry_shares(this->context, this->peer_entries.count(),
+                        this->context.now() - this->started_at);
 }
 
 void proxy::apply_upstream_list(const char* source) {
--- /dev/null
+++ b/src/proxy/retry_shares.cpp
@@ -0,0 +1,48 @@
+#include "proxy/retry_shares.h"
+
+#include "admission/retry_share.h"
+
+#include <cmath>
+
+namespace camphorrail::proxy {
+
+namespace {
+
+using adapters::importance;
+
+// For the log, whose numbers are whole.
+std::int64_t in_thousandths(double value) {
+    return std::llround(value * 1000.0);
+}
+
+} // namespace
+
+void update_retry_shares(entry_context& context, std::int64_t known_entries, base::micros uptime) {
+    const admission::retry_share_rules rules;
+    auto& state = context.state;
+    entries::record_entry_count(state.entry_counts, known_entries, context.now(),
+                                rules.settling_time);
+    if (state.config == nullptr) {
+        return;
+    }
+    const auto& bounds = context.settings.bounds;
+    const std::int64_t sharing = entries::largest_entry_count(state.entry_counts);
+    const double share = admission::retry_share(bounds.retry_slack, sharing, uptime, rules);
+    for (const auto& [id, pool] : state.config->pools) {
+        const auto [found, is_new] = state.retries.try_emplace(id);
+        auto& window = found->second;
+        window.retries_per_request = bounds.retry_ratio * rules.divided_fraction;
+        if (!is_new && window.extra_retries == share) {
+            continue;
+        }
+        window.extra_retries = share;
+        context.log.line(importance::keep, "retry_share")
+            .text("pool", id.value)
+            .number("entries", sharing)
+            .number("entries_now", known_entries)
+            .flag("settled", uptime >= rules.settling_time)
+            .number("extra_retries_in_1000", in_thousandths(share));
+    }
+}
+
+} // namespace camphorrail::proxy
