Hold the soak to the retry budget that all entries share

The soak counted no retries, so restarts in series beside failing engines, which it plays, could not show that each entry took the whole budget. The checker counts what reaches the back ends of a service beyond the first of each call, in windows of ten seconds, against the calls of the window, of the one before it or of the one half a window before it.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -476,6 +476,70 @@
     }
 }
 
+bool is_stream(call_kind kind) {
+    return kind == call_kind::stream || kind == call_kind::resumable_stream;
+}
+
+std::size_t count_before(const std::vector<base::instant>& sorted, base::instant end) {
+    return static_cast<std::size_t>(std::lower_bound(sorted.begin(), sorted.end(), end) -
+                                    sorted.begin());
+}
+
+// The calls that count for a window that ends at `end`: those of the window, of the one before it
+// or of the one half a window before it, whichever has most.
+double calls_for_window(const std::vector<base::instant>& sent, base::instant end,
+                        base::milliseconds window) {
+    std::size_t most = 0;
+    for (const auto earlier : {base::milliseconds(0), window / 2, window}) {
+        const base::instant until = end - earlier;
+        most = std::max(most, count_before(sent, until) - count_before(sent, until - window));
+    }
+    return static_cast<double>(most);
+}
+
+// Streams and plain calls go to different services. Counted are also calls that a back end turned
+// away.
+void check_retries(const history& seen, const promised& promises, bool of_streams,
+                   findings& found) {
+    std::vector<base::instant> sent;
+    std::set<std::string> ids;
+    for (const auto& call : seen.calls) {
+        if (is_stream(call.kind) == of_streams) {
+            sent.push_back(call.sent_at);
+            ids.insert(call.id);
+        }
+    }
+    std::vector<std::pair<base::instant, std::string>> arrivals;
+    for (const auto& run : seen.runs) {
+        arrivals.emplace_back(run.at, run.id);
+    }
+    for (const auto& pause : seen.pauses) {
+        arrivals.emplace_back(pause.at, pause.id);
+    }
+    std::sort(sent.begin(), sent.end());
+    std::sort(arrivals.begin(), arrivals.end());
+    std::set<std::string> arrived;
+    std::vector<base::instant> repeats;
+    for (const auto& [at, id] : arrivals) {
+        if (ids.count(id) > 0 && !arrived.insert(id).second) {
+            repeats.push_back(at);
+        }
+    }
+    for (const auto first : repeats) {
+        const base::instant end = first + promises.retry_window;
+        const auto many =
+            static_cast<double>(count_before(repeats, end) - count_before(repeats, first));
+        const double calls = calls_for_window(sent, end, promises.retry_window);
+        const double most = promises.retry_ratio * calls + promises.retry_slack;
+        if (many > most) {
+            found.push_back("retries stay within their budget: " +
+                            std::to_string(static_cast<int>(many)) + " from " + at_text(first) +
+                            " on, " + std::to_string(static_cast<int>(most)) + " allowed");
+            return;
+        }
+    }
+}
+
 void check_end(const history& seen, const promised& promises, findings& found) {
     double all = 0;
     double served = 0;
@@ -529,6 +593,8 @@
     check_software(seen, found);
     check_resumptions(seen, promises, found);
     check_quota(seen, promises, found);
+    check_retries(seen, promises, true, found);
+    check_retries(seen, promises, false, found);
     for (const auto& exit : seen.exits) {
         found.push_back("processes stay up: " + exit);
     }
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -35,6 +35,10 @@
     base::milliseconds quota_window{8000};
     double quota_excess = 0.1;
     double quota_slack = 12.0;
+    // What may reach the back ends of one service beyond the first of each call, in any window.
+    double retry_ratio = 0.2;
+    double retry_slack = 50.0;
+    base::milliseconds retry_window{10000};
     // From so many resumptions on, streams are resumed at least this often, relative to the share
     // of new ones that begin. Counted are calls through entries in touch, while two engines of the
     // stream's software serve.
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -441,3 +441,33 @@
         CHECK(is_sound(seen));
     }
 }
+
+// Guards against a checker that overlooks retries beyond the budget that all entries share.
+TEST_CASE("the soak's checker counts retries per service", "[soak]") {
+    auto seen = sound();
+    for (int each = 0; each < 60; ++each) {
+        const std::string id = "r" + std::to_string(each);
+        seen.calls.push_back(call(id, soak::call_kind::safe, 200, 3000 + 10 * each));
+        seen.runs.push_back(run(id, 3010 + 10 * each));
+    }
+    const auto repeat = [&seen](int count, int at_ms) {
+        for (int each = 0; each < count; ++each) {
+            seen.runs.push_back(run("r" + std::to_string(each), at_ms));
+        }
+    };
+    SECTION("as many as 62 calls and the slack allow") {
+        repeat(60, 4000);
+        repeat(2, 4100);
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("and one more") {
+        repeat(60, 4000);
+        repeat(3, 4100);
+        CHECK(only_finding(seen).rfind("retries stay within their budget: 63", 0) == 0);
+    }
+    SECTION("and those of another window apart") {
+        repeat(60, 4000);
+        repeat(3, 14100);
+        CHECK(soak::check(seen, {}).empty());
+    }
+}
