Give processes that have just started a few retries, by slots in the store

A single entry with few requests could not resume a stream whose engine crashed in the first twelve seconds of the process: it had no share of the slack, and a seventh of its few requests is less than one retry. process_proxy_failures showed it in the whole run of tests, once.

A slot is leased for 24 s, longer than its process uses it and the window after, and outlasts the process, so that restarts in series add up to no more. Settled entries divide 65 in 100.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -92,7 +92,8 @@
       peer_entries(this->context, this->store_calls), crashes(this->context),
       quarantine_store(this->context, this->store_calls,
                        [this] { return this->leader.fencing_token() != 0; }),
-      origins(this->context), software(this->context, this->store_calls),
+      origins(this->context), retries_at_start(this->context, this->store_calls),
+      software(this->context, this->store_calls),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {}
 
 bool proxy::listen() {
@@ -361,6 +362,7 @@
     this->software.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
+    this->retries_at_start.tick();
     this->update_retry_budgets();
     this->update_quota_entries();
     this->store.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -18,6 +18,7 @@
 #include "proxy/request_flow.h"
 #include "proxy/shutdown.h"
 #include "proxy/software_records.h"
+#include "proxy/startup_slot.h"
 #include "proxy/store_follower.h"
 #include "proxy/store_updates.h"
 #include "proxy/weights_loader.h"
@@ -106,6 +107,7 @@
     crash_detector crashes;
     quarantine_records quarantine_store;
     origin_exchange origins;
+    startup_slot retries_at_start;
     software_records software;
     kv_store_follower kv_stores;
     std::unique_ptr<frontend_server> frontend;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -102,8 +102,9 @@
 }
 
 void proxy::update_retry_budgets() {
-    update_retry_shares(this->context, this->peer_entries.count(),
-                        this->context.now() - this->started_at);
+    update_retry_shares(this->context,
+                        {this->peer_entries.count(), this->context.now() - this->started_at,
+                         this->retries_at_start.is_claimed()});
 }
 
 void proxy::apply_upstream_list(const char* source) {
--- a/src/proxy/retry_shares_tests.cpp
+++ b/src/proxy/retry_shares_tests.cpp
@@ -16,6 +16,7 @@
 
 constexpr double slack = 52;
 constexpr double ratio = 0.2;
+constexpr double ratio_fraction = 0.7;
 constexpr int window_ms = 10'000;
 constexpr int step_ms = 50;
 // An entry accepts requests for this long after its stop signal, and its registration outlasts a
@@ -35,6 +36,7 @@
         // From and until when the list shows it.
         int listed_from = 0;
         int listed_until = 0;
+        bool has_slot = false;
         entries::entry_count_history counts;
         admission::retry_window window;
     };
@@ -43,6 +45,8 @@
     std::vector<node> nodes;
     std::vector<int> requests;
     std::vector<int> retries;
+    // Until when each startup slot is taken.
+    std::vector<int> slots_taken_until;
     int store_empty_from = -100'000;
     int store_empty_until = -100'000;
     int now_ms = 0;
@@ -61,10 +65,23 @@
 
     [[nodiscard]] base::instant now() const { return base::instant{milliseconds(this->now_ms)}; }
 
+    void claim_slot(node& one) {
+        constexpr int slot_lease_ms = 24'000;
+        auto& slots = this->slots_taken_until;
+        slots.resize(admission::startup_slot_count(slack, {}), -1);
+        const auto free = std::find_if(slots.begin(), slots.end(),
+                                       [this](int until) { return until <= this->now_ms; });
+        one.has_slot = free != slots.end();
+        if (one.has_slot) {
+            *free = this->now_ms + slot_lease_ms;
+        }
+    }
+
     void start(node& one) {
         const int listed_until = one.listed_until;
         one = {};
         one.started_ms = this->now_ms;
+        this->claim_slot(one);
         one.list_lag_ms = this->below(1000);
         // An older registration may still be there.
         one.listed_from = listed_until > this->now_ms ? 0 : this->now_ms + 100 + this->below(900);
@@ -128,9 +145,10 @@
         }
         entries::record_entry_count(one.counts, known, this->now(), rules.settling_time);
         one.window.extra_retries =
-            admission::retry_share(slack, entries::largest_entry_count(one.counts),
-                                   milliseconds(this->now_ms - one.started_ms), rules);
-        one.window.retries_per_request = ratio * rules.divided_fraction;
+            admission::retry_share({slack, entries::largest_entry_count(one.counts),
+                                    milliseconds(this->now_ms - one.started_ms), one.has_slot},
+                                   rules);
+        one.window.retries_per_request = ratio * ratio_fraction;
         for (int each = this->below(4); each > 0; --each) {
             admission::record_request(one.window, this->now());
             this->requests.push_back(this->now_ms);
@@ -190,7 +208,7 @@
     constexpr admission::retry_share_rules rules;
     constexpr std::int64_t entry_count = 6;
     admission::retry_window window;
-    window.extra_retries = admission::retry_share(slack, entry_count, base::minutes(1), rules);
+    window.extra_retries = admission::retry_share({slack, entry_count, base::minutes(1)}, rules);
     window.retries_per_request = 0.0;
     std::int64_t used = 0;
     while (admission::consume_retry(window, base::instant{base::minutes(1)})) {
@@ -199,10 +217,15 @@
     CHECK(static_cast<double>(used) >= slack / 2);
 
     SECTION("and a process that has just started uses nothing of it") {
-        CHECK(admission::retry_share(slack, 1, base::seconds(10), rules) == 0.0);
+        CHECK(admission::retry_share({slack, 1, base::seconds(10)}, rules) == 0.0);
+    }
+    SECTION("but for one retry if it has a startup slot") {
+        const double share = admission::retry_share({slack, 1, base::seconds(10), true}, rules);
+        CHECK(share >= 1.0);
+        CHECK(share < 2.0);
     }
     SECTION("and a share of a large fleet is less than one retry") {
-        CHECK(admission::retry_share(slack, 400, base::minutes(1), rules) * 400 <= slack);
+        CHECK(admission::retry_share({slack, 400, base::minutes(1)}, rules) * 400 <= slack);
     }
 }
 
@@ -210,23 +233,23 @@
     tests::proxy_world world;
     world.stop_clock();
     const auto share = [&world] { return world.state.retries.begin()->second.extra_retries; };
-    proxy::update_retry_shares(world.entry(), 1, base::seconds(1));
+    proxy::update_retry_shares(world.entry(), {1, base::seconds(1)});
     REQUIRE_FALSE(world.state.retries.empty());
     CHECK(share() == 0.0);
-    proxy::update_retry_shares(world.entry(), 5, base::seconds(2));
+    proxy::update_retry_shares(world.entry(), {5, base::seconds(2)});
     world.move_clock(base::seconds(11));
-    proxy::update_retry_shares(world.entry(), 5, base::seconds(13));
+    proxy::update_retry_shares(world.entry(), {5, base::seconds(13)});
     const double of_five = share();
     CHECK(of_five > 0.0);
 
     SECTION("which stays the same for a window after the others have gone") {
         world.move_clock(base::seconds(11));
-        proxy::update_retry_shares(world.entry(), 1, base::seconds(24));
+        proxy::update_retry_shares(world.entry(), {1, base::seconds(24)});
         CHECK(share() == of_five);
     }
     SECTION("which is larger afterwards") {
         world.move_clock(base::seconds(13));
-        proxy::update_retry_shares(world.entry(), 1, base::seconds(26));
+        proxy::update_retry_shares(world.entry(), {1, base::seconds(26)});
         CHECK(share() == Approx(5 * of_five));
     }
 }
