Keep to the rate limits that upstreams state

Cause: the field of an answer that states the limit was read nowhere.

The limit is now part of what an entry knows of an upstream's incarnation. A stricter one holds at once, a looser one or none only from the answer to a request that was sent after the stricter one was last stated, since answers and reports overtake each other. An entry that learns of a change tells all others. The limit is divided among a few entries, ranked by a hash of the upstream's id: so many that each can save up a whole request while all of them together stay within the burst. A share begins empty, and an entry whose link is lost keeps its shares for two seconds. Retries, resumed streams and trials count as first sends do. Where only limits keep upstreams from a request, it is refused at once, as not run (315). A limit outlasts the upstream's absence from the list, and may be reported before the list is read.

--- a/src/base/codes.cpp
+++ b/src/base/codes.cpp
@@ -57,6 +57,9 @@
                "The team has used up its quota over all entries; the request has not run."},
     code_entry{code::stream_origin_unknown, "stream_origin_unknown", 503,
                "It is not known which software began the stream; the request has not run."},
+    code_entry{code::upstreams_limited, "upstreams_limited", 503,
+               "The rate limits of all upstreams that could take the request are used up; the "
+               "request has not run."},
     code_entry{code::upstream_unreachable, "upstream_unreachable", 502,
                "The upstream takes no connection; nothing was sent to it."},
     code_entry{code::upstream_failed, "upstream_failed", 502,
--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -44,6 +44,7 @@
     suspect_tried = 312,
     quota_spent = 313,
     stream_origin_unknown = 314,
+    upstreams_limited = 315,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t max_departed = 256;
 constexpr base::minutes departed_lifetime{10};
 
+// How many rate limits of upstreams that are not listed are remembered.
+constexpr std::size_t max_unlisted_limits = 256;
+
 // Maximum for the pause that an upstream may ask for; after it the upstream is tried again.
 constexpr base::minutes max_pause{10};
 
@@ -115,6 +118,9 @@
         one.listed = each;
         one.id_hash = base::stable_hash(each.id.value);
         one.unlisted_since.reset();
+        if (const auto remembered = state.unlisted_limits.extract(instance_of(one))) {
+            one.limit = remembered.mapped();
+        }
     }
     for (auto& [id, one] : state.members) {
         if (present.count(id) == 0 && !one.unlisted_since) {
@@ -151,10 +157,16 @@
         if (is_expired && one.drain_reported_at) {
             remember_departed(state, instance_of(one), *one.drain_reported_at);
         }
+        if (is_expired && one.limit.changed_at) {
+            unlisted_limit(state, instance_of(one)) = one.limit;
+        }
         it = is_expired ? state.members.erase(it) : std::next(it);
     }
     std::erase_if(state.drained,
                   [now](const auto& each) { return now - each.second > departed_lifetime; });
+    std::erase_if(state.unlisted_limits, [now](const auto& each) {
+        return now - each.second.stated_at > departed_lifetime;
+    });
     return dropped;
 }
 
@@ -187,6 +199,25 @@
     return std::max(one.busy_until, one.pause_until);
 }
 
+bool is_within_limit(const member& one, base::instant now) {
+    return !one.limit.limit || ratelimit::has_permit(one.permits, now);
+}
+
+ratelimit::stated_limit& unlisted_limit(fleet& state, const base::upstream_instance& upstream) {
+    auto& limits = state.unlisted_limits;
+    if (limits.size() >= max_unlisted_limits && limits.count(upstream) == 0) {
+        limits.erase(
+            std::min_element(limits.begin(), limits.end(), [](const auto& left, const auto& right) {
+                return left.second.stated_at < right.second.stated_at;
+            }));
+    }
+    return limits[upstream];
+}
+
+bool count_against_limit(member& one, base::instant now) {
+    return !one.limit.limit || ratelimit::take_permit(one.permits, now);
+}
+
 void record_pause(member& one, base::micros span, base::instant now) {
     const base::instant until = now + std::min<base::micros>(span, max_pause);
     one.pause_until = std::max(one.pause_until, until);
@@ -209,7 +240,7 @@
             continue;
         }
         any_listed = any_listed || (!one.unlisted_since && !one.drain_reported_at);
-        if (contains(except, id)) {
+        if (contains(except, id) || !is_within_limit(one, now)) {
             continue;
         }
         if (is_eligible(one, now)) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,6 +5,8 @@
 #include "fleet/workload.h"
 #include "membership/health.h"
 #include "ports/platform_codec.h"
+#include "ratelimit/permits.h"
+#include "ratelimit/stated_limit.h"
 
 #include <cstdint>
 #include <functional>
@@ -48,6 +50,9 @@
     base::instant suspected_until{};
     // The upstream is about to change weights, or is changing them, until this time.
     base::instant weights_change_until{};
+    // The rate limit that the upstream states, and this entry's share of it.
+    ratelimit::stated_limit limit;
+    ratelimit::permit_bucket permits;
     // The upstream prefers short prompts to long ones; see kvcache/lanes.h.
     bool short_lane = false;
     // When the upstream itself first reported that it is draining. The list may show this later, or
@@ -64,6 +69,10 @@
     // Incarnations that reported draining and then vanished from the list, with the time of that
     // report. List items that expired during a store outage reappear once the store is back.
     std::map<base::upstream_instance, base::instant> drained;
+    // Rate limits of incarnations that are not listed, with the time at which each was last stated:
+    // list items expire during a store outage, and another entry may report a limit before this one
+    // has read the list.
+    std::map<base::upstream_instance, ratelimit::stated_limit> unlisted_limits;
 };
 
 struct fleet_rules {
@@ -132,6 +141,17 @@
 // pause.
 base::instant unavailable_until(const member& one);
 
+// Whether the rate limit that a member states, if any, allows this entry to send it a request.
+bool is_within_limit(const member& one, base::instant now);
+
+// The rate limit of an incarnation that is not listed, to apply statements to. It holds for the
+// member once that is listed.
+ratelimit::stated_limit& unlisted_limit(fleet& state, const base::upstream_instance& upstream);
+
+// Counts a request that is about to be sent against the member's rate limit, if it states one.
+// Returns false if the limit does not allow it.
+bool count_against_limit(member& one, base::instant now);
+
 // Records that an upstream has asked this entry to send nothing for `span`. The span is capped, so
 // that a nonsensical value can't exclude the upstream for long.
 void record_pause(member& one, base::micros span, base::instant now);
@@ -142,7 +162,8 @@
 // Whether a new request may be sent to the member without reservations.
 bool is_eligible(const member& one, base::instant now);
 
-// The members of a pool that a new request may be sent to: the eligible ones; if there are none,
+// The members of a pool that a new request may be sent to, of those whose rate limits allow it: the
+// eligible ones; if there are none,
 // those that are only suspected; if the whole pool has just vanished or reported draining, those
 // that may serve in the grace period. Members listed in `except` are left out. Members that are not
 // suitable are disregarded as if they were of another pool.
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -236,3 +236,35 @@
     fleet::prune_unlisted(state, now + base::minutes(20), rules);
     CHECK(state.drained.empty());
 }
+
+// Guards against exceeding the rate limit of an upstream whose list item has expired in a store
+// outage and is back, and of one that another entry reports before this one has read the list.
+TEST_CASE("a rate limit outlasts an upstream's absence from the list", "[fleet]") {
+    fleet::fleet state;
+    fleet::fleet_rules rules;
+    auto listed = upstream("one");
+    listed.incarnation = {500};
+    const ratelimit::statement stated{ratelimit::requests_per_second{2}, at(10), at(20)};
+
+    const bool was_listed = GENERATE(true, false);
+    if (was_listed) {
+        fleet::apply_list(state, {listed}, at(0));
+        ratelimit::apply_statement(state.members.at({"one"}).limit, stated);
+        fleet::apply_list(state, {}, at(100));
+    } else {
+        ratelimit::apply_statement(fleet::unlisted_limit(state, {{"one"}, {500}}), stated);
+    }
+    fleet::prune_unlisted(state, at(5000), rules);
+    REQUIRE(state.members.empty());
+    fleet::apply_list(state, {listed}, at(6000));
+    CHECK(state.members.at({"one"}).limit.limit == ratelimit::requests_per_second{2});
+    CHECK(state.unlisted_limits.empty());
+    CHECK(fleet::candidates(state, {"pool"}, at(6000), rules, {}).empty());
+
+    SECTION("but not its restart") {
+        listed.incarnation = {900};
+        fleet::apply_list(state, {listed}, at(7000));
+        CHECK_FALSE(state.members.at({"one"}).limit.limit);
+        CHECK(fleet::candidates(state, {"pool"}, at(7000), rules, {}).size() == 1);
+    }
+}
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -157,6 +157,11 @@
             to_json(item.origin.upstream), item.remaining.count()};
 }
 
+json to_json(const upstream_limit& item) {
+    return {to_json(item.upstream), item.limit ? json(item.limit->value) : json(),
+            item.asked_ago.count(), item.heard_ago.count()};
+}
+
 json to_json(const entry_load& load);
 
 template <class Part>
@@ -233,6 +238,24 @@
     return {"software_seen", message.pool.value, message.revision.number, message.revision.era};
 }
 
+json to_json(const upstream_limits& message) {
+    return {"limits", to_json_array(message.items)};
+}
+
+upstream_limits read_upstream_limits(const json& value) {
+    upstream_limits message;
+    for (const auto& each : value.at(1)) {
+        const auto& limit = each.at(1);
+        message.items.push_back(
+            {read_instance(each.at(0)),
+             limit.is_null() ? std::nullopt
+                             : std::optional(ratelimit::requests_per_second{limit.get<double>()}),
+             base::micros(each.at(2).get<std::int64_t>()),
+             base::micros(each.at(3).get<std::int64_t>())});
+    }
+    return message;
+}
+
 stream_origins read_stream_origins(const json& value) {
     stream_origins message;
     for (const auto& each : value.at(1)) {
@@ -409,6 +432,9 @@
             {value.at(1).get<std::string>()},
             {value.at(3).get<std::int64_t>(), value.at(2).get<std::int64_t>()}};
     }
+    if (kind == "limits") {
+        return read_upstream_limits(value);
+    }
     throw std::invalid_argument("unknown message kind");
 }
 
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -9,6 +9,7 @@
 #include "ports/platform.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
+#include "ratelimit/stated_limit.h"
 #include "resumption/stream_origins.h"
 
 #include <cstdint>
@@ -27,7 +28,8 @@
 // it.
 inline constexpr std::int64_t first_protocol = 0;
 inline constexpr std::int64_t resumption_protocol = 1;
-inline constexpr std::int64_t current_protocol = resumption_protocol;
+inline constexpr std::int64_t rate_limit_protocol = 2;
+inline constexpr std::int64_t current_protocol = rate_limit_protocol;
 
 // The first message on a link; identifies its sender.
 struct handshake {
@@ -205,6 +207,21 @@
     base::revision revision;
 };
 
+// What an upstream's latest response to the sender said of its rate limit.
+struct upstream_limit {
+    base::upstream_instance upstream;
+    // Empty if it stated none.
+    std::optional<ratelimit::requests_per_second> limit;
+    // Time since the request was sent, and since the response arrived.
+    base::micros asked_ago{0};
+    base::micros heard_ago{0};
+};
+
+// The rate limits of upstreams, as the sender knows them.
+struct upstream_limits {
+    std::vector<upstream_limit> items;
+};
+
 // Stands for the era of a revision from an entry whose build does not send eras; earlier than any.
 inline constexpr std::int64_t unknown_era = -1;
 
@@ -217,7 +234,7 @@
 using message = std::variant<handshake, suspicion, loaded_weights, load_report, store_query,
                              store_view, kv_store_contents, store_changes, crash_report,
                              quarantine_notice, upstream_draining, stream_origins, origin_query,
-                             origin_reply, software_record_seen>;
+                             origin_reply, software_record_seen, upstream_limits>;
 
 // A message with its sender's uptime when it was sent. The receiver derives the send time from the
 // uptime: the message may be buffered for long, and its ages and durations count from when it was
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -180,6 +180,21 @@
           base::revision{2, 31});
 }
 
+TEST_CASE("messages about rate limits are the same after decoding", "[proxy]") {
+    const peering::upstream_limit limited{
+        {{"i-1"}, {7}}, ratelimit::requests_per_second{1.3}, base::micros(1500), base::micros(400)};
+    const peering::upstream_limit ended{{{"i-2"}, {8}}, {}, base::micros(9), base::micros(3)};
+    const auto sent =
+        peering::decode(peering::encode({peering::upstream_limits{{limited, ended}}}));
+    const auto& items = std::get<peering::upstream_limits>(sent.value().payload).items;
+    REQUIRE(items.size() == 2);
+    CHECK(items[0].upstream == limited.upstream);
+    CHECK(items[0].limit == limited.limit);
+    CHECK(items[0].asked_ago == limited.asked_ago);
+    CHECK(items[0].heard_ago == limited.heard_ago);
+    CHECK_FALSE(items[1].limit.has_value());
+}
+
 // An older build does not state which messages it understands, and closes a link on which it gets
 // others.
 TEST_CASE("an entry that states no protocol understands the first one", "[proxy]") {
--- a/src/ports/platform_codec.h
+++ b/src/ports/platform_codec.h
@@ -5,6 +5,7 @@
 #include "base/units.h"
 #include "http/fields.h"
 #include "ports/platform.h"
+#include "ratelimit/stated_limit.h"
 #include "routes/operators_config.h"
 
 #include <cstdint>
@@ -80,6 +81,10 @@
     bool draining = false;
     // The upstream rejected the request and asks this entry to send nothing for this long.
     std::optional<base::milliseconds> pause;
+    // The rate limit that the upstream states for the requests of all entries together. Empty if it
+    // states none, or if the stated one is not a number; `rate_limit_unreadable` is then set.
+    std::optional<ratelimit::requests_per_second> rate_limit;
+    bool rate_limit_unreadable = false;
     // How long the upstream keeps an idle connection open, if it says so.
     std::optional<base::milliseconds> idle_timeout;
 };
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -108,6 +108,9 @@
     // Asks other entries where a stream began. `done` is called once, maybe at once.
     std::function<void(const base::request_id&, std::function<void(const origin_answer&)> done)>
         find_stream_origin;
+    // Records what the response to a request of this entry states of its upstream's rate limit.
+    std::function<void(const base::upstream_instance&, const ratelimit::statement&)>
+        record_stated_limit;
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -448,6 +448,10 @@
     this->software_record_seen_received(this->links.at(key).id, message);
 }
 
+void peers::handle(link_key key, const peering::upstream_limits& message, base::instant written) {
+    this->upstream_limits_received(this->links.at(key).id, message, written);
+}
+
 void peers::handle(link_key key, const peering::suspicion& message, base::instant written) {
     auto* found = fleet::find_instance(this->context.state.fleet, message.upstream);
     if (found == nullptr) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -87,6 +87,10 @@
     // Handles an acknowledgement of a record of software versions.
     std::function<void(const base::entry_id& from, const peering::software_record_seen&)>
         software_record_seen_received;
+    // Handles a report of upstreams' rate limits, written at that time.
+    std::function<void(const base::entry_id& from, const peering::upstream_limits&,
+                       base::instant written)>
+        upstream_limits_received;
     // The messages sent on a new link after the handshake.
     std::function<std::vector<peering::message>()> initial_messages;
 
@@ -149,6 +153,7 @@
     void handle(link_key key, const peering::origin_query& message, base::instant written);
     void handle(link_key key, const peering::origin_reply& message, base::instant written);
     void handle(link_key key, const peering::software_record_seen& message, base::instant written);
+    void handle(link_key key, const peering::upstream_limits& message, base::instant written);
     void handle(link_key key, const peering::store_query& message, base::instant written);
     void handle(link_key key, const peering::store_view& message, base::instant written);
     void apply_store_view(const peer_link& peer, const peering::store_view& view);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -74,6 +74,9 @@
                  base::milliseconds deadline) { this->origins.record(request, origin, deadline); },
           [this](const base::request_id& request, auto done) {
               this->origins.find(request, std::move(done));
+          },
+          [this](const base::upstream_instance& upstream, const ratelimit::statement& stated) {
+              this->limits.record(upstream, stated);
           }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
@@ -92,7 +95,8 @@
       peer_entries(this->context, this->store_calls), crashes(this->context),
       quarantine_store(this->context, this->store_calls,
                        [this] { return this->leader.fencing_token() != 0; }),
-      origins(this->context), retries_at_start(this->context, this->store_calls),
+      origins(this->context), limits(this->context),
+      retries_at_start(this->context, this->store_calls),
       software(this->context, this->store_calls),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {}
 
@@ -225,6 +229,7 @@
     this->peer_entries.initial_messages = [this] { return this->initial_messages(); };
     this->connect_quarantine();
     this->connect_stream_origins();
+    this->connect_rate_limits();
     this->kv_stores.broadcast = [this](const peering::kv_store_contents& message) {
         this->peer_entries.broadcast(message);
     };
@@ -279,6 +284,7 @@
     this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
         this->origins.send_all_to(entry);
         this->software.acknowledge_all();
+        this->limits.send_all_to(entry);
     };
     this->peer_entries.origin_message_received =
         [this](const base::entry_id& from, const origin_message& received, base::instant written) {
@@ -291,6 +297,19 @@
         };
 }
 
+void proxy::connect_rate_limits() {
+    this->limits.connected_entries = [this] {
+        return this->peer_entries.linked_entries(peering::rate_limit_protocol);
+    };
+    this->limits.send = [this](const std::vector<base::entry_id>& to,
+                               const peering::message& message) {
+        this->peer_entries.send(to, message);
+    };
+    this->peer_entries.upstream_limits_received =
+        [this](const base::entry_id& from, const peering::upstream_limits& message,
+               base::instant written) { this->limits.receive(from, message, written); };
+}
+
 void proxy::on_quarantine_started(const quarantine::quarantined_request& quarantined,
                                   bool decided_here) {
     if (decided_here) {
@@ -359,6 +378,7 @@
     this->crashes.tick();
     this->quarantine_store.tick();
     this->origins.tick();
+    this->limits.tick();
     this->software.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "proxy/frontend_server.h"
 #include "proxy/kv_store_follower.h"
 #include "proxy/leadership.h"
+#include "proxy/limit_exchange.h"
 #include "proxy/origin_exchange.h"
 #include "proxy/peers.h"
 #include "proxy/quarantine_records.h"
@@ -52,6 +53,7 @@
     void connect_parts();
     void connect_quarantine();
     void connect_stream_origins();
+    void connect_rate_limits();
     // The messages sent to a newly connected entry.
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void log_deferred_call(adapters::platform_call kind, base::micros wait);
@@ -107,6 +109,7 @@
     crash_detector crashes;
     quarantine_records quarantine_store;
     origin_exchange origins;
+    limit_exchange limits;
     startup_slot retries_at_start;
     software_records software;
     kv_store_follower kv_stores;
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -12,7 +12,9 @@
                              {"pool", member.listed.pool.value},
                              {"address", member.listed.address},
                              {"fit", fleet::is_eligible(member, this->context.now())},
-                             {"in_flight", member.local_work.in_flight}});
+                             {"in_flight", member.local_work.in_flight},
+                             {"limit_per_s", member.limit.limit ? member.limit.limit->value : -1.0},
+                             {"limit_share_per_s", member.permits.rate.value}});
     }
     nlohmann::json held = nlohmann::json::array();
     for (const auto& quarantined :
@@ -92,9 +94,15 @@
     this->refresh_weights_metric();
     this->refresh_quota_metrics();
     std::int64_t fit = 0;
+    std::int64_t limited = 0;
+    double share_of_limits = 0.0;
     for (const auto& [id, member] : this->state.fleet.members) {
         fit += fleet::is_eligible(member, this->context.now()) ? 1 : 0;
+        limited += member.limit.limit ? 1 : 0;
+        share_of_limits += member.permits.rate.value;
     }
+    this->metrics.set("camphorrail_limited_upstreams", static_cast<double>(limited));
+    this->metrics.set("camphorrail_limit_share_per_second", share_of_limits);
     this->metrics.set("camphorrail_upstreams", static_cast<double>(fit), {{"state", "fit"}});
     this->metrics.set("camphorrail_upstreams",
                       static_cast<double>(this->state.fleet.members.size()) -
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -150,6 +150,9 @@
                 .text("told_by", source);
         }
     };
+    if (!change.added.empty() || !change.restarted.empty()) {
+        this->limits.divide_limits();
+    }
     log_each("upstream_added", change.added);
     log_each("upstream_changed", change.changed);
     log_each("upstream_unlisted", change.removed);
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -39,8 +39,7 @@
     }
     auto choice = choose_upstream(this->context, this->criteria);
     if (!choice) {
-        this->fail_request("no_upstream", base::code::no_upstream, base::code::upstream_failed,
-                           std::nullopt);
+        this->refuse_without_upstream();
         return;
     }
     if (this->is_first_attempt() && !this->admit_prompt(*choice)) {
@@ -50,6 +49,20 @@
     this->send_to(std::move(*choice));
 }
 
+// If only rate limits keep the upstreams from taking the request, the client is told so, and when
+// they may take it.
+void request_flow::refuse_without_upstream() {
+    const auto limited = limited_retry_after(this->context, this->criteria,
+                                             base::stable_hash(this->metadata.request_id));
+    if (limited) {
+        this->fail_request("upstreams_limited", base::code::upstreams_limited,
+                           base::code::upstream_failed, limited);
+    } else {
+        this->fail_request("no_upstream", base::code::no_upstream, base::code::upstream_failed,
+                           std::nullopt);
+    }
+}
+
 // Decides whether a request that no upstream has received yet is accepted or refused for overload,
 // and records the decision for later prompts. Requests without a prompt are always accepted, since
 // they do not queue at an engine.
@@ -178,6 +191,7 @@
     if (auto* member = this->current_member()) {
         this->current->last_resort = !fleet::is_available(*member);
         fleet::add_request(member->local_work, this->current_work());
+        this->count_against_limit();
     }
     if (this->criteria.suspect) {
         this->current->trial = true;
@@ -255,7 +269,7 @@
 // a second on a VM that is rarely scheduled, and meanwhile the list or another response may say
 // that the upstream is draining. A request sent then would reach it after the bound on requests to
 // draining upstreams.
-bool request_flow::may_still_send() const {
+bool request_flow::may_still_send() {
     const auto* member = this->current_member();
     const base::instant now = this->context.now();
     if (member == nullptr || now < member->pause_until) {
@@ -265,12 +279,26 @@
     if (deadline && now >= *deadline) {
         return false;
     }
+    if (!this->count_against_limit()) {
+        return false;
+    }
     if (this->current->last_resort) {
         return fleet::may_serve_in_grace(*member, now, fleet_rules_of(this->context.settings));
     }
     return fleet::is_available(*member);
 }
 
+// Counts the attempt once against the rate limit of its upstream, which may have stated it since
+// the upstream was chosen. Returns false if the limit does not allow the attempt.
+bool request_flow::count_against_limit() {
+    auto* member = this->current_member();
+    if (member == nullptr || !member->limit.limit || this->current->counts_against_limit) {
+        return true;
+    }
+    this->current->counts_against_limit = fleet::count_against_limit(*member, this->context.now());
+    return this->current->counts_against_limit;
+}
+
 // Records that the upstream will hold the prompt, and how much of the stores' bandwidth the request
 // uses.
 void request_flow::record_prompt_sent() {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -171,7 +171,8 @@
         .number("pool_listed", upstreams.listed)
         .number("pool_fit", upstreams.eligible)
         .number("pool_busy", upstreams.busy)
-        .number("pool_suspected", upstreams.suspected);
+        .number("pool_suspected", upstreams.suspected)
+        .number("pool_limited", upstreams.limited);
     this->context.metrics.count("camphorrail_refusals_total",
                                 {{"code", std::string(base::describe(number).name)},
                                  {"ran", std::string(base::to_string(ran))}});
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -54,6 +54,8 @@
         // The attempt is the one trial that is allowed for a request suspected of crashing
         // upstreams.
         bool trial = false;
+        // The attempt counts against a rate limit that its upstream states.
+        bool counts_against_limit = false;
         // When the first byte of the response was received.
         base::instant first_byte_at{};
     };
@@ -87,7 +89,8 @@
     void report_broken_attempt();
     void clear_suspicion();
     [[nodiscard]] bool is_first_attempt() const;
-    [[nodiscard]] bool may_still_send() const;
+    bool may_still_send();
+    bool count_against_limit();
     [[nodiscard]] std::optional<base::instant> current_begin_deadline() const;
     bool admit_prompt(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
@@ -127,6 +130,8 @@
     [[nodiscard]] stall_view current_stall_view() const;
     bool fail_over(bool dead);
     void handle_upstream_signals();
+    void record_stated_limit();
+    void refuse_without_upstream();
     void record_progress();
     void record_first_byte();
     void record_pause();
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -66,6 +66,25 @@
             fleet::record_pause(*member, *response.pause, this->context.now());
         }
     }
+    this->record_stated_limit();
+}
+
+// A response without a limit ends the one that was stated before, unless the upstream has refused
+// the request: what it answers then need not be made where limits are known.
+void request_flow::record_stated_limit() {
+    const auto& response = this->current->metadata;
+    const auto upstream = instance_of(this->current->choice);
+    if (response.rate_limit_unreadable) {
+        this->context.log.line(importance::keep, "upstream_limit_unreadable")
+            .text("request", this->metadata.request_id)
+            .text("upstream", upstream.id.value);
+        return;
+    }
+    if (response.wrong_instance || (response.not_run && !response.rate_limit)) {
+        return;
+    }
+    this->context.record_stated_limit(
+        upstream, {response.rate_limit, this->current->sent_at, this->context.now()});
 }
 
 void request_flow::record_progress() {
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -1,5 +1,6 @@
 #include "proxy/upstream_choice.h"
 
+#include "base/random.h"
 #include "kvcache/placement.h"
 
 #include <algorithm>
@@ -283,10 +284,40 @@
         count.eligible += fleet::is_eligible(member, now) ? 1 : 0;
         count.busy += now < fleet::unavailable_until(member) ? 1 : 0;
         count.suspected += fleet::is_suspected(member, now) ? 1 : 0;
+        count.limited += fleet::is_within_limit(member, now) ? 0 : 1;
     }
     return count;
 }
 
+std::optional<base::milliseconds> limited_retry_after(const entry_context& context,
+                                                      const selection_criteria& criteria,
+                                                      std::uint64_t draw) {
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    constexpr milliseconds min_wait{100};
+    constexpr milliseconds max_wait{2000};
+    constexpr milliseconds spread{900};
+    const base::instant now = context.now();
+    double per_second = 0.0;
+    bool any_limited = false;
+    for (const auto& [id, member] : context.state.fleet.members) {
+        const bool could_take = member.listed.pool == criteria.pool &&
+                                fleet::is_eligible(member, now) &&
+                                runs_suitable_software(context, criteria, member);
+        if (could_take && member.limit.limit) {
+            any_limited = true;
+            per_second += member.limit.limit->value;
+        }
+    }
+    if (!any_limited) {
+        return std::nullopt;
+    }
+    const milliseconds interval{1000.0 / std::max(per_second, 1e-3)};
+    base::random_source random{draw};
+    const milliseconds wait =
+        std::clamp(interval, min_wait, max_wait) + base::random_unit(random) * spread;
+    return std::chrono::duration_cast<base::milliseconds>(wait);
+}
+
 base::milliseconds estimate_retry_after(const entry_context& context,
                                         const selection_criteria& criteria) {
     constexpr base::milliseconds default_wait{250};
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -75,10 +75,18 @@
     std::int64_t eligible = 0;
     std::int64_t busy = 0;
     std::int64_t suspected = 0;
+    std::int64_t limited = 0;
 };
 
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool);
 
+// If upstreams could take the request but for the rate limits that they state: the time until they
+// may have room for it. `draw`, any number that differs between requests, spreads the clients,
+// which would otherwise all come again at once.
+std::optional<base::milliseconds> limited_retry_after(const entry_context& context,
+                                                      const selection_criteria& criteria,
+                                                      std::uint64_t draw);
+
 // Estimates the time until an upstream may be free again that can take the request; a short default
 // if that is not known, and 0 if a stream can't be continued since no upstream runs its software.
 base::milliseconds estimate_retry_after(const entry_context& context,
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -222,8 +222,11 @@
               [this](const base::request_id& request, const auto& done) {
                   this->asked_origins.push_back(request.value);
                   done(this->origins_elsewhere[request.value]);
+              },
+              [this](const base::upstream_instance& upstream, const ratelimit::statement& stated) {
+                  this->limits.record(upstream, stated);
               }},
-      crashes(this->context),
+      crashes(this->context), limits(this->context),
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
@@ -243,6 +246,10 @@
             flow->cancel_if_quarantined(held);
         }
     };
+    this->limits.connected_entries = [this] { return this->linked; };
+    this->limits.send = [this](const auto&, const peering::message& message) {
+        this->told.push_back(message);
+    };
     this->settings.peer_listen = own_address(18994);
     using routes::request_kind;
     const auto route = [](const char* name, request_kind kind, int attempts, bool resumable) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -3,6 +3,7 @@
 #include "platform/dialect.h"
 #include "proxy/crash_detector.h"
 #include "proxy/frontend_server.h"
+#include "proxy/limit_exchange.h"
 #include "proxy/request_flow.h"
 
 #include <functional>
@@ -129,6 +130,9 @@
     void name_entry(const base::entry_id& id) { this->settings.id = id; }
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
+    proxy::limit_exchange& limit_exchange() { return this->limits; }
+    // The entries that this one is linked to.
+    std::vector<entries::linked_entry> linked;
     // What the entry has told others.
     std::vector<peering::message> told;
     // What other entries reply about the origins of streams, and the streams that they were asked
@@ -153,6 +157,7 @@
     proxy::connection_pool connections;
     proxy::entry_context context;
     proxy::crash_detector crashes;
+    proxy::limit_exchange limits;
     proxy::frontend_server server;
     std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
     std::vector<std::unique_ptr<scripted_engine>> engines;
