Have engines of the soak state rate limits, and hold entries to them

Half of the soak's engines state a limit of 0.3 to 8 requests a second for some seconds, one after the other, beside all other faults. The checker counts what reaches them from entries in touch that have passed on such an answer.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -111,6 +111,7 @@
         }
         this->call.status = this->reader.head().status;
         this->call.says_leaving = http::has(this->reader.head().all, "Server-Leaving");
+        this->call.states_limit = http::has(this->reader.head().all, "Server-Limit");
         this->call.stamp = http::value_of(this->reader.head().all, "Response-Stamp");
         this->call.body += this->reader.take_body();
         if (this->reader.complete()) {
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -263,6 +263,19 @@
     }
 }
 
+// The most of these moments, in order, that lie within any window.
+std::size_t fullest_window(const std::vector<base::instant>& times, base::milliseconds window) {
+    std::size_t first = 0;
+    std::size_t fullest = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) {
+            ++first;
+        }
+        fullest = std::max(fullest, last - first + 1);
+    }
+    return fullest;
+}
+
 bool is_of_store(const fault_span& span) {
     const std::set<std::string> faults{"store_busy", "store_silent", "store_slow", "store_loses",
                                        "store_returns"};
@@ -445,6 +458,54 @@
     }
 }
 
+// When entries first passed on an answer of this back end that states a limit.
+std::map<int, base::instant> told_of_limit(const history& seen, const limit_stated& limit) {
+    std::map<int, base::instant> told;
+    for (const auto& call : seen.calls) {
+        const bool states = call.states_limit && call.stamp.starts_with(limit.instance + "/") &&
+                            call.ended_at >= limit.from;
+        if (states) {
+            const auto [first, is_new] = told.try_emplace(call.entry, call.ended_at);
+            first->second = std::min(first->second, call.ended_at);
+        }
+    }
+    return told;
+}
+
+void check_limits(const history& seen, const promised& promises, findings& found) {
+    const auto calls = calls_by_id(seen);
+    for (const auto& limit : seen.limits) {
+        const auto told = told_of_limit(seen, limit);
+        std::vector<base::instant> arrivals;
+        for (const auto& run : seen.runs) {
+            const bool settled = run.instance == limit.instance && run.at <= limit.until &&
+                                 run.at >= limit.from + promises.limit_settles;
+            const auto call = settled ? calls.find(run.id) : calls.end();
+            if (call == calls.end()) {
+                continue;
+            }
+            const int entry = call->second->entry;
+            const auto since = told.find(entry);
+            const bool counts = since != told.end() &&
+                                run.at >= since->second + promises.limit_told &&
+                                in_touch(seen, entry, run.at, promises);
+            if (counts) {
+                arrivals.push_back(run.at);
+            }
+        }
+        std::sort(arrivals.begin(), arrivals.end());
+        const std::chrono::duration<double> window = promises.limit_window;
+        const double most = promises.limit_excess * limit.requests_per_second * window.count() +
+                            promises.limit_slack;
+        const std::size_t fullest = fullest_window(arrivals, promises.limit_window);
+        if (static_cast<double>(fullest) > most) {
+            found.push_back("rate limits are kept: " + limit.instance + " got " +
+                            std::to_string(fullest) + " calls in one window, " +
+                            std::to_string(static_cast<int>(most)) + " allowed");
+        }
+    }
+}
+
 bool is_of_limited_team(const call_seen& call, const promised& promises) {
     return "team-of-" + call.key == promises.quota_team;
 }
@@ -458,17 +519,10 @@
         }
     }
     std::sort(ran.begin(), ran.end());
+    const std::size_t fullest = fullest_window(ran, promises.quota_window);
     const std::chrono::duration<double> window = promises.quota_window;
     const double given = promises.quota_rate_per_s * window.count() + promises.quota_burst;
     const double most = given * (1.0 + promises.quota_excess) + promises.quota_slack;
-    std::size_t first = 0;
-    std::size_t fullest = 0;
-    for (std::size_t last = 0; last < ran.size(); ++last) {
-        while (ran[last] - ran[first] >= promises.quota_window) {
-            ++first;
-        }
-        fullest = std::max(fullest, last - first + 1);
-    }
     if (static_cast<double>(fullest) > most) {
         found.push_back("quotas hold over all entries: " + std::to_string(fullest) +
                         " runs in one window, " + std::to_string(static_cast<int>(most)) +
@@ -593,6 +647,7 @@
     check_software(seen, found);
     check_resumptions(seen, promises, found);
     check_quota(seen, promises, found);
+    check_limits(seen, promises, found);
     check_retries(seen, promises, true, found);
     check_retries(seen, promises, false, found);
     for (const auto& exit : seen.exits) {
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -39,6 +39,14 @@
     double retry_ratio = 0.2;
     double retry_slack = 50.0;
     base::milliseconds retry_window{10000};
+    // What may reach a back end that states a rate limit in any window from the settling time on,
+    // from entries in touch that have passed on such an answer: this part of what the limit allows,
+    // and so many more.
+    base::milliseconds limit_window{4000};
+    base::milliseconds limit_settles{3000};
+    base::milliseconds limit_told{500};
+    double limit_excess = 1.5;
+    double limit_slack = 5.0;
     // From so many resumptions on, streams are resumed at least this often, relative to the share
     // of new ones that begin. Counted are calls through entries in touch, while two engines of the
     // stream's software serve.
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -471,3 +471,40 @@
         CHECK(soak::check(seen, {}).empty());
     }
 }
+
+// Guards against a checker that overlooks an engine that gets more than the rate limit it states.
+TEST_CASE("the soak's checker knows how much a rate limit allows", "[soak]") {
+    auto seen = sound();
+    seen.limits = {{"i-9", 1.0, at(3000), at(30000)}};
+    const auto add = [&seen](const std::string& id, int at_ms) {
+        seen.calls.push_back(call(id, soak::call_kind::safe, 200, at_ms));
+        seen.calls.back().stamp = "i-9/" + id;
+        seen.calls.back().states_limit = true;
+        seen.runs.push_back(run(id, at_ms + 10));
+        seen.runs.back().instance = "i-9";
+        seen.runs.back().stamp = "i-9/" + id;
+    };
+    add("told", 3100);
+    const auto add_many = [&add](int count, int from_ms) {
+        for (int each = 0; each < count; ++each) {
+            add("l" + std::to_string(from_ms + each), from_ms + 100 * each);
+        }
+    };
+    SECTION("in a window from three seconds after it was stated") {
+        add_many(12, 8000);
+        CHECK(only_finding(seen).rfind("rate limits are kept: i-9 got 12", 0) == 0);
+    }
+    SECTION("and no less") {
+        add_many(11, 8000);
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("but not before") {
+        add_many(20, 3200);
+        CHECK(soak::check(seen, {}).empty());
+    }
+    SECTION("nor of an entry that was disturbed") {
+        add_many(12, 8000);
+        seen.faults.push_back({"kill", 0, at(6000), at(7000), false});
+        CHECK(soak::check(seen, {}).empty());
+    }
+}
--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -57,6 +57,7 @@
     this->fails = false;
     this->loses_answers = false;
     this->says_leaving = false;
+    this->rate_limit.reset();
     this->pauses_until = {};
     this->server = std::make_unique<adapters::http_server>(
         this->loop->base(), adapters::http_limits{},
@@ -131,6 +132,9 @@
     if (this->says_leaving) {
         all.emplace_back("Server-Leaving", "1");
     }
+    if (this->rate_limit) {
+        all.emplace_back("Server-Limit", std::to_string(*this->rate_limit));
+    }
     if (!exchange.header("Model-Name").empty()) {
         all.emplace_back("Weight-Versions", std::to_string(this->version));
     }
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -5,6 +5,7 @@
 #include "soak/history.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace camphorrail::soak {
@@ -31,6 +32,8 @@
     bool loses_answers = false;
     // It says in its answers that it leaves.
     bool says_leaving = false;
+    // The rate limit that it states in its answers, in requests per second.
+    std::optional<double> rate_limit;
     // Until then it turns orders away.
     base::instant refuses_orders_until{};
     // It turns calls away and asks for a pause until then.
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -54,6 +54,8 @@
     bool popular = false;
     // The answer says that its engine leaves.
     bool says_leaving = false;
+    // The answer states a rate limit of its engine.
+    bool states_limit = false;
     // The model that it is for; empty for others.
     std::string model;
     // The call that brought the first event of the stream that this one resumes, and the number of
@@ -94,6 +96,14 @@
     base::instant until{};
 };
 
+// A stretch in which a back end states a rate limit in all of its answers.
+struct limit_stated {
+    std::string instance;
+    double requests_per_second = 0.0;
+    base::instant from{};
+    base::instant until{};
+};
+
 // An order to an engine to load weights.
 struct order_seen {
     std::string instance;
@@ -142,6 +152,7 @@
     std::vector<call_seen> calls;
     std::vector<run_seen> runs;
     std::vector<pause_asked> pauses;
+    std::vector<limit_stated> limits;
     std::vector<order_seen> orders;
     std::vector<key_removed> removed;
     std::vector<version_named> named;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 30> names{"kill",
+constexpr std::array<std::string_view, 31> names{"kill",
                                                  "stop",
                                                  "pause",
                                                  "reload",
@@ -39,7 +39,8 @@
                                                  "weights_named_in_pause",
                                                  "store_saves_copy",
                                                  "store_returns",
-                                                 "engine_released"};
+                                                 "engine_released",
+                                                 "engine_states_limit"};
 // The first ones are drawn at random; the others are added.
 constexpr std::uint64_t drawn_kinds = 22;
 constexpr std::uint64_t quiet_stream = 0xfa7a1;
@@ -56,6 +57,12 @@
 constexpr int longest_span_ms = 4000;
 constexpr std::uint64_t return_stream = 0xc0b1e5;
 constexpr std::uint64_t release_stream = 0x2e1ea5e;
+constexpr std::uint64_t limit_stream = 0x11417;
+constexpr int shortest_limit_gap_ms = 500;
+constexpr int longest_limit_gap_ms = 4000;
+constexpr int shortest_limit_ms = 5000;
+constexpr int longest_limit_ms = 12000;
+constexpr std::array<double, 4> rate_limits{0.3, 1.0, 2.5, 8.0};
 constexpr int first_release_ms = 300;
 constexpr int longest_gap_between_lives_ms = 800;
 constexpr int shortest_release_gap_ms = 100;
@@ -233,6 +240,24 @@
     }
 }
 
+// Half of the engines at most, so that the others can take the calls, until after all else is sound
+// again. From a stream of its own.
+void add_limits(std::vector<planned_fault>& plan, std::uint64_t seed, const plan_size& size) {
+    base::random_source random{seed ^ limit_stream};
+    base::milliseconds at{0};
+    while (true) {
+        at += draw(random, shortest_limit_gap_ms, longest_limit_gap_ms);
+        if (at >= size.length + calm_before_quiet) {
+            return;
+        }
+        const int target = static_cast<int>(draw(random, 0, std::max(1, size.engines / 2)).count());
+        planned_fault fault{at, draw(random, shortest_limit_ms, longest_limit_ms),
+                            fault_kind::engine_states_limit, target};
+        fault.rate_limit = rate_limits.at(base::random_below(random, rate_limits.size()));
+        plan.push_back(fault);
+    }
+}
+
 } // namespace
 
 std::vector<planned_fault> make_plan(std::uint64_t seed, const plan_size& size) {
@@ -252,6 +277,7 @@
             if (size.releases) {
                 add_releases(plan, seed, size);
             }
+            add_limits(plan, seed, size);
             return plan;
         }
         const auto kind = static_cast<fault_kind>(base::random_below(random, drawn_kinds));
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -50,6 +50,8 @@
     store_returns_from_copy,
     // An engine leaves and comes back with other software.
     engine_released,
+    // An engine states a rate limit in its answers.
+    engine_states_limit,
 };
 
 const char* name_of(fault_kind kind);
@@ -70,6 +72,8 @@
     base::milliseconds engines_after{0};
     // For how long an engine leaves by the list alone; 0 for one that says so in answers too.
     base::milliseconds listed_alone{0};
+    // The rate limit that an engine states, in requests per second.
+    double rate_limit = 0.0;
     // The number of the software version that a released engine comes back with.
     int software = 0;
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -524,6 +524,9 @@
         one.runs->next_software = "v" + std::to_string(fault.software);
         this->leave(fault, one);
         break;
+    case fault_kind::engine_states_limit:
+        this->state_limit(fault, one);
+        break;
     case fault_kind::engine_asks_for_pause:
         one.runs->pauses_until = adapters::boot_now() + fault.span / 2;
         break;
@@ -532,6 +535,21 @@
     }
 }
 
+// The limit ends with the engine's life at the latest.
+void soak::state_limit(const planned_fault& fault, back_end& one) {
+    if (one.runs->rate_limit) {
+        return;
+    }
+    const base::instant now = adapters::boot_now();
+    one.runs->rate_limit = fault.rate_limit;
+    this->seen.limits.push_back({one.runs->instance(), fault.rate_limit, now, now + fault.span});
+    this->after(fault.span, [&one, instance = one.runs->instance()] {
+        if (one.runs->instance() == instance) {
+            one.runs->rate_limit.reset();
+        }
+    });
+}
+
 void soak::leave(const planned_fault& fault, back_end& one) {
     const bool alone = fault.listed_alone > milliseconds(0);
     one.runs->says_leaving = one.runs->says_leaving || !alone;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -68,6 +68,7 @@
     void list(back_end& one);
     void note_leaving(const std::string& instance);
     void leave(const planned_fault& fault, back_end& one);
+    void state_limit(const planned_fault& fault, back_end& one);
     void begin_serving(back_end& one);
     void end_serving(back_end& one);
     // Writes and deletes of operators and engines.
