Take the window of the retry budget from the settings

The operators state the length of the window that retries are counted in, and the code took ten seconds for granted: a bound that is given and read nowhere. It is read at the start alone, since the buckets of a window are counted by its length.

--- a/src/proxy/retry_shares.cpp
+++ b/src/proxy/retry_shares.cpp
@@ -1,7 +1,5 @@
 #include "proxy/retry_shares.h"
 
-#include "admission/retry_share.h"
-
 #include <cmath>
 
 namespace camphorrail::proxy {
@@ -21,8 +19,16 @@
 
 } // namespace
 
+admission::retry_share_rules retry_share_rules_of(const settings::proxy_settings& settings) {
+    // Covers retries that are on their way, and the buckets that a window is counted in.
+    constexpr base::seconds margin{2};
+    admission::retry_share_rules rules;
+    rules.settling_time = settings.bounds.retry_window + margin;
+    return rules;
+}
+
 void update_retry_shares(entry_context& context, const retry_share_inputs& inputs) {
-    const admission::retry_share_rules rules;
+    const auto rules = retry_share_rules_of(context.settings);
     auto& state = context.state;
     entries::record_entry_count(state.entry_counts, inputs.known_entries, context.now(),
                                 rules.settling_time);
@@ -36,6 +42,9 @@
     for (const auto& [id, pool] : state.config->pools) {
         const auto [found, is_new] = state.retries.try_emplace(id);
         auto& window = found->second;
+        if (is_new) {
+            window.span = bounds.retry_window;
+        }
         window.retries_per_request = bounds.retry_ratio * ratio_fraction;
         if (!is_new && window.extra_retries == share) {
             continue;
--- a/src/proxy/retry_shares.h
+++ b/src/proxy/retry_shares.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "admission/retry_share.h"
 #include "proxy/context.h"
 
 namespace camphorrail::proxy {
 
+// The parameters of retry shares with the values from the settings.
+admission::retry_share_rules retry_share_rules_of(const settings::proxy_settings& settings);
+
 // Sets the retries that this entry may send to each pool, as its share of what all entries may send
 // together. Call it periodically and after each change of the configuration or of the entries.
 struct retry_share_inputs {
--- a/src/proxy/startup_slot.cpp
+++ b/src/proxy/startup_slot.cpp
@@ -1,7 +1,7 @@
 #include "proxy/startup_slot.h"
 
-#include "admission/retry_share.h"
 #include "base/hash.h"
+#include "proxy/retry_shares.h"
 
 #include <string>
 #include <utility>
@@ -12,8 +12,8 @@
 
 using adapters::importance;
 
-// The settling time, in which retries are sent, and a window after it, with a margin.
-constexpr std::int64_t slot_lease_seconds = 24;
+// Beyond the settling time, in which retries are sent, and a window after it.
+constexpr base::seconds lease_margin{2};
 constexpr base::milliseconds call_retry{1000};
 
 } // namespace
@@ -23,7 +23,7 @@
 
 // Whether no slot is needed any more, or none is left.
 bool startup_slot::has_ended() const {
-    const admission::retry_share_rules rules;
+    const auto rules = retry_share_rules_of(this->context.settings);
     const auto slots =
         admission::startup_slot_count(this->context.settings.bounds.retry_slack, rules);
     return this->claimed || this->taken_count >= slots ||
@@ -40,7 +40,10 @@
 void startup_slot::claim_next() {
     this->call_pending = true;
     this->next_call = this->context.now() + call_retry;
-    this->platform.grant_lease(slot_lease_seconds, [this](base::result<ports::lease> granted) {
+    const auto& settings = this->context.settings;
+    const auto lease_time = std::chrono::ceil<base::seconds>(
+        retry_share_rules_of(settings).settling_time + settings.bounds.retry_window + lease_margin);
+    this->platform.grant_lease(lease_time.count(), [this](base::result<ports::lease> granted) {
         if (granted.has_value()) {
             this->claim(granted.value());
         } else {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -99,6 +99,8 @@
     parsed.grace = base::seconds(reader.number("grace_s", parsed.grace.count(), idle_range));
     parsed.retry_ratio = reader.fraction("retry_ratio", parsed.retry_ratio, 1.0);
     parsed.retry_slack = reader.fraction("retry_slack", parsed.retry_slack, most_slack);
+    parsed.retry_window =
+        base::seconds(reader.number("retry_window_s", parsed.retry_window.count(), idle_range));
     parsed.quota_window =
         base::seconds(reader.number("quota_window_s", parsed.quota_window.count(), idle_range));
     parsed.quota_excess = reader.fraction("quota_excess", parsed.quota_excess, 1.0);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -78,9 +78,10 @@
     // From SIGTERM to the end of the process.
     base::seconds grace{8};
     // Calls beyond the first of each request that all entries together may send to one pool: this
-    // share of the requests, and so many more in any ten seconds.
+    // share of the requests, and so many more, in any window of this length.
     double retry_ratio = 0.2;
     double retry_slack = 50;
+    base::seconds retry_window{10};
     // How far the sum over all entries may go above a team's quota in any window of this length: by
     // this part of the quota, and by so many units on top.
     base::seconds quota_window{8};
