Name the zone of each entry in the simulation of rate limits

Entries rank the holders of a limit by zone as well, and the simulated ones did not know their own, so they disagreed on the holders: up to 1.44 times the limit was used, within the bound.

--- a/src/proxy/limit_exchange_tests.cpp
+++ b/src/proxy/limit_exchange_tests.cpp
@@ -212,7 +212,7 @@
     void start(node& one) {
         one.world = std::make_unique<tests::proxy_world>();
         one.world->stop_clock();
-        one.world->name_entry(one.id);
+        one.world->name_entry(one.id, {one.zone});
         one.told_at.clear();
         std::vector<ports::listed_upstream> listed;
         for (int engine = 0; engine < this->given.engine_count; ++engine) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -127,7 +127,10 @@
     // Has the entry's clock move by `move_clock` alone, so that a slow machine changes nothing.
     void stop_clock() { this->stopped_at = adapters::boot_now(); }
     void prove_config();
-    void name_entry(const base::entry_id& id) { this->settings.id = id; }
+    void name_entry(const base::entry_id& id, const base::availability_zone& zone = {}) {
+        this->settings.id = id;
+        this->settings.zone = zone;
+    }
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
