--- a/src/proxy/retry_shares.cpp
+++ b/src/proxy/retry_shares.cpp
@@ -40,13 +40,11 @@
     const double share = admission::retry_share(
         {bounds.retry_slack, sharing, inputs.uptime, inputs.has_startup_slot}, rules);
     for (const auto& [id, pool] : state.config->pools) {
-        const auto [found, is_new] = state.retries.try_emplace(id);
-        auto& window = found->second;
-        if (is_new) {
-            window.span = bounds.retry_window;
-        }
+        state.retries.try_emplace(id, admission::retry_window{.span = bounds.retry_window});
+    }
+    for (auto& [id, window] : state.retries) {
         window.retries_per_request = bounds.retry_ratio * ratio_fraction;
-        if (!is_new && window.extra_retries == share) {
+        if (window.extra_retries == share) {
             continue;
         }
         window.extra_retries = share;
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -3,6 +3,7 @@
 #include "adapters/sockets.h"
 #include "http/writers.h"
 #include "own_address.h"
+#include "proxy/retry_shares.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -273,6 +274,9 @@
     this->config.pools[{"pool"}] = {.id = {"pool"}};
     routes::build_indexes(this->config);
     this->prove_config();
+    // Settled, so that tests may retry; the log begins without it.
+    proxy::update_retry_shares(this->context, {1, base::minutes(1)});
+    this->log_lines();
     this->server.listen("127.0.0.1:0");
 }
 
