Give a limited upstream the even share that it missed

What an even division would have given it is now counted, at most two requests, and made up for as soon as a permit is there.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,6 +25,9 @@
 // How many rate limits of upstreams that are not listed are remembered.
 constexpr std::size_t max_unlisted_limits = 256;
 
+// More than this is not made up for after a stretch without permits.
+constexpr double max_owed_requests = 2.0;
+
 // Maximum for the pause that an upstream may ask for; after it the upstream is tried again.
 constexpr base::minutes max_pause{10};
 
@@ -215,7 +218,31 @@
 }
 
 bool count_against_limit(member& one, base::instant now) {
-    return !one.limit.limit || ratelimit::take_permit(one.permits, now);
+    if (!one.limit.limit) {
+        return true;
+    }
+    const bool has_permit = ratelimit::take_permit(one.permits, now);
+    one.owed_requests -= has_permit ? 1.0 : 0.0;
+    return has_permit;
+}
+
+void count_towards_shares(fleet& state, const base::pool_id& pool, base::instant now) {
+    double eligible = 0.0;
+    bool any_limited = false;
+    for (const auto& [id, one] : state.members) {
+        const bool counts = one.listed.pool == pool && is_eligible(one, now);
+        eligible += counts ? 1.0 : 0.0;
+        any_limited = any_limited || (counts && one.limit.limit);
+    }
+    if (!any_limited) {
+        return;
+    }
+    for (auto& [id, one] : state.members) {
+        if (one.listed.pool == pool && one.limit.limit && is_eligible(one, now)) {
+            one.owed_requests = std::clamp(one.owed_requests + 1.0 / eligible, -max_owed_requests,
+                                           max_owed_requests);
+        }
+    }
 }
 
 void record_pause(member& one, base::micros span, base::instant now) {
@@ -310,6 +337,7 @@
 member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
                      std::uint64_t number, base::instant now, const fleet_rules& rules) {
     struct rank {
+        bool not_owed;
         double load;
         bool elsewhere;
         std::uint64_t draw;
@@ -319,7 +347,9 @@
     rank best_rank{};
     for (member* one : among) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(one->listed.slots, 1));
-        const rank candidate{static_cast<double>(estimated_load(*one, now, rules)) / slots,
+        const bool is_owed = one->limit.limit && one->owed_requests >= 1.0;
+        const rank candidate{!is_owed,
+                             static_cast<double>(estimated_load(*one, now, rules)) / slots,
                              one->listed.zone != zone, base::combine_hashes(number, one->id_hash)};
         if (best == nullptr || candidate < best_rank) {
             best = one;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -53,6 +53,9 @@
     // The rate limit that the upstream states, and this entry's share of it.
     ratelimit::stated_limit limit;
     ratelimit::permit_bucket permits;
+    // Requests that this entry owes the upstream by an even division among its pool, while the
+    // upstream states a rate limit; see `count_towards_shares`.
+    double owed_requests = 0.0;
     // The upstream prefers short prompts to long ones; see kvcache/lanes.h.
     bool short_lane = false;
     // When the upstream itself first reported that it is draining. The list may show this later, or
@@ -188,11 +191,17 @@
 std::int64_t estimate_pending_prefill_tokens(const member& one, base::instant now,
                                              double tokens_per_ms);
 
+// Counts a request to a pool towards the even shares of its members that state a rate limit. Such a
+// member gets nothing while it has no permit; what it missed is owed to it, so that its limit is
+// used if an even share would use it.
+void count_towards_shares(fleet& state, const base::pool_id& pool, base::instant now);
+
 // Estimates the number of requests at a member, of this entry and of all others.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
 
-// The candidate with the lowest load relative to its size. Ties go to a candidate in the given
-// availability zone, and then to the one selected by `number`. Null if there are no candidates.
+// A candidate that is owed a request, or else the one with the lowest load relative to its size.
+// Ties go to a candidate in the given availability zone, and then to the one selected by `number`.
+// Null if there are no candidates.
 member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
                      std::uint64_t number, base::instant now, const fleet_rules& rules);
 
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -268,3 +268,32 @@
         CHECK(fleet::candidates(state, {"pool"}, at(7000), rules, {}).size() == 1);
     }
 }
+
+// Guards against an upstream that gets much less than the rate limit that it states: it is passed
+// over while this entry has no permit for it, and one request in so many does not make up for that.
+TEST_CASE("a limited upstream gets its even share where its limit allows it", "[fleet]") {
+    fleet::fleet state;
+    std::vector<ports::listed_upstream> listed;
+    for (int each = 0; each < 8; ++each) {
+        listed.push_back(upstream("u" + std::to_string(each)));
+    }
+    fleet::apply_list(state, listed, at(0));
+    auto& one = state.members.at({"u0"});
+    // Just above the even share of six requests a second, at a bucket that holds a single one.
+    const ratelimit::requests_per_second limit{0.8};
+    ratelimit::apply_statement(one.limit, {limit, at(0), at(0)});
+    ratelimit::set_share(one.permits, limit, 3, at(0), {});
+    one.permits.rate = limit;
+    one.permits.capacity = 1.1;
+    int sent = 0;
+    for (int millis = 0; millis < 60'000; millis += 167) {
+        const auto among = fleet::candidates(state, {"pool"}, at(millis), {}, {});
+        fleet::count_towards_shares(state, {"pool"}, at(millis));
+        auto* chosen = fleet::least_loaded(among, {"a"}, static_cast<std::uint64_t>(millis) * 7919,
+                                           at(millis), {});
+        REQUIRE(fleet::count_against_limit(*chosen, at(millis)));
+        sent += chosen == &one ? 1 : 0;
+    }
+    CHECK(sent >= 36);
+    CHECK(sent <= 47);
+}
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -262,6 +262,7 @@
     if (criteria.suspect) {
         keep_safest(context, available);
     }
+    fleet::count_towards_shares(context.state.fleet, criteria.pool, now);
     const auto* target =
         fleet::least_loaded(available, context.settings.zone, criteria.hash, now, rules);
     upstream_choice choice;
