--- a/src/admission/retry_window.h
+++ b/src/admission/retry_window.h
@@ -16,8 +16,8 @@
     // Length of the window, and the number of buckets that it is counted in.
     base::micros span = base::seconds(10);
     static constexpr std::size_t bucket_count = 20;
-    // Retries per request, and additional retries per window. A window allows nothing until they are
-    // set.
+    // Retries per request, and additional retries per window. A window allows nothing until they
+    // are set.
     double retries_per_request = 0.0;
     double extra_retries = 0.0;
 
--- a/src/fleet/fleet_tests.cpp
+++ b/src/fleet/fleet_tests.cpp
@@ -273,8 +273,10 @@
 // over while this entry has no permit for it, and one request in so many does not make up for that.
 TEST_CASE("a limited upstream gets its even share where its limit allows it", "[fleet]") {
     fleet::fleet state;
+    constexpr int upstream_count = 8;
     std::vector<ports::listed_upstream> listed;
-    for (int each = 0; each < 8; ++each) {
+    listed.reserve(upstream_count);
+    for (int each = 0; each < upstream_count; ++each) {
         listed.push_back(upstream("u" + std::to_string(each)));
     }
     fleet::apply_list(state, listed, at(0));
