Say that only rate limits keep upstreams from a request where that is so

A request to a pool of which one engine states a limit and the others are busy for a moment was told that limits are used up, and to come back after up to a second and more, although a busy one may be free within 40 ms. The time that counts for busy ones is given again.

--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -299,17 +299,20 @@
     constexpr milliseconds spread{900};
     const base::instant now = context.now();
     double per_second = 0.0;
-    bool any_limited = false;
+    std::size_t limited = 0;
     for (const auto& [id, member] : context.state.fleet.members) {
-        const bool could_take = member.listed.pool == criteria.pool &&
-                                fleet::is_eligible(member, now) &&
-                                runs_suitable_software(context, criteria, member);
-        if (could_take && member.limit.limit) {
-            any_limited = true;
-            per_second += member.limit.limit->value;
+        const bool may_take = member.listed.pool == criteria.pool && fleet::is_available(member) &&
+                              runs_suitable_software(context, criteria, member);
+        if (!may_take) {
+            continue;
+        }
+        if (fleet::is_within_limit(member, now)) {
+            return std::nullopt;
         }
+        ++limited;
+        per_second += member.limit.limit->value;
     }
-    if (!any_limited) {
+    if (limited == 0) {
         return std::nullopt;
     }
     const milliseconds interval{1000.0 / std::max(per_second, 1e-3)};
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -80,8 +80,9 @@
 
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool);
 
-// If upstreams could take the request but for the rate limits that they state: the time until they
-// may have room for it. `draw`, any number that differs between requests, spreads the clients,
+// If nothing but the rate limits that they state keeps the upstreams from taking the request: the
+// time until they may have room for it. Empty if others of the pool are busy or ejected, which may
+// be free sooner. `draw`, any number that differs between requests, spreads the clients,
 // which would otherwise all come again at once.
 std::optional<base::milliseconds> limited_retry_after(const entry_context& context,
                                                       const selection_criteria& criteria,
