Give each soak an address of its own

Its log, kept, says cannot_listen for two of its four ports, 13770 and 13771; the others, on which connections had just ended, it got. The soak beside it took ports from 13741 on and starts its engines again under new ones: it takes a port that nobody listens on, passes over those with ended connections, and frees it when the engine crashes next. So the ports of a stopped entry were taken by the other soak. Who held them is not in the logs; this is inferred.

The unit tests had this fault, and have an address for each process since (own_address).

--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -1,6 +1,7 @@
 #include "soak/engine.h"
 
 #include "adapters/sockets.h"
+#include "own_address.h"
 
 #include <nlohmann/json.hpp>
 
@@ -35,7 +36,7 @@
         next = (next + 1) % ports;
         const int port = first_port + next;
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-        auto address = adapters::parse_address("127.0.0.1:" + std::to_string(port));
+        auto address = adapters::parse_address(tests::own_address(port));
         const bool is_free =
             bind(descriptor, reinterpret_cast<sockaddr*>(&*address), sizeof *address) == 0;
         close(descriptor);
@@ -63,7 +64,7 @@
         this->loop->base(), adapters::http_limits{},
         [this](const adapters::exchange_ptr& exchange) { this->handle(exchange); });
     do {
-        this->listens_at = "127.0.0.1:" + std::to_string(free_port());
+        this->listens_at = tests::own_address(free_port());
     } while (!this->server->listen(this->listens_at));
 }
 
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -78,7 +78,8 @@
     std::unique_ptr<adapters::http_server> server;
 };
 
-// A port of loopback that is free now, below those that the kernel gives to outgoing connections.
+// A port that is free now at the address of this process, below those that the kernel gives to
+// outgoing connections. No other process takes it while the one that listens on it is down.
 int free_port();
 
 } // namespace camphorrail::soak
--- a/tests/soak/entry_process.cpp
+++ b/tests/soak/entry_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/entry_process.h"
 
+#include "own_address.h"
+
 #include <array>
 #include <csignal>
 #include <cstring>
@@ -20,10 +22,6 @@
 constexpr int log_mode = 0644;
 constexpr int signal_base = 128;
 
-std::string at(int port) {
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 } // namespace
 
 entry_process::entry_process(entry_place place) : place(std::move(place)) {}
@@ -37,16 +35,16 @@
 }
 
 std::string entry_process::address() const {
-    return at(this->place.listen_port);
+    return tests::own_address(this->place.listen_port);
 }
 
 void entry_process::write_settings() const {
     std::ofstream file(this->place.directory + "/" + this->place.name + ".yaml");
     file << "role: proxy\nid: " << this->place.name
-         << "\navailability_zone: a\nlisten: " << at(this->place.listen_port)
-         << "\nready_listen: " << at(this->place.ready_port)
-         << "\noperators_listen: " << at(this->place.operators_port)
-         << "\npeer_listen: " << at(this->place.peer_port)
+         << "\navailability_zone: a\nlisten: " << tests::own_address(this->place.listen_port)
+         << "\nready_listen: " << tests::own_address(this->place.ready_port)
+         << "\noperators_listen: " << tests::own_address(this->place.operators_port)
+         << "\npeer_listen: " << tests::own_address(this->place.peer_port)
          << "\nplatform:\n  endpoint: " << this->place.store
          << "\n  poll_ms: 1000\n  timeout_ms: 800\nbounds:\n  revoke_ms: 5000\n  drain_ms: 2000\n"
             "  grace_s: 8\n  retry_ratio: 0.2\n  retry_slack: 50\n  lease_ms: 3000\n"
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 
+#include "own_address.h"
 #include "soak/checker.h"
 
 #include <nlohmann/json.hpp>
@@ -107,7 +108,7 @@
             }
         });
     do {
-        this->store_address = "127.0.0.1:" + std::to_string(free_port());
+        this->store_address = tests::own_address(free_port());
     } while (!this->store_server->listen(this->store_address));
 }
 
