--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <poll.h>
 #include <unistd.h>
 
@@ -95,6 +96,12 @@
     return *this;
 }
 
+event_line& event_line::thousandths(std::string_view name, double value) {
+    // Beyond this the number would not fit.
+    constexpr double largest = 1e12;
+    return this->number(name, std::llround(std::clamp(value, -largest, largest) * 1000.0));
+}
+
 event_line& event_line::span(std::string_view name, base::micros value) {
     if (this->owner != nullptr) {
         this->name_of(name);
--- a/src/adapters/event_log.h
+++ b/src/adapters/event_log.h
@@ -39,6 +39,8 @@
     event_line& text(std::string_view name, std::string_view value);
     event_line& number(std::string_view name, std::int64_t value);
     event_line& flag(std::string_view name, bool value);
+    // A fraction, written as a whole number of thousandths.
+    event_line& thousandths(std::string_view name, double value);
     // A span, written in milliseconds with one decimal.
     event_line& span(std::string_view name, base::micros value);
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -227,21 +227,20 @@
 }
 
 void count_towards_shares(fleet& state, const base::pool_id& pool, base::instant now) {
+    std::vector<member*> limited;
     double eligible = 0.0;
-    bool any_limited = false;
-    for (const auto& [id, one] : state.members) {
-        const bool counts = one.listed.pool == pool && is_eligible(one, now);
-        eligible += counts ? 1.0 : 0.0;
-        any_limited = any_limited || (counts && one.limit.limit);
-    }
-    if (!any_limited) {
-        return;
-    }
     for (auto& [id, one] : state.members) {
-        if (one.listed.pool == pool && one.limit.limit && is_eligible(one, now)) {
-            one.owed_requests = std::clamp(one.owed_requests + 1.0 / eligible, -max_owed_requests,
-                                           max_owed_requests);
+        if (one.listed.pool != pool || !is_eligible(one, now)) {
+            continue;
         }
+        eligible += 1.0;
+        if (one.limit.limit) {
+            limited.push_back(&one);
+        }
+    }
+    for (auto* one : limited) {
+        one->owed_requests =
+            std::clamp(one->owed_requests + 1.0 / eligible, -max_owed_requests, max_owed_requests);
     }
 }
 
--- a/src/proxy/limit_exchange.cpp
+++ b/src/proxy/limit_exchange.cpp
@@ -3,7 +3,6 @@
 #include "entries/record_holders.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace camphorrail::proxy {
@@ -20,9 +19,9 @@
 constexpr base::milliseconds repeat_period{2000};
 constexpr base::milliseconds repeat_time{10000};
 
-// For the log, whose numbers are whole; -1 for no limit.
-std::int64_t in_thousandths(const std::optional<ratelimit::requests_per_second>& limit) {
-    return limit ? std::llround(std::min(limit->value, 1e12) * 1000.0) : -1;
+// For the log; -1 for no limit.
+double logged(const std::optional<ratelimit::requests_per_second>& limit) {
+    return limit ? limit->value : -0.001;
 }
 
 peering::upstream_limit item_of(const fleet::member& member, base::instant now) {
@@ -35,48 +34,44 @@
 void limit_exchange::record(const base::upstream_instance& upstream,
                             const ratelimit::statement& stated) {
     auto* member = fleet::find_instance(this->context.state.fleet, upstream);
-    const bool never_limited =
-        member != nullptr && !stated.limit && !member->limit.changed_at.has_value();
-    if (member == nullptr || never_limited) {
+    if (member == nullptr) {
         return;
     }
-    const auto changed_at = member->limit.changed_at;
-    this->apply(*member, stated, {});
-    if (member->limit.changed_at != changed_at) {
+    if (this->apply(*member, stated, {})) {
         this->reports[upstream.id] = {upstream, stated.heard_at, stated.heard_at + repeat_time};
         this->send_report(*member);
         return;
     }
     const auto reported = this->reports.find(upstream.id);
-    if (reported != this->reports.end()) {
-        reported->second.heard_again =
-            reported->second.heard_again || stated.limit == member->limit.limit;
+    if (reported != this->reports.end() && stated.limit == member->limit.limit) {
+        reported->second.heard_again = true;
     }
 }
 
 void limit_exchange::receive(const base::entry_id& from, const peering::upstream_limits& message,
                              base::instant written) {
+    auto& fleet = this->context.state.fleet;
     for (const auto& item : message.items) {
         const ratelimit::statement stated{item.limit, written - item.asked_ago,
                                           written - item.heard_ago};
-        auto& fleet = this->context.state.fleet;
-        auto* member = fleet::find_instance(fleet, item.upstream);
-        if (member == nullptr) {
-            ratelimit::apply_statement(fleet::unlisted_limit(fleet, item.upstream), stated);
-        } else if (item.limit || member->limit.changed_at) {
+        if (auto* member = fleet::find_instance(fleet, item.upstream)) {
             this->apply(*member, stated, from);
+        } else {
+            ratelimit::apply_statement(fleet::unlisted_limit(fleet, item.upstream), stated);
         }
     }
 }
 
-void limit_exchange::apply(fleet::member& member, const ratelimit::statement& stated,
+// Returns whether the limit has changed.
+bool limit_exchange::apply(fleet::member& member, const ratelimit::statement& stated,
                            const base::entry_id& from) {
     const auto before = member.limit;
     if (!ratelimit::apply_statement(member.limit, stated)) {
-        return;
+        return false;
     }
-    this->update_share(member);
+    this->update_share(member, this->sharing_entries());
     this->log_change(member, before, from);
+    return true;
 }
 
 void limit_exchange::log_change(const fleet::member& member, const ratelimit::stated_limit& before,
@@ -85,28 +80,34 @@
         .text("upstream", member.listed.id.value)
         .number("incarnation", member.listed.incarnation.value)
         .text("told_by", from.value)
-        .number("limit_in_1000", in_thousandths(member.limit.limit))
-        .number("before_in_1000", in_thousandths(before.limit))
+        .thousandths("limit_in_1000", logged(member.limit.limit))
+        .thousandths("before_in_1000", logged(before.limit))
         .span("asked_ago_ms", this->context.now() - member.limit.asked_at)
-        .number("share_in_1000", in_thousandths(member.permits.rate))
+        .thousandths("share_in_1000", member.permits.rate.value)
         .number("entries", static_cast<std::int64_t>(this->sharers.size()) + 1);
     this->context.metrics.count("camphorrail_upstream_limit_changes_total");
 }
 
-void limit_exchange::update_share(fleet::member& member) {
-    if (!member.limit.limit) {
-        member.permits = {};
-        return;
-    }
+std::vector<entries::linked_entry> limit_exchange::sharing_entries() const {
     const auto& self = this->context.settings;
     std::vector<entries::linked_entry> all{{self.id, self.zone}};
     for (const auto& [id, each] : this->sharers) {
         all.push_back({id, each.zone});
     }
+    return all;
+}
+
+void limit_exchange::update_share(fleet::member& member,
+                                  const std::vector<entries::linked_entry>& among) {
+    if (!member.limit.limit) {
+        member.permits = {};
+        return;
+    }
     const ratelimit::permit_rules rules;
-    const auto count = ratelimit::holder_count(*member.limit.limit, all.size(), rules);
-    const auto holders = entries::rank_record_holders(all, member.listed.id.value, count);
-    const bool has_share = std::find(holders.begin(), holders.end(), self.id) != holders.end();
+    const auto count = ratelimit::holder_count(*member.limit.limit, among.size(), rules);
+    const auto holders = entries::rank_record_holders(among, member.listed.id.value, count);
+    const bool has_share =
+        std::find(holders.begin(), holders.end(), this->context.settings.id) != holders.end();
     ratelimit::set_share(member.permits, *member.limit.limit, has_share ? count : 0,
                          this->context.now(), rules);
 }
@@ -128,11 +129,12 @@
 }
 
 void limit_exchange::divide_limits() {
+    const auto among = this->sharing_entries();
     std::int64_t limited = 0;
     std::int64_t shared = 0;
     for (auto& [id, member] : this->context.state.fleet.members) {
         if (member.limit.limit) {
-            this->update_share(member);
+            this->update_share(member, among);
             ++limited;
             shared += member.permits.capacity > 0.0 ? 1 : 0;
         }
--- a/src/proxy/limit_exchange.h
+++ b/src/proxy/limit_exchange.h
@@ -48,11 +48,13 @@
         bool heard_again = false;
     };
 
-    void apply(fleet::member& member, const ratelimit::statement& stated,
+    bool apply(fleet::member& member, const ratelimit::statement& stated,
                const base::entry_id& from);
     void log_change(const fleet::member& member, const ratelimit::stated_limit& before,
                     const base::entry_id& from);
-    void update_share(fleet::member& member);
+    // This entry and all sharers.
+    [[nodiscard]] std::vector<entries::linked_entry> sharing_entries() const;
+    void update_share(fleet::member& member, const std::vector<entries::linked_entry>& among);
     void update_sharers();
     void repeat_reports();
     void send_report(const fleet::member& member);
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -87,14 +87,11 @@
 }
 
 std::int64_t peers::count() const {
-    std::set<base::entry_id> known{this->context.settings.id};
-    for (const auto& [id, address] : this->registered_entries()) {
-        known.insert(id);
-    }
+    auto others = this->listed_entries().others;
     for (const auto& id : this->connected_entries()) {
-        known.insert(id);
+        others.insert(id);
     }
-    return static_cast<std::int64_t>(known.size());
+    return static_cast<std::int64_t>(others.size()) + 1;
 }
 
 quota::listed_entries peers::listed_entries() const {
--- a/src/proxy/retry_shares.cpp
+++ b/src/proxy/retry_shares.cpp
@@ -1,7 +1,5 @@
 #include "proxy/retry_shares.h"
 
-#include <cmath>
-
 namespace camphorrail::proxy {
 
 namespace {
@@ -12,11 +10,6 @@
 // reach upstreams late.
 constexpr double ratio_fraction = 0.7;
 
-// For the log, whose numbers are whole.
-std::int64_t in_thousandths(double value) {
-    return std::llround(value * 1000.0);
-}
-
 } // namespace
 
 admission::retry_share_rules retry_share_rules_of(const settings::proxy_settings& settings) {
@@ -53,7 +46,7 @@
             .number("entries", sharing)
             .number("entries_now", inputs.known_entries)
             .flag("settled", inputs.uptime >= rules.settling_time)
-            .number("extra_retries_in_1000", in_thousandths(share));
+            .thousandths("extra_retries_in_1000", share);
     }
 }
 
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -47,6 +47,16 @@
            resumption::may_begin_streams(versions->second, member.listed.software);
 }
 
+// The members that could take the request if they were neither busy nor limited.
+std::vector<const fleet::member*> suitable_members(const entry_context& context,
+                                                   const selection_criteria& criteria) {
+    auto members = pool_members(context.state.fleet, criteria.pool);
+    std::erase_if(members, [&](const auto* member) {
+        return !fleet::is_available(*member) || !runs_suitable_software(context, criteria, *member);
+    });
+    return members;
+}
+
 const latency::first_byte_model& latency_model_of(const entry_state& state,
                                                   const base::pool_id& pool) {
     static const latency::first_byte_model untrained;
@@ -298,21 +308,15 @@
     constexpr milliseconds max_wait{2000};
     constexpr milliseconds spread{900};
     const base::instant now = context.now();
+    const auto suitable = suitable_members(context, criteria);
     double per_second = 0.0;
-    std::size_t limited = 0;
-    for (const auto& [id, member] : context.state.fleet.members) {
-        const bool may_take = member.listed.pool == criteria.pool && fleet::is_available(member) &&
-                              runs_suitable_software(context, criteria, member);
-        if (!may_take) {
-            continue;
-        }
-        if (fleet::is_within_limit(member, now)) {
+    for (const auto* member : suitable) {
+        if (fleet::is_within_limit(*member, now)) {
             return std::nullopt;
         }
-        ++limited;
-        per_second += member.limit.limit->value;
+        per_second += member->limit.limit->value;
     }
-    if (limited == 0) {
+    if (suitable.empty()) {
         return std::nullopt;
     }
     const milliseconds interval{1000.0 / std::max(per_second, 1e-3)};
@@ -330,15 +334,11 @@
     constexpr base::milliseconds min_wait{150};
     const base::instant now = context.now();
     std::optional<base::milliseconds> shortest_wait;
-    for (const auto& [id, member] : context.state.fleet.members) {
-        if (member.listed.pool != criteria.pool || !fleet::is_available(member) ||
-            !runs_suitable_software(context, criteria, member)) {
-            continue;
-        }
+    for (const auto* member : suitable_members(context, criteria)) {
         const auto until =
-            std::max({member.busy_until, member.health.ejected_until, member.suspected_until});
+            std::max({member->busy_until, member->health.ejected_until, member->suspected_until});
         const auto remaining = std::chrono::duration_cast<base::milliseconds>(until - now);
-        const auto paused = std::chrono::ceil<base::milliseconds>(member.pause_until - now);
+        const auto paused = std::chrono::ceil<base::milliseconds>(member->pause_until - now);
         const auto member_wait = std::max(std::clamp(remaining, min_wait, default_wait), paused);
         shortest_wait = shortest_wait ? std::min(*shortest_wait, member_wait) : member_wait;
     }
