--- a/tests/process/limits.sh
+++ b/tests/process/limits.sh
@@ -27,6 +27,17 @@
     done
 }
 
+# start_limited_fleet LIMIT ENGINE...: a fleet under calls in which these engines have stated this limit for as long as
+# entries are given to keep to it; FROM is when that was over.
+start_limited_fleet() {
+    start_fleet
+    send_calls
+    sleep 1
+    state_limit "$@"
+    sleep "$SETTLING_SECONDS"
+    FROM=$(now_ms)
+}
+
 # arrivals ENGINE FROM UNTIL [ENTRIES]: the times in ms of calls that an engine has got, from all entries or from
 # those whose numbers match the pattern.
 arrivals() {
--- a/tests/process/limits_of_all_engines.sh
+++ b/tests/process/limits_of_all_engines.sh
@@ -4,13 +4,8 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/limits.sh"
 
-start_fleet
-send_calls
-sleep 1
 # shellcheck disable=SC2046
-state_limit 3 $(seq 1 $ENGINE_COUNT)
-sleep "$SETTLING_SECONDS"
-from=$(now_ms)
+start_limited_fleet 3 $(seq 1 $ENGINE_COUNT)
 sleep 10
 until=$(now_ms)
 refused=""
@@ -21,8 +16,8 @@
 stop_calls
 
 # shellcheck disable=SC2046
-expect_within_limit 3 "$from" "$until" "[0-9]" $(seq 1 $ENGINE_COUNT)
+expect_within_limit 3 "$FROM" "$until" "[0-9]" $(seq 1 $ENGINE_COUNT)
 # shellcheck disable=SC2046
-expect_limit_used 3 "$from" "$until" $(seq 1 $ENGINE_COUNT)
+expect_limit_used 3 "$FROM" "$until" $(seq 1 $ENGINE_COUNT)
 expect_in "a refusal" '"ran":"not_run"' "$refused"
 expect_in "when to come back" "Retry-After" "$refused"
--- a/tests/process/limits_of_one_engine.sh
+++ b/tests/process/limits_of_one_engine.sh
@@ -4,12 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/limits.sh"
 
-start_fleet
-send_calls
-sleep 1
-state_limit 1 1
-sleep "$SETTLING_SECONDS"
-from=$(now_ms)
+start_limited_fleet 1 1
 sleep 10
 until=$(now_ms)
 state_limit "" 1
@@ -19,9 +14,9 @@
 free_until=$(now_ms)
 stop_calls
 
-expect_within_limit 1 "$from" "$until" "[0-9]" 1
-expect_limit_used 1 "$from" "$until" 1
-expect_all_served "$from" "$free_until"
+expect_within_limit 1 "$FROM" "$until" "[0-9]" 1
+expect_limit_used 1 "$FROM" "$until" 1
+expect_all_served "$FROM" "$free_until"
 of_one=$(arrivals 1 "$free_from" "$free_until" | wc -l)
 of_all=0
 for number in $(seq 1 $ENGINE_COUNT); do
--- a/tests/process/limits_that_change.sh
+++ b/tests/process/limits_that_change.sh
@@ -3,11 +3,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/limits.sh"
 
-start_fleet
-send_calls
-sleep 1
-state_limit 4 1 2 3 4
-sleep "$SETTLING_SECONDS"
+start_limited_fleet 4 1 2 3 4
 state_limit 1 1 2 3 4
 sleep "$SETTLING_SECONDS"
 from=$(now_ms)
--- a/tests/process/limits_while_entries_fail.sh
+++ b/tests/process/limits_while_entries_fail.sh
@@ -4,12 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/limits.sh"
 
-start_fleet
-send_calls
-sleep 1
-state_limit 1 1
-sleep "$SETTLING_SECONDS"
-from=$(now_ms)
+start_limited_fleet 1 1
 kill -9 "$PID_proxy_entry_1"
 sleep 1
 start_entries 0
@@ -25,5 +20,5 @@
 stop_calls
 
 # Those that nothing was done to, and all once they have had time to settle.
-expect_within_limit 1 "$from" "$until" "[45]" 1
+expect_within_limit 1 "$FROM" "$until" "[45]" 1
 expect_within_limit 1 $((until - 4000)) "$until" "[0-9]" 1
--- a/tests/process/streams.sh
+++ b/tests/process/streams.sh
@@ -21,6 +21,16 @@
     done
 }
 
+# start_two_versions [OPTION...]: four engines of v1 and four of v1.1, and three entries that know them.
+start_two_versions() {
+    start_store
+    put_config 3
+    start_version v1 1 2 3 4 -- "$@"
+    start_version v1.1 5 6 7 8 -- "$@"
+    ENGINES="pool-1 pool-4 pool-5 pool-8"
+    start_entries 0 1 2
+}
+
 # stop_engine NUMBER...: these engines end at once, and the list lacks them.
 stop_engine() {
     for number in "$@"; do
--- a/tests/process/streams_keep_software_when_taken_up.sh
+++ b/tests/process/streams_keep_software_when_taken_up.sh
@@ -4,12 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/streams.sh"
 
-start_store
-put_config 3
-start_version v1 1 2 3 4
-start_version v1.1 5 6 7 8
-ENGINES="pool-1 pool-4 pool-5 pool-8"
-start_entries 0 1 2
+start_two_versions
 read_streams 20 chain-a 0.4 0 1 2
 first=$CLIENTS
 read_streams 20 chain-b 0.4 1 0 1
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -276,7 +276,7 @@
 
 // Every other call to the engines is for a model.
 void callers::make_prompt(call_seen& call) {
-    const bool streams = call.kind == call_kind::stream || call.kind == call_kind::resumable_stream;
+    const bool streams = is_stream(call.kind);
     if (streams && !call.fatal && !call.popular && this->calls % 2 == 0) {
         call.model = "m0";
     }
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -89,7 +89,7 @@
     if (!stamped) {
         find(found, "one's own answer", call, "success without a run's stamp");
     }
-    if (call.kind == call_kind::stream || call.kind == call_kind::resumable_stream) {
+    if (is_stream(call.kind)) {
         check_stream(call, found);
     } else if (call.whole && call.body != "done " + call.id) {
         find(found, "one's own answer", call, "body '" + call.body + "'");
@@ -530,10 +530,6 @@
     }
 }
 
-bool is_stream(call_kind kind) {
-    return kind == call_kind::stream || kind == call_kind::resumable_stream;
-}
-
 std::size_t count_before(const std::vector<base::instant>& sorted, base::instant end) {
     return static_cast<std::size_t>(std::lower_bound(sorted.begin(), sorted.end(), end) -
                                     sorted.begin());
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -26,6 +26,10 @@
     return "/resume/";
 }
 
+inline bool is_stream(call_kind kind) {
+    return kind == call_kind::stream || kind == call_kind::resumable_stream;
+}
+
 // Events of each whole stream.
 inline constexpr int stream_events = 8;
 
