--- a/src/proxy/limit_exchange_tests.cpp
+++ b/src/proxy/limit_exchange_tests.cpp
@@ -150,7 +150,7 @@
     int limited_count = 1;
     double limit = 1.0;
     double requests_per_second = 60.0;
-    // Entries are killed, started again and frozen.
+    // Entries are killed, started again, frozen, and cut off from the others.
     bool disturbed = false;
 };
 
@@ -163,7 +163,8 @@
         std::string zone;
         int up_from = 0;
         int frozen_until = 0;
-        // Excused from the bound until then, as it was started or frozen.
+        int cut_until = 0;
+        // Excused from the bound until then, as it was started, frozen or cut off.
         int excused_until = 0;
         std::map<int, int> told_at;
     };
@@ -231,11 +232,14 @@
         return this->is_up(one) && this->now_ms >= one.frozen_until;
     }
 
+    [[nodiscard]] bool is_cut(const node& one) const { return this->now_ms < one.cut_until; }
+
     // Links stand a moment after both entries have started, and break when one ends.
     void link() {
         constexpr int connect_ms = 300;
         const auto is_linked = [this](const node& one) {
-            return this->is_up(one) && this->now_ms - one.up_from >= connect_ms;
+            return this->is_up(one) && !this->is_cut(one) &&
+                   this->now_ms - one.up_from >= connect_ms;
         };
         for (auto& one : this->nodes) {
             const auto before = one.world->linked.size();
@@ -260,11 +264,16 @@
             return;
         }
         const int span = 200 + this->below(3000);
-        if (this->below(2) == 0) {
+        switch (this->below(3)) {
+        case 0:
             this->start(one);
             one.up_from = this->now_ms + span;
-        } else {
+            break;
+        case 1:
             one.frozen_until = this->now_ms + span;
+            break;
+        default:
+            one.cut_until = this->now_ms + span;
         }
         one.excused_until = this->now_ms + span + stability_ms;
     }
@@ -319,7 +328,10 @@
         for (auto& one : this->nodes) {
             for (auto& message : one.world->told) {
                 for (std::size_t to = 0; to < this->nodes.size(); ++to) {
-                    if (&this->nodes[to] != &one && this->is_up(this->nodes[to])) {
+                    const auto& other = this->nodes[to];
+                    const bool is_reached =
+                        this->is_up(other) && !this->is_cut(one) && !this->is_cut(other);
+                    if (&other != &one && is_reached) {
                         this->deliveries.push_back(
                             {this->now_ms + step_ms, to, this->nodes[to].up_from, one.id, message});
                     }
--- a/src/proxy/retry_shares_tests.cpp
+++ b/src/proxy/retry_shares_tests.cpp
@@ -31,6 +31,8 @@
         int started_ms = 0;
         int down_until = 0;
         int stops_at = -1;
+        // Cut off from the other entries, not from the store.
+        int cut_until = 0;
         // How late this entry sees changes of the list.
         int list_lag_ms = 0;
         // From and until when the list shows it.
@@ -99,7 +101,8 @@
     // Entries that run are linked once both have run for a moment.
     [[nodiscard]] bool linked(const node& one, const node& other) const {
         constexpr int connect_ms = 800;
-        return this->runs(one) && this->runs(other) &&
+        const bool is_cut = this->now_ms < std::max(one.cut_until, other.cut_until);
+        return this->runs(one) && this->runs(other) && !is_cut &&
                this->now_ms - std::max(one.started_ms, other.started_ms) > connect_ms;
     }
 
@@ -130,6 +133,8 @@
         } else if (draw == 2) {
             this->store_empty_from = this->now_ms;
             this->store_empty_until = this->now_ms + this->below(5000);
+        } else if (draw == 4) {
+            each_of_some([this](node& one) { one.cut_until = this->now_ms + this->below(8000); });
         } else if (draw == 3 && this->nodes.size() < 60) {
             this->nodes.emplace_back();
             this->start(this->nodes.back());
@@ -185,8 +190,8 @@
 
 } // namespace
 
-// Guards against more retries than all entries together may send while entries leave, start again
-// and join, and while the list of entries is short or late.
+// Guards against more retries than all entries together may send while entries leave, start again,
+// join and are cut off from each other, and while the list of entries is short or late.
 TEST_CASE("entries stay within the shared retry budget", "[proxy][schedule]") {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         retry_simulation run(seed);
