Name the holders of limits and records alike, and send from one place

Limits are divided by the function that ranks the holders of records, whose name and file spoke of records alone; two parts were given the same way to send; and what an entry tells a new one of limits was wired up among the origins of streams.

--- a/src/entries/record_holders.cpp
+++ b/src/entries/holders.cpp
@@ -1,4 +1,4 @@
-#include "entries/record_holders.h"
+#include "entries/holders.h"
 
 #include "base/hash.h"
 #include "routing/rendezvous.h"
@@ -8,8 +8,8 @@
 
 namespace camphorrail::entries {
 
-std::vector<base::entry_id> rank_record_holders(const std::vector<linked_entry>& among,
-                                                const std::string& name, std::size_t count) {
+std::vector<base::entry_id> rank_holders(const std::vector<linked_entry>& among,
+                                         const std::string& name, std::size_t count) {
     const std::uint64_t key = base::stable_hash(name);
     auto ranking = among;
     std::sort(ranking.begin(), ranking.end(), [key](const auto& left, const auto& right) {
--- a/src/entries/record_holders_tests.cpp
+++ b/src/entries/holders_tests.cpp
@@ -1,4 +1,4 @@
-#include "entries/record_holders.h"
+#include "entries/holders.h"
 
 #include <catch2/catch.hpp>
 
@@ -26,8 +26,8 @@
 TEST_CASE("the holders of a record lie in different availability zones", "[entries]") {
     const auto all = fleet_of(60, 3);
     for (int name = 0; name < 50; ++name) {
-        const auto holders = entries::rank_record_holders(all, "record-" + std::to_string(name),
-                                                          entries::record_holder_count);
+        const auto holders = entries::rank_holders(all, "record-" + std::to_string(name),
+                                                   entries::record_holder_count);
         REQUIRE(holders.size() == entries::record_holder_count);
         std::set<std::string> zones;
         for (const auto& holder : holders) {
@@ -41,14 +41,13 @@
     SECTION("and are the same in whatever order the entries are known") {
         auto reversed = all;
         std::reverse(reversed.begin(), reversed.end());
-        CHECK(entries::rank_record_holders(all, "x", 8) ==
-              entries::rank_record_holders(reversed, "x", 8));
+        CHECK(entries::rank_holders(all, "x", 8) == entries::rank_holders(reversed, "x", 8));
     }
     SECTION("and share the records about evenly") {
         std::map<base::entry_id, int> held;
         for (int name = 0; name < 2000; ++name) {
-            for (const auto& holder : entries::rank_record_holders(
-                     all, "record-" + std::to_string(name), entries::record_holder_count)) {
+            for (const auto& holder : entries::rank_holders(all, "record-" + std::to_string(name),
+                                                            entries::record_holder_count)) {
                 ++held[holder];
             }
         }
@@ -60,7 +59,6 @@
 }
 
 TEST_CASE("a small fleet holds each record everywhere", "[entries]") {
-    CHECK(entries::rank_record_holders(fleet_of(2, 1), "x", entries::record_holder_count).size() ==
-          2);
-    CHECK(entries::rank_record_holders({}, "x", entries::record_holder_count).empty());
+    CHECK(entries::rank_holders(fleet_of(2, 1), "x", entries::record_holder_count).size() == 2);
+    CHECK(entries::rank_holders({}, "x", entries::record_holder_count).empty());
 }
--- a/src/proxy/limit_exchange.cpp
+++ b/src/proxy/limit_exchange.cpp
@@ -1,6 +1,6 @@
 #include "proxy/limit_exchange.h"
 
-#include "entries/record_holders.h"
+#include "entries/holders.h"
 
 #include <algorithm>
 #include <utility>
@@ -105,7 +105,7 @@
     }
     const ratelimit::permit_rules rules;
     const auto count = ratelimit::holder_count(*member.limit.limit, among.size(), rules);
-    const auto holders = entries::rank_record_holders(among, member.listed.id.value, count);
+    const auto holders = entries::rank_holders(among, member.listed.id.value, count);
     const bool has_share =
         std::find(holders.begin(), holders.end(), this->context.settings.id) != holders.end();
     ratelimit::set_share(member.permits, *member.limit.limit, has_share ? count : 0,
--- a/src/proxy/origin_exchange.cpp
+++ b/src/proxy/origin_exchange.cpp
@@ -1,6 +1,6 @@
 #include "proxy/origin_exchange.h"
 
-#include "entries/record_holders.h"
+#include "entries/holders.h"
 
 #include <algorithm>
 #include <utility>
@@ -31,8 +31,7 @@
 }
 
 std::vector<base::entry_id> origin_exchange::holders_of(const base::request_id& request) const {
-    return entries::rank_record_holders(this->connected_entries(), request.value,
-                                        remote_holder_count);
+    return entries::rank_holders(this->connected_entries(), request.value, remote_holder_count);
 }
 
 peering::stream_origin_item
@@ -57,8 +56,7 @@
 
 void origin_exchange::find(const base::request_id& request,
                            std::function<void(const origin_answer&)> done) {
-    const auto asked =
-        entries::rank_record_holders(this->connected_entries(), request.value, max_asked);
+    const auto asked = entries::rank_holders(this->connected_entries(), request.value, max_asked);
     if (asked.empty()) {
         done({});
         return;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -230,6 +230,11 @@
     this->connect_quarantine();
     this->connect_stream_origins();
     this->connect_rate_limits();
+    this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
+        this->origins.send_all_to(entry);
+        this->software.acknowledge_all();
+        this->limits.send_all_to(entry);
+    };
     this->kv_stores.broadcast = [this](const peering::kv_store_contents& message) {
         this->peer_entries.broadcast(message);
     };
@@ -265,27 +270,25 @@
                base::instant written) { this->crashes.receive(from, message, written); };
 }
 
+std::function<void(const std::vector<base::entry_id>&, const peering::message&)>
+proxy::message_sender() {
+    return [this](const std::vector<base::entry_id>& to, const peering::message& message) {
+        this->peer_entries.send(to, message);
+    };
+}
+
 void proxy::connect_stream_origins() {
     const auto connected = [this] {
         return this->peer_entries.linked_entries(peering::resumption_protocol);
     };
-    const auto send = [this](const std::vector<base::entry_id>& to,
-                             const peering::message& message) {
-        this->peer_entries.send(to, message);
-    };
     this->origins.connected_entries = connected;
-    this->origins.send = send;
+    this->origins.send = this->message_sender();
     this->software.connected_entries = connected;
-    this->software.send = send;
+    this->software.send = this->message_sender();
     this->software.listed_entries = [this] { return this->peer_entries.listed_entries().others; };
     this->software.several_versions = [this](const base::pool_id& pool) {
         this->origins.send_pool(pool);
     };
-    this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
-        this->origins.send_all_to(entry);
-        this->software.acknowledge_all();
-        this->limits.send_all_to(entry);
-    };
     this->peer_entries.origin_message_received =
         [this](const base::entry_id& from, const origin_message& received, base::instant written) {
             std::visit([&](const auto& message) { this->origins.receive(from, message, written); },
@@ -301,10 +304,7 @@
     this->limits.connected_entries = [this] {
         return this->peer_entries.linked_entries(peering::rate_limit_protocol);
     };
-    this->limits.send = [this](const std::vector<base::entry_id>& to,
-                               const peering::message& message) {
-        this->peer_entries.send(to, message);
-    };
+    this->limits.send = this->message_sender();
     this->peer_entries.upstream_limits_received =
         [this](const base::entry_id& from, const peering::upstream_limits& message,
                base::instant written) { this->limits.receive(from, message, written); };
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -24,6 +24,7 @@
 #include "proxy/store_updates.h"
 #include "proxy/weights_loader.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -52,6 +53,9 @@
     [[nodiscard]] bool listen();
     void connect_parts();
     void connect_quarantine();
+    // Sends a message to some connected entries.
+    std::function<void(const std::vector<base::entry_id>&, const peering::message&)>
+    message_sender();
     void connect_stream_origins();
     void connect_rate_limits();
     // The messages sent to a newly connected entry.
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -69,8 +69,8 @@
     this->record_stated_limit();
 }
 
-// A response without a limit ends the one that was stated before, unless the upstream has refused
-// the request: what it answers then need not be made where limits are known.
+// A response without a limit ends the one that was stated before. A refusal does not: an upstream
+// may refuse a request before it gets to where limits are known.
 void request_flow::record_stated_limit() {
     const auto& response = this->current->metadata;
     const auto upstream = instance_of(this->current->choice);
--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -1,7 +1,7 @@
 #include "proxy/software_records.h"
 
 #include "base/hash.h"
-#include "entries/record_holders.h"
+#include "entries/holders.h"
 
 #include <algorithm>
 #include <utility>
@@ -67,7 +67,7 @@
 std::vector<base::entry_id> software_records::writers_of(const base::pool_id& pool) const {
     auto all = this->connected_entries();
     all.push_back({this->context.settings.id, this->context.settings.zone});
-    return entries::rank_record_holders(all, this->key_of(pool), entries::record_holder_count);
+    return entries::rank_holders(all, this->key_of(pool), entries::record_holder_count);
 }
 
 void software_records::acknowledge(const base::pool_id& pool) {
