Log how an upstream's answer without a length ends

No line told such an answer from a framed one, nor whether a part of an event was left over when its connection ended, so the hypotheses on streams that were completed too early could not be told apart.

--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -103,6 +103,7 @@
     [[nodiscard]] ports::attempt_parameters parameters_for(const upstream_choice& choice) const;
     bool on_response_head(const http::response_head& head);
     void on_response_body(std::string bytes);
+    void log_end_by_close();
     void on_response_end();
     void on_attempt_failed(call_failure reason);
     void on_upstream_refusal();
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -196,8 +196,26 @@
     this->context.state.unreported_reads.push_back(std::move(read));
 }
 
+// A response without a length ends with its connection, which ends in the same way if the upstream's
+// process does.
+void request_flow::log_end_by_close() {
+    if (!this->current->head.ends_with_close) {
+        return;
+    }
+    this->context.log.line(importance::keep, "answer_ended_by_close")
+        .text("request", this->metadata.request_id)
+        .text("kind", this->kind_name())
+        .text("upstream", this->current->choice.id.value)
+        .number("status", this->current->head.status)
+        .text("last_event", this->relay.last_event_id)
+        .number("partial_event_bytes", static_cast<std::int64_t>(this->relay.splitter.rest.size()))
+        .number("body_bytes", static_cast<std::int64_t>(this->body_buffer.size()))
+        .span("after_ms", this->context.now() - this->current->sent_at);
+}
+
 void request_flow::on_response_end() {
     const auto self = this->shared_from_this();
+    this->log_end_by_close();
     if (this->current->metadata.not_run) {
         this->on_upstream_refusal();
         return;
