--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -102,6 +102,15 @@
     evhttp_send_reply_start(this->request, status, nullptr);
 }
 
+void http_exchange::start_until_close(int status, const ports::headers& fields) {
+    if (this->request == nullptr) {
+        return;
+    }
+    // evhttp leaves chunks out for callers that speak HTTP/1.0.
+    this->request->minor = 0;
+    this->start(status, fields);
+}
+
 void http_exchange::send(const std::string& bytes) {
     if (this->request == nullptr || bytes.empty()) {
         return;
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -39,6 +39,8 @@
     void reply(int status, const ports::headers& fields, const std::string& body);
     // An answer in pieces: `start`, any number of `send`, `end`.
     void start(int status, const ports::headers& fields);
+    // The same, but without a length or chunks: the answer ends where its connection does.
+    void start_until_close(int status, const ports::headers& fields);
     void send(const std::string& bytes);
     void end();
     // Closes the connection under an answer that can't be completed, so that its end is not taken
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -33,6 +33,8 @@
           loses_answers(option(given, "loses", "") == "yes"),
           says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")),
           software(option(given, "software", "v1")), breaks_after(number(given, "breaks", 0)),
+          breaks_by(option(given, "breaks-by", "close")),
+          ends_by_close(option(given, "ends-by", "") == "close"),
           fails(option(given, "fails", "") == "yes"),
           shows_arrivals(option(given, "arrivals", "") == "yes") {
         this->list();
@@ -81,10 +83,22 @@
             exchange->abort();
         } else {
             std::cout << "ran " << exchange->header("Request-Id") << std::endl;
-            exchange->reply(200, this->fields(*exchange, "application/json"), R"({"done":true})");
+            this->answer(*exchange);
         }
     }
 
+    void answer(adapters::http_exchange& exchange) const {
+        const std::string body = R"({"done":true})";
+        const auto all = this->fields(exchange, "application/json");
+        if (!this->ends_by_close) {
+            exchange.reply(200, all, body);
+            return;
+        }
+        exchange.start_until_close(200, all);
+        exchange.send(body);
+        exchange.end();
+    }
+
     [[nodiscard]] json models() const {
         return json::array({{{"name", "m0"}, {"version", this->version}}});
     }
@@ -145,7 +159,12 @@
 
     void stream(const adapters::exchange_ptr& exchange) {
         const std::string after = exchange->header("Last-Event-Id");
-        exchange->start(200, this->fields(*exchange, "text/event-stream"));
+        const auto all = this->fields(*exchange, "text/event-stream");
+        if (this->ends_by_close) {
+            exchange->start_until_close(200, all);
+        } else {
+            exchange->start(200, all);
+        }
         const std::int64_t breaks_at =
             after.empty() && this->breaks_after > 0 ? this->breaks_after : this->events + 1;
         this->send_event(exchange, after.empty() ? 1 : std::stoll(after) + 1, breaks_at);
@@ -157,7 +176,7 @@
             return;
         }
         if (next > breaks_at) {
-            exchange->abort();
+            this->break_off(*exchange, next);
             return;
         }
         if (next > this->events) {
@@ -171,6 +190,18 @@
         });
     }
 
+    void break_off(adapters::http_exchange& exchange, std::int64_t next) const {
+        if (this->breaks_by == "end") {
+            std::_Exit(1);
+        }
+        if (this->breaks_by != "event") {
+            exchange.abort();
+            return;
+        }
+        exchange.send("id: " + std::to_string(next) + "\nda");
+        exchange.end();
+    }
+
     adapters::event_loop* loop;
     std::int64_t born;
     std::string id;
@@ -185,6 +216,10 @@
     std::string software;
     // It breaks off each run that begins a stream after so many events; 0 for none.
     std::int64_t breaks_after;
+    // How: "close" of the connection, within an "event", or by the "end" of its own process.
+    std::string breaks_by;
+    // Its answers have neither a length nor chunks.
+    bool ends_by_close;
     // It answers each call with an error.
     bool fails;
     // It prints when each call arrives.
