Reset half a response without chunks where the entry is killed

A client that takes no chunks gets a stream that ends with its connection. If the entry is killed in the middle, its kernel ends the connection in an orderly way, and half a stream looks complete. The connection is set to be reset on close until the response is complete.

--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -104,6 +104,11 @@
     void start(int status, const http::fields& fields) {
         this->chunked = this->exchange->head.chunks_allowed;
         this->keep_alive_after = this->keep_alive() && this->chunked;
+        if (!this->chunked) {
+            // The response ends with its connection, which the kernel would end in an orderly way if
+            // this process were killed before the response is complete.
+            this->set_reset_on_close(true);
+        }
         const auto kind = this->chunked ? http::framing::chunks : http::framing::close;
         this->write(http::write_response_head(status, fields, {kind, 0}, this->keep_alive_after));
     }
@@ -115,6 +120,8 @@
     void finish() {
         if (this->chunked) {
             this->write(std::string(http::last_chunk));
+        } else {
+            this->set_reset_on_close(false);
         }
         this->end_exchange(this->keep_alive_after);
     }
@@ -126,12 +133,7 @@
             this->end_exchange(false);
             return;
         }
-        if (this->socket != nullptr) {
-            // An orderly close would mark a response without a length as complete.
-            const struct linger reset_on_close { 1, 0 };
-            setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &reset_on_close,
-                       sizeof reset_on_close);
-        }
+        this->set_reset_on_close(true);
         this->exchange.reset();
         this->close();
     }
@@ -186,6 +188,15 @@
         self->close();
     }
 
+    // Whether the connection ends by a reset, so that its client does not take the end of a response
+    // without a length for its completion.
+    void set_reset_on_close(bool reset) {
+        if (this->socket != nullptr) {
+            const struct linger how { reset ? 1 : 0, 0 };
+            setsockopt(bufferevent_getfd(this->socket), SOL_SOCKET, SO_LINGER, &how, sizeof how);
+        }
+    }
+
     void remove_from_idle() { this->server->idle.erase(std::exchange(this->idle_key, 0)); }
 
     void release() {
