--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -1,6 +1,7 @@
 #include "soak/engine.h"
 
 #include "adapters/sockets.h"
+#include "base/hash.h"
 #include "own_address.h"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,8 @@
 constexpr base::milliseconds event_pause{25};
 // It has begun to run a fatal request when it ends.
 constexpr base::milliseconds crash_after{20};
+// An engine whose answers have no length breaks off one stream in so many.
+constexpr std::uint64_t streams_a_break = 4;
 constexpr int first_port = 11000;
 constexpr int ports = 20000;
 
@@ -58,6 +61,7 @@
     this->fails = false;
     this->loses_answers = false;
     this->says_leaving = false;
+    this->omits_length = false;
     this->rate_limit.reset();
     this->pauses_until = {};
     this->server = std::make_unique<adapters::http_server>(
@@ -166,9 +170,16 @@
     }
     if (streams) {
         const std::string after = exchange->header("Last-Event-Id");
-        exchange->start(status_ok, this->fields(*exchange, stamp));
-        this->send_event({exchange, call, after.empty() ? 1 : std::stoi(after) + 1, this->starts,
-                          this->version});
+        stream_run stream{exchange, call, after.empty() ? 1 : std::stoi(after) + 1, this->starts,
+                          this->version};
+        stream.ends_by_close = this->omits_length;
+        const auto all = this->fields(*exchange, stamp);
+        if (stream.ends_by_close) {
+            exchange->start_until_close(status_ok, all);
+        } else {
+            exchange->start(status_ok, all);
+        }
+        this->send_event(stream);
         return;
     }
     this->loop->after(work_time, [this, exchange, call, stamp, of_start = this->starts] {
@@ -177,12 +188,36 @@
         }
         if (this->loses_answers) {
             exchange->abort();
+        } else if (this->omits_length) {
+            exchange->start_until_close(status_ok, this->fields(*exchange, stamp));
+            exchange->send("done " + call);
+            exchange->end();
         } else {
             exchange->reply(status_ok, this->fields(*exchange, stamp), "done " + call);
         }
     });
 }
 
+bool engine::breaks_off(const stream_run& stream) const {
+    const bool reweighted = this->version != stream.version;
+    const bool loses = this->loses_answers && stream.next > stream_events / 2;
+    const std::uint64_t draw = base::stable_hash(stream.call);
+    const bool is_drawn = stream.ends_by_close && draw % streams_a_break == 0;
+    const bool is_due =
+        static_cast<std::uint64_t>(stream.next) > draw / streams_a_break % stream_events;
+    return loses || (reweighted && this->mode == "cut") || (is_drawn && is_due);
+}
+
+void engine::break_off(const stream_run& stream) {
+    if (!stream.ends_by_close) {
+        stream.exchange->abort();
+        return;
+    }
+    // Between two events, nothing would tell the end from that of a whole stream.
+    stream.exchange->send("id: " + std::to_string(stream.next));
+    stream.exchange->end();
+}
+
 void engine::send_event(stream_run stream) {
     const auto& exchange = stream.exchange;
     if (this->starts != stream.of_start || this->server == nullptr || !exchange->open()) {
@@ -192,13 +227,11 @@
         exchange->end();
         return;
     }
-    const bool reweighted = this->version != stream.version;
-    const bool loses = this->loses_answers && stream.next > stream_events / 2;
-    if (loses || (reweighted && this->mode == "cut")) {
-        exchange->abort();
+    if (this->breaks_off(stream)) {
+        break_off(stream);
         return;
     }
-    const std::string first_line = reweighted && this->mode == "keep"
+    const std::string first_line = this->version != stream.version && this->mode == "keep"
                                        ? "weight-versions: " + std::to_string(this->version) + "\n"
                                        : "";
     exchange->send(first_line + "software: " + this->installed +
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -32,6 +32,8 @@
     bool loses_answers = false;
     // It says in its answers that it leaves.
     bool says_leaving = false;
+    // Its answers have neither a length nor chunks, and it breaks off some streams within an event.
+    bool omits_length = false;
     // The rate limit that it states in its answers, in requests per second.
     std::optional<double> rate_limit;
     // Until then it turns orders away.
@@ -55,7 +57,11 @@
         std::int64_t of_start = 0;
         // The weights that its last event was made by.
         std::int64_t version = 0;
+        // Its answer has no length.
+        bool ends_by_close = false;
     };
+    [[nodiscard]] bool breaks_off(const stream_run& stream) const;
+    static void break_off(const stream_run& stream);
     void send_event(stream_run stream);
     void ask_for_pause(adapters::http_exchange& exchange);
     [[nodiscard]] bool refuses(const adapters::http_exchange& exchange) const;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 31> names{"kill",
+constexpr std::array<std::string_view, 32> names{"kill",
                                                  "stop",
                                                  "pause",
                                                  "reload",
@@ -40,7 +40,8 @@
                                                  "store_saves_copy",
                                                  "store_returns",
                                                  "engine_released",
-                                                 "engine_states_limit"};
+                                                 "engine_states_limit",
+                                                 "engine_omits_length"};
 // The first ones are drawn at random; the others are added.
 constexpr std::uint64_t drawn_kinds = 22;
 constexpr std::uint64_t quiet_stream = 0xfa7a1;
@@ -58,6 +59,11 @@
 constexpr std::uint64_t return_stream = 0xc0b1e5;
 constexpr std::uint64_t release_stream = 0x2e1ea5e;
 constexpr std::uint64_t limit_stream = 0x11417;
+constexpr std::uint64_t length_stream = 0x1e47;
+constexpr int shortest_length_gap_ms = 200;
+constexpr int longest_length_gap_ms = 2500;
+constexpr int shortest_without_length_ms = 1000;
+constexpr int longest_without_length_ms = 6000;
 constexpr int shortest_limit_gap_ms = 500;
 constexpr int longest_limit_gap_ms = 4000;
 constexpr int shortest_limit_ms = 5000;
@@ -258,6 +264,22 @@
     }
 }
 
+// Until all else is sound again, and from a stream of its own as the others.
+void add_omitted_lengths(std::vector<planned_fault>& plan, std::uint64_t seed,
+                         const plan_size& size) {
+    base::random_source random{seed ^ length_stream};
+    base::milliseconds at{0};
+    while (true) {
+        at += draw(random, shortest_length_gap_ms, longest_length_gap_ms);
+        if (at >= size.length) {
+            return;
+        }
+        const int target = static_cast<int>(draw(random, 0, size.engines).count());
+        plan.push_back({at, draw(random, shortest_without_length_ms, longest_without_length_ms),
+                        fault_kind::engine_omits_length, target});
+    }
+}
+
 } // namespace
 
 std::vector<planned_fault> make_plan(std::uint64_t seed, const plan_size& size) {
@@ -278,6 +300,9 @@
                 add_releases(plan, seed, size);
             }
             add_limits(plan, seed, size);
+            if (!only_planned) {
+                add_omitted_lengths(plan, seed, size);
+            }
             return plan;
         }
         const auto kind = static_cast<fault_kind>(base::random_below(random, drawn_kinds));
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -52,6 +52,8 @@
     engine_released,
     // An engine states a rate limit in its answers.
     engine_states_limit,
+    // An engine answers without a length.
+    engine_omits_length,
 };
 
 const char* name_of(fault_kind kind);
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -47,6 +47,8 @@
         std::deque<held_bytes> waiting;
         std::unique_ptr<adapters::timer> timer;
         bool lost_bytes = false;
+        // The end that the bytes come from has closed in an orderly way.
+        bool ended = false;
     };
     std::array<way, 2> ways;
 
@@ -133,6 +135,27 @@
         }
         if (!way.waiting.empty()) {
             this->wait(from, base);
+        } else if (way.ended) {
+            this->finish(from);
+        }
+    }
+
+    // The connection ends in an orderly way once what was passed on before has left.
+    void finish(std::size_t from) {
+        bufferevent* other = this->ends.at(1 - from);
+        bufferevent_setcb(
+            other, nullptr,
+            [](bufferevent* done, void* inner) {
+                if (evbuffer_get_length(bufferevent_get_output(done)) == 0) {
+                    static_cast<pair*>(inner)->shared_from_this()->drop();
+                }
+            },
+            [](bufferevent*, short, void* inner) {
+                static_cast<pair*>(inner)->shared_from_this()->drop();
+            },
+            this);
+        if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
+            this->drop();
         }
     }
 
@@ -160,21 +183,9 @@
             self->reset();
             return;
         }
-        // What was passed on before the end still leaves.
-        bufferevent* other = self->ends.at(1 - side);
-        bufferevent_setcb(
-            other, nullptr,
-            [](bufferevent* done, void* inner) {
-                if (evbuffer_get_length(bufferevent_get_output(done)) == 0) {
-                    static_cast<pair*>(inner)->shared_from_this()->drop();
-                }
-            },
-            [](bufferevent*, short, void* inner) {
-                static_cast<pair*>(inner)->shared_from_this()->drop();
-            },
-            self.get());
-        if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
-            self->drop();
+        self->ways.at(side).ended = true;
+        if (self->ways.at(side).waiting.empty()) {
+            self->finish(side);
         }
     }
 };
@@ -214,11 +225,11 @@
 }
 
 relay::~relay() {
-    this->close();
+    this->close(connection_end::reset);
 }
 
 void relay::open(const std::string& to) {
-    this->close();
+    this->close(connection_end::reset);
     this->held->to = to;
     auto any = adapters::parse_address("127.0.0.1:0");
     this->held->listener = evconnlistener_new_bind(this->held->base, on_accept,
@@ -232,11 +243,13 @@
     this->held->bound = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
 }
 
-void relay::close() {
+void relay::close(connection_end how) {
     if (this->held->listener != nullptr) {
         evconnlistener_free(std::exchange(this->held->listener, nullptr));
     }
-    this->reset_all();
+    if (how == connection_end::reset) {
+        this->reset_all();
+    }
     const auto all = std::exchange(this->held->pairs, {});
 }
 
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -21,6 +21,10 @@
     cut,
 };
 
+// How connections end with what is behind a relay. A kernel ends those of a process that has ended
+// in an orderly way, unless bytes were left unread.
+enum class connection_end { reset, orderly };
+
 struct relay_state;
 
 // A TCP relay on loopback that breaks what passes through it.
@@ -32,8 +36,8 @@
     relay& operator=(const relay&) = delete;
 
     [[nodiscard]] std::string address() const;
-    // What is behind has ended: all connections break, and nobody listens.
-    void close();
+    // What is behind has ended: all connections end, and nobody listens.
+    void close(connection_end how);
     // Something new is behind, at an address of its own.
     void open(const std::string& to);
     void set_mode(relay_mode mode);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -414,7 +414,7 @@
     this->end_serving(one);
     const std::string gone = one.runs->instance();
     one.runs->crash();
-    one.before->close();
+    one.before->close(one.runs->omits_length ? connection_end::orderly : connection_end::reset);
     // One that has ended writes nothing again.
     this->documents.erase("servers/" + gone);
     this->after(unlisted_after, [this, gone] {
@@ -528,6 +528,10 @@
     case fault_kind::engine_states_limit:
         this->state_limit(fault, one);
         break;
+    case fault_kind::engine_omits_length:
+        one.runs->omits_length = true;
+        this->after(fault.span, [&one] { one.runs->omits_length = false; });
+        break;
     case fault_kind::engine_asks_for_pause:
         one.runs->pauses_until = adapters::boot_now() + fault.span / 2;
         break;
