--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -31,6 +31,17 @@
     return "connection_broke";
 }
 
+// The ids of a prompt's first parts, for logs.
+std::string list_parts(const std::vector<ports::prompt_part>& parts) {
+    constexpr std::size_t max_listed = 8;
+    constexpr std::size_t max_id_length = 32;
+    std::string listed;
+    for (std::size_t each = 0; each < std::min(parts.size(), max_listed); ++each) {
+        listed += (each == 0 ? "" : ",") + parts[each].id.substr(0, max_id_length);
+    }
+    return listed;
+}
+
 } // namespace
 
 void request_flow::start_stall_timer() {
@@ -71,7 +82,8 @@
         .flag("answer_begun", this->current->head_received)
         .text("last_event", this->relay.last_event_id)
         .span("after_ms", this->context.now() - this->current->sent_at)
-        .text("digest", may_have_run ? this->identity().digest.value : "");
+        .text("digest", may_have_run ? this->identity().digest.value : "")
+        .text("parts", may_have_run ? list_parts(this->metadata.prompt_parts) : "");
     // An upstream that changes weights on request aborts what it cannot finish, so this break is
     // expected.
     const auto* member = this->current_member();
