--- a/src/proxy/crash_detector_tests.cpp
+++ b/src/proxy/crash_detector_tests.cpp
@@ -15,11 +15,22 @@
 
 constexpr std::size_t engine_count = 8;
 const std::string fatal_body = "fatal";
+const std::string fatal_part = "fa7a1";
+
+// A request whose prompt has these parts and one of its own.
+std::string prompt(const std::string& route, const std::string& id, const std::string& parts,
+                   const std::string& key = "k1") {
+    std::string bytes = tests::request(route, id, "prompt " + id);
+    bytes.replace(bytes.find("k1"), 2, key);
+    return bytes.insert(bytes.find("Request-Deadline"),
+                        "Prompt-Prefix: " + parts + ",e" + id + ":9\r\n");
+}
 
 // An engine that crashes when it starts a certain request and responds to all others.
 engine_script crash_on_fatal(const engine_request& got) {
     const std::string id = got.field("Request-Id");
-    if (got.body == fatal_body) {
+    if (got.body == fatal_body ||
+        got.field("Prompt-Prefix").find(fatal_part) != std::string::npos) {
         return {{step::kind::crash, {}}};
     }
     // On routes of streams, a response without an event is not complete.
@@ -109,6 +120,46 @@
     }
 }
 
+// Guards against requests that are no two alike and share a part of their prompts that crashes one
+// upstream after another.
+TEST_CASE("a prompt part that crashes upstreams is quarantined after at most three crashes",
+          "[proxy][quarantine]") {
+    const std::string route = GENERATE(std::string("stream"), std::string("resume"),
+                                       std::string("safe"), std::string("once"));
+    CAPTURE(route);
+    tests::proxy_world world;
+    world.config.teams.push_back({.id = {"south"}, .keys = {"k2"}});
+    routes::build_indexes(world.config);
+    world.prove_config();
+    crashing_pool pool(world);
+    int number = 0;
+    const auto next_id = [&number] { return "d" + std::to_string(++number); };
+    const auto send_fatal = [&](int each) {
+        const std::string mine = "b" + std::to_string(each) + ":40";
+        const std::string parts =
+            each % 2 == 0 ? "a1:90,fa7a1:20," + mine : "fa7a1:20,a1:90," + mine;
+        return world.call(prompt(route, next_id(), parts, each % 3 == 0 ? "k2" : "k1"));
+    };
+    const auto send_sound = [&] {
+        return world.call(prompt(route, next_id(), "a1:90,b" + std::to_string(number % 4) + ":40"));
+    };
+    constexpr int arrivals = 12;
+    for (int each = 0; each < arrivals; ++each) {
+        send_fatal(each);
+        pool.settle();
+        for (int sound = 0; sound < 3; ++sound) {
+            CHECK(send_sound().heads.at(0).status == 200);
+        }
+    }
+    CHECK(pool.crashes <= 3);
+    const auto refused = send_fatal(arrivals);
+    CHECK(refused.heads.at(0).status == 503);
+    CHECK(refused.bodies.at(0).find("\"quarantined\"") != std::string::npos);
+
+    // A prompt's last part belongs to one request or session.
+    CHECK(world.call(tests::request(route, "fa", "sound")).heads.at(0).status == 200);
+}
+
 // Guards against a client that gets another team's request refused by sending the same bytes until
 // they are quarantined.
 TEST_CASE("a quarantined request does not affect another team's identical request",
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -21,6 +21,8 @@
 constexpr base::milliseconds event_pause{50};
 // It has begun to run a call that crashes it when it ends.
 constexpr base::milliseconds crash_after{50};
+// The part of a prompt that crashes it.
+constexpr const char* fatal_part = "fa7a1";
 
 // An engine as the users' platform runs it: it lists itself in the metadata store, streams events
 // that may be resumed, answers plain calls, and takes orders to load weights.
@@ -65,7 +67,10 @@
             std::cout << "arrived " << exchange->header("Request-Id") << " at "
                       << this->loop->clock().wall_ms() << std::endl;
         }
-        if (exchange->body().find("fatal") != std::string::npos) {
+        const bool is_fatal =
+            exchange->body().find("fatal") != std::string::npos ||
+            exchange->header("Prompt-Prefix").find(fatal_part) != std::string::npos;
+        if (is_fatal) {
             std::cout << "ran " << exchange->header("Request-Id") << std::endl;
             this->loop->after(crash_after, [] { std::_Exit(1); });
         } else if (this->fails) {
