Quarantine prompt parts that crash upstreams

Requests that were no two alike and shared one part of their prompts crashed engine after engine; what ran beside them died, and pools were empty for seconds.

Quarantine knew a request by path, team and body, so each was a suspect of its own with one crash. Class: guilt is tied to an identity that the cause does not have. The shared parts of each request that had not begun to respond at a crash are suspects now, with the same evidence, holds, records and messages as requests. Two crashes under different requests are enough, three where another suspect was there as well. A response that goes on for 200 ms clears the parts of its prompt at all entries, and ends a hold that was a mistake. Crashes of one series no longer discount those of another, and crashes that a quarantined part accounts for count against nothing else. A broken attempt with a suspected part is repeated only when its crash would be known.

The soak plays such calls in half of its fatal runs.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -143,10 +143,6 @@
     return {request.digest.value, request.body_bytes};
 }
 
-json to_json(const crash_victim& victim) {
-    return {to_json(victim.request), victim.sent_ago.count(), victim.response_started_ago.count()};
-}
-
 json to_json(const quota::usage_count& count) {
     return {count.team.value, count.count_id, count.age.count(), count.used.value,
             count.requested.value};
@@ -163,6 +159,7 @@
 }
 
 json to_json(const entry_load& load);
+json to_json(const crash_victim& victim);
 
 template <class Part>
 json to_json_array(const std::vector<Part>& parts) {
@@ -173,6 +170,11 @@
     return list;
 }
 
+json to_json(const crash_victim& victim) {
+    return {to_json(victim.request), victim.sent_ago.count(), victim.response_started_ago.count(),
+            to_json_array(victim.parts)};
+}
+
 json to_json(const entry_load& load) {
     return {load.from.value,
             load.age.count(),
@@ -210,6 +212,22 @@
     return {"hold", to_json(message.request), message.remaining.count()};
 }
 
+json to_json(const cleared_prompt_parts& message) {
+    json parts = json::array();
+    for (const auto& each : message.parts) {
+        parts.push_back(each.value);
+    }
+    return {"cleared", parts};
+}
+
+cleared_prompt_parts read_cleared_prompt_parts(const json& value) {
+    cleared_prompt_parts message;
+    for (const auto& each : value.at(1)) {
+        message.parts.push_back({each.get<std::string>()});
+    }
+    return message;
+}
+
 json to_json(const upstream_draining& message) {
     return {"leaving", to_json(message.upstream), message.age.count()};
 }
@@ -281,6 +299,10 @@
         crash.victims.push_back({read_identity(each.at(0)),
                                  base::micros(each.at(1).get<std::int64_t>()),
                                  base::micros(each.at(2).get<std::int64_t>())});
+        const json parts = each.size() > 3 ? each.at(3) : json::array();
+        for (const auto& part : parts) {
+            crash.victims.back().parts.push_back(read_identity(part));
+        }
     }
     return crash;
 }
@@ -414,6 +436,9 @@
         return quarantine_notice{read_identity(value.at(1)),
                                  base::milliseconds(value.at(2).get<std::int64_t>())};
     }
+    if (kind == "cleared") {
+        return read_cleared_prompt_parts(value);
+    }
     if (kind == "leaving") {
         return upstream_draining{read_instance(value.at(1)),
                                  base::micros(value.at(2).get<std::int64_t>())};
@@ -458,7 +483,8 @@
     for (const auto& each : report.victims) {
         const base::micros response_started_ago =
             each.response_started_at ? sent_at - *each.response_started_at : base::micros(-1);
-        message.victims.push_back({each.request, sent_at - each.sent_at, response_started_ago});
+        message.victims.push_back(
+            {each.request, sent_at - each.sent_at, response_started_ago, each.parts});
     }
     return message;
 }
@@ -466,7 +492,7 @@
 quarantine::crash_report from_message(const crash_report& message, base::instant sent_at) {
     quarantine::crash_report report{message.upstream, sent_at - message.age, {}};
     for (const auto& each : message.victims) {
-        quarantine::crash_victim victim{each.request, sent_at - each.sent_ago, {}};
+        quarantine::crash_victim victim{each.request, sent_at - each.sent_ago, {}, each.parts};
         if (each.response_started_ago >= base::micros(0)) {
             victim.response_started_at = sent_at - each.response_started_ago;
         }
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -29,7 +29,8 @@
 inline constexpr std::int64_t first_protocol = 0;
 inline constexpr std::int64_t resumption_protocol = 1;
 inline constexpr std::int64_t rate_limit_protocol = 2;
-inline constexpr std::int64_t current_protocol = rate_limit_protocol;
+inline constexpr std::int64_t prompt_part_protocol = 3;
+inline constexpr std::int64_t current_protocol = prompt_part_protocol;
 
 // The first message on a link; identifies its sender.
 struct handshake {
@@ -155,6 +156,8 @@
     // response had started.
     base::micros sent_ago{0};
     base::micros response_started_ago{-1};
+    // The parts of its prompt that other requests may share; none from an entry of an older build.
+    std::vector<quarantine::request_identity> parts;
 };
 
 // An upstream has crashed while these requests of the sender were in flight at it.
@@ -170,6 +173,11 @@
     base::milliseconds remaining{0};
 };
 
+// Upstreams have survived the begin of responses to prompts with these parts.
+struct cleared_prompt_parts {
+    std::vector<base::request_digest> parts;
+};
+
 // An upstream has reported in a response that it is draining.
 struct upstream_draining {
     base::upstream_instance upstream;
@@ -231,10 +239,11 @@
 void replace_unknown_eras(store_changes& message, std::int64_t era);
 
 // The content of one frame of a link.
-using message = std::variant<handshake, suspicion, loaded_weights, load_report, store_query,
-                             store_view, kv_store_contents, store_changes, crash_report,
-                             quarantine_notice, upstream_draining, stream_origins, origin_query,
-                             origin_reply, software_record_seen, upstream_limits>;
+using message =
+    std::variant<handshake, suspicion, loaded_weights, load_report, store_query, store_view,
+                 kv_store_contents, store_changes, crash_report, quarantine_notice,
+                 upstream_draining, stream_origins, origin_query, origin_reply,
+                 software_record_seen, upstream_limits, cleared_prompt_parts>;
 
 // A message with its sender's uptime when it was sent. The receiver derives the send time from the
 // uptime: the message may be buffered for long, and its ages and durations count from when it was
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -101,6 +101,8 @@
     std::function<void(const base::upstream_instance&)> broadcast_drain;
     // Records an attempt during which its upstream may have crashed.
     std::function<void(const broken_attempt&)> record_broken_attempt;
+    // Records that an upstream has survived the begin of a response to a prompt with these parts.
+    std::function<void(const std::vector<base::request_digest>&)> record_survived_parts;
     // Records where a stream began whose client waits for `deadline`, here and at other entries.
     std::function<void(const base::request_id&, const resumption::stream_origin&,
                        base::milliseconds deadline)>
--- a/src/proxy/crash_detector.cpp
+++ b/src/proxy/crash_detector.cpp
@@ -103,6 +103,9 @@
             continue;
         }
         --this->reports_left;
+        // Requests that had not begun to respond come first: only their parts may be to blame.
+        std::stable_partition(report.victims.begin(), report.victims.end(),
+                              [](const auto& each) { return !each.response_started_at; });
         report.victims.resize(std::min(report.victims.size(), max_reported_victims));
         this->broadcast(peering::to_message(report, this->context.now()));
     }
@@ -131,6 +134,36 @@
     }
 }
 
+bool crash_detector::clear(const base::request_digest& part, const char* source) {
+    const auto done =
+        quarantine::clear_prompt_part(this->context.state.quarantine, part, this->context.now());
+    if (done == quarantine::clearance::quarantine_lifted) {
+        this->context.log.line(importance::keep, "quarantine_lifted")
+            .text("digest", part.value)
+            .text("told_by", source);
+    }
+    return done != quarantine::clearance::none;
+}
+
+void crash_detector::record_survived(const std::vector<base::request_digest>& parts) {
+    peering::cleared_prompt_parts message;
+    for (const auto& part : parts) {
+        if (this->clear(part, "")) {
+            message.parts.push_back(part);
+        }
+    }
+    if (!message.parts.empty()) {
+        this->send_clearances(message);
+    }
+}
+
+void crash_detector::receive(const base::entry_id& from,
+                             const peering::cleared_prompt_parts& message) {
+    for (const auto& part : message.parts) {
+        this->clear(part, from.value.c_str());
+    }
+}
+
 void crash_detector::restore_quarantine(const quarantine::quarantined_request& recorded) {
     auto quarantined = recorded;
     quarantined.end_unknown = true;
--- a/src/proxy/crash_detector.h
+++ b/src/proxy/crash_detector.h
@@ -33,6 +33,10 @@
                  base::instant written);
     void receive(const base::entry_id& from, const peering::quarantine_notice& message,
                  base::instant written);
+    void receive(const base::entry_id& from, const peering::cleared_prompt_parts& message);
+    // An upstream has survived the begin of a response to a prompt with these parts: clears them,
+    // and reports those that were suspects to the other entries.
+    void record_survived(const std::vector<base::request_digest>& parts);
     // Applies a quarantine recorded in the platform's store.
     void restore_quarantine(const quarantine::quarantined_request& recorded);
     // The messages for a newly connected entry: all quarantined requests whose expiry is known.
@@ -41,6 +45,8 @@
 
     // Sends a message to all other entries.
     std::function<void(const peering::message&)> broadcast;
+    // Sends a message about cleared prompt parts to all entries that understand it.
+    std::function<void(const peering::message&)> send_clearances;
     // Called when a request enters quarantine. `decided_here` is false if the decision came from
     // another entry or from the store.
     std::function<void(const quarantine::quarantined_request&, bool decided_here)>
@@ -62,6 +68,7 @@
     void add_victims(const base::upstream_instance& upstream, base::instant at,
                      const std::vector<quarantine::crash_victim>& victims);
     void broadcast_crashes();
+    bool clear(const base::request_digest& part, const char* source);
     void apply_quarantine(const quarantine::quarantined_request& quarantined, const char* source);
     void log_quarantine(const quarantine::quarantined_request& quarantined, const char* source);
 
--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -105,8 +105,8 @@
         this->chunked = this->exchange->head.chunks_allowed;
         this->keep_alive_after = this->keep_alive() && this->chunked;
         if (!this->chunked) {
-            // The response ends with its connection, which the kernel would end in an orderly way if
-            // this process were killed before the response is complete.
+            // The response ends with its connection, which the kernel would end in an orderly way
+            // if this process were killed before the response is complete.
             this->set_reset_on_close(true);
         }
         const auto kind = this->chunked ? http::framing::chunks : http::framing::close;
@@ -188,8 +188,8 @@
         self->close();
     }
 
-    // Whether the connection ends by a reset, so that its client does not take the end of a response
-    // without a length for its completion.
+    // Whether the connection ends by a reset, so that its client does not take the end of a
+    // response without a length for its completion.
     void set_reset_on_close(bool reset) {
         if (this->socket != nullptr) {
             const struct linger how { reset ? 1 : 0, 0 };
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -489,6 +489,11 @@
     this->crash_report_received(this->links.at(key).id, message, written);
 }
 
+void peers::handle(link_key key, const peering::cleared_prompt_parts& message,
+                   base::instant /*written*/) {
+    this->cleared_prompt_parts_received(this->links.at(key).id, message);
+}
+
 void peers::handle(link_key key, const peering::quarantine_notice& message, base::instant written) {
     this->quarantine_notice_received(this->links.at(key).id, message, written);
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -79,6 +79,8 @@
     std::function<void(const base::entry_id& from, const peering::quarantine_notice&,
                        base::instant written)>
         quarantine_notice_received;
+    std::function<void(const base::entry_id& from, const peering::cleared_prompt_parts&)>
+        cleared_prompt_parts_received;
     // Called when the handshake of a new link has arrived.
     std::function<void(const base::entry_id& from)> entry_connected;
     // Handles a message on the origins of streams, written at that time.
@@ -148,6 +150,7 @@
     void handle(link_key key, const peering::store_changes& message, base::instant written);
     void handle(link_key key, const peering::crash_report& message, base::instant written);
     void handle(link_key key, const peering::quarantine_notice& message, base::instant written);
+    void handle(link_key key, const peering::cleared_prompt_parts& message, base::instant written);
     void handle(link_key key, const peering::upstream_draining& message, base::instant written);
     void handle(link_key key, const peering::stream_origins& message, base::instant written);
     void handle(link_key key, const peering::origin_query& message, base::instant written);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -70,6 +70,9 @@
               this->peer_entries.broadcast(peering::upstream_draining{upstream});
           },
           [this](const broken_attempt& broken) { this->crashes.record_broken_attempt(broken); },
+          [this](const std::vector<base::request_digest>& parts) {
+              this->crashes.record_survived(parts);
+          },
           [this](const base::request_id& request, const resumption::stream_origin& origin,
                  base::milliseconds deadline) { this->origins.record(request, origin, deadline); },
           [this](const base::request_id& request, auto done) {
@@ -268,6 +271,17 @@
     this->peer_entries.quarantine_notice_received =
         [this](const base::entry_id& from, const peering::quarantine_notice& message,
                base::instant written) { this->crashes.receive(from, message, written); };
+    this->crashes.send_clearances = [this](const peering::message& message) {
+        std::vector<base::entry_id> to;
+        for (const auto& each : this->peer_entries.linked_entries(peering::prompt_part_protocol)) {
+            to.push_back(each.id);
+        }
+        this->peer_entries.send(to, message);
+    };
+    this->peer_entries.cleared_prompt_parts_received =
+        [this](const base::entry_id& from, const peering::cleared_prompt_parts& message) {
+            this->crashes.receive(from, message);
+        };
 }
 
 std::function<void(const std::vector<base::entry_id>&, const peering::message&)>
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -195,7 +195,7 @@
     }
     if (this->criteria.suspect) {
         this->current->trial = true;
-        quarantine::begin_trial(this->context.state.quarantine, this->identity().digest, sent.id,
+        quarantine::begin_trial(this->context.state.quarantine, this->suspects(), sent.id,
                                 this->current->sent_at, {});
     }
     this->count_placed_tokens();
@@ -332,9 +332,9 @@
                               this->current->response_started);
     }
     if (this->current->trial) {
-        quarantine::end_trial(this->context.state.quarantine, this->identity().digest);
+        quarantine::end_trial(this->context.state.quarantine, this->suspects());
     }
-    this->was_trial = this->current->trial;
+    this->was_suspect = quarantine::is_suspect(this->context.state.quarantine, this->suspects());
     const auto ended_attempt = std::move(*this->current);
     this->current.reset();
     const auto& upstreams = this->context.state.fleet.members;
--- a/src/proxy/request_endings.cpp
+++ b/src/proxy/request_endings.cpp
@@ -99,6 +99,9 @@
 void request_flow::on_response_complete() {
     ++this->possible_executions;
     this->clear_suspicion();
+    if (this->current->head.status < first_refusal_status) {
+        this->record_survived_parts();
+    }
     if (this->state != response_state::streaming) {
         this->on_full_response();
         return;
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -124,7 +124,7 @@
         return;
     }
     const auto& attempt = *this->current;
-    quarantine::crash_victim victim{this->identity(), attempt.sent_at, {}};
+    quarantine::crash_victim victim{this->identity(), attempt.sent_at, {}, this->shared_parts()};
     if (attempt.response_started) {
         victim.response_started_at = attempt.first_byte_at;
     }
@@ -168,9 +168,9 @@
 void request_flow::retry_or_fail(const char* reason) {
     if (this->may_retry() && this->consume_retry()) {
         this->prepare_to_resume();
-        if (this->was_trial) {
-            // Whether the trial crashed its upstream is known only a moment later. Retrying before
-            // then could crash one more upstream.
+        if (this->was_suspect) {
+            // Whether the attempt crashed its upstream is known only a moment later. Retrying
+            // before then could crash one more upstream.
             this->trial_timer.set(quarantine::quarantine_rules{}.simultaneous_window);
         } else {
             this->send_attempt();
@@ -196,7 +196,7 @@
     }
 }
 
-void request_flow::retry_after_trial() {
+void request_flow::retry_as_suspect() {
     const auto self = this->shared_from_this();
     this->send_attempt();
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -48,7 +48,7 @@
       timeout_timer(context.loop.base(), [this] { this->on_timeout(); }),
       stall_timer(context.loop.base(), [this] { this->check_for_stall(); }),
       weights_timer(context.loop.base(), [this] { this->on_weights_expired(); }),
-      trial_timer(context.loop.base(), [this] { this->retry_after_trial(); }),
+      trial_timer(context.loop.base(), [this] { this->retry_as_suspect(); }),
       view_timer(context.loop.base(), [this] {
           const auto self = this->shared_from_this();
           this->resume_earlier_request();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -134,7 +134,7 @@
     bool consume_retry();
     void prepare_to_resume();
     void retry_or_fail(const char* reason);
-    void retry_after_trial();
+    void retry_as_suspect();
     void start_stall_timer();
     void check_for_stall_in(base::micros span);
     [[nodiscard]] stall_view current_stall_view() const;
@@ -162,11 +162,15 @@
     [[nodiscard]] fleet::member* current_member() const;
     [[nodiscard]] fleet::request_work current_work() const;
     const quarantine::request_identity& identity();
+    const std::vector<quarantine::request_identity>& shared_parts();
+    quarantine::request_suspects suspects();
+    void record_survived_parts();
 
     entry_context& context;
     exchange_ptr exchange;
     // Computed on first use.
     std::optional<quarantine::request_identity> cached_identity;
+    std::optional<std::vector<quarantine::request_identity>> cached_parts;
     ports::client_request metadata;
     admitted_request request;
     selection_criteria criteria;
@@ -185,8 +189,8 @@
     std::optional<attempt> current;
     // Number of upstreams that may have begun to execute the request.
     int possible_executions = 0;
-    // The last attempt was the trial of a suspected request.
-    bool was_trial = false;
+    // The request, or a part of its prompt, was a suspect when the last attempt ended.
+    bool was_suspect = false;
     // Attempts after the first, and connections that could not be established.
     int retry_count = 0;
     int unreachable_count = 0;
--- /dev/null
+++ b/src/quarantine/prompt_part_tests.cpp
@@ -0,0 +1,198 @@
+#include "quarantine/quarantine.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace camphorrail;
+using base::milliseconds;
+using quarantine::verdict;
+
+namespace {
+
+const quarantine::quarantine_rules rules;
+
+base::instant at(int ms) {
+    return base::instant(milliseconds(ms));
+}
+
+quarantine::request_identity part(const std::string& name) {
+    return quarantine::identify_prompt_part({"m0"}, name);
+}
+
+// A request that was in flight at a crash, 40 ms after it was sent.
+struct prompt {
+    std::string name;
+    std::vector<std::string> parts;
+    // How long before the crash its response had begun; negative if it had not.
+    int begun_ago_ms = -1;
+};
+
+// The quarantine state of one entry, with times in milliseconds.
+struct entry {
+    quarantine::quarantine state;
+
+    void crash(const std::string& upstream, int ms, const std::vector<prompt>& prompts) {
+        quarantine::crash_report report{{{upstream}, {}}, at(ms), {}};
+        for (const auto& each : prompts) {
+            quarantine::crash_victim victim{
+                quarantine::identify({"/desk", "north", each.name}), at(ms - 40), {}};
+            if (each.begun_ago_ms >= 0) {
+                victim.response_started_at = at(ms - each.begun_ago_ms);
+            }
+            for (const auto& name : each.parts) {
+                victim.parts.push_back(part(name));
+            }
+            report.victims.push_back(std::move(victim));
+        }
+        quarantine::record_crash(this->state, report, at(ms), rules);
+    }
+
+    void survive(const std::string& name, int ms) {
+        quarantine::clear_prompt_part(this->state, part(name).digest, at(ms));
+    }
+
+    [[nodiscard]] verdict judge(const std::vector<std::string>& parts, int ms) const {
+        quarantine::request_suspects request;
+        for (const auto& name : parts) {
+            request.parts.push_back(part(name).digest);
+        }
+        return quarantine::evaluate(this->state, request, at(ms), rules).what;
+    }
+
+    std::size_t decide(int ms) {
+        return quarantine::decide_quarantines(this->state, at(ms), rules).size();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a prompt part under which two different requests crash upstreams is quarantined",
+          "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"hot", "fatal", "b1"}}, {"r2", {"hot", "b2"}}});
+    CHECK(node.judge({"hot", "fatal"}, 110) == verdict::allowed);
+    node.survive("hot", 150);
+    node.crash("i-2", 300, {{"r3", {"b3", "fatal", "hot"}}});
+    CHECK(node.judge({"fatal"}, 310) == verdict::deferred);
+    CHECK(node.judge({"hot", "b1"}, 310) == verdict::allowed);
+    CHECK(node.decide(460) == 1);
+    CHECK(node.judge({"hot", "fatal"}, 470) == verdict::quarantined);
+    CHECK(node.judge({"hot", "b1"}, 470) == verdict::allowed);
+
+    SECTION("at its model alone") {
+        const auto elsewhere = quarantine::identify_prompt_part({"m1"}, "fatal");
+        CHECK(quarantine::evaluate(node.state, elsewhere.digest, at(470), rules).what ==
+              verdict::allowed);
+    }
+    SECTION("until an upstream survives the begin of a response to it") {
+        node.survive("fatal", 600);
+        CHECK(node.judge({"hot", "fatal"}, 610) == verdict::allowed);
+    }
+    SECTION("for a while") {
+        const int over = 470 + 600000;
+        quarantine::expire(node.state, at(over), rules);
+        CHECK(node.judge({"fatal"}, over) != verdict::quarantined);
+        node.crash("i-3", over + 100, {{"r4", {"fatal"}}});
+        CHECK(node.decide(over + 300) == 1);
+    }
+}
+
+// Guards against blaming the parts of a single request that crashes upstreams.
+TEST_CASE("a request that crashes upstreams by itself is blamed, not its parts", "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"rare"}}});
+    node.crash("i-2", 300, {{"r1", {"rare"}}});
+    node.crash("i-3", 500, {{"r1", {"rare"}}});
+    CHECK(node.decide(700) == 1);
+    CHECK(node.judge({"rare"}, 710) == verdict::allowed);
+}
+
+TEST_CASE("the parts of a response that had gone on for a while are not suspects", "[quarantine]") {
+    entry node;
+    node.crash("i-1", 1000, {{"r1", {"busy"}, 400}, {"r2", {"fatal"}, 30}});
+    node.crash("i-2", 1500, {{"r3", {"busy"}, 400}, {"r4", {"fatal"}}});
+    CHECK(node.decide(1700) == 1);
+    CHECK(node.judge({"fatal"}, 1710) == verdict::quarantined);
+    CHECK(node.judge({"busy"}, 1710) == verdict::allowed);
+}
+
+// Guards against quarantining a sound part that happened to be lost with the fatal one each time.
+TEST_CASE("a part that was lost with a quarantined one is not blamed for the same crashes",
+          "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"fatal"}}, {"r2", {"unlucky"}}});
+    node.crash("i-2", 300, {{"r3", {"fatal"}}, {"r4", {"unlucky"}}});
+    CHECK(node.decide(460) == 0);
+    CHECK(node.judge({"unlucky"}, 500) == verdict::trial);
+    node.crash("i-3", 600, {{"r5", {"fatal"}}});
+    CHECK(node.decide(800) == 1);
+    CHECK(node.decide(1000) == 0);
+    CHECK(node.judge({"fatal"}, 1010) == verdict::quarantined);
+    CHECK(node.judge({"unlucky"}, 1010) != verdict::quarantined);
+}
+
+// Guards against refusing all requests with a sound part that had only been sent with the fatal
+// one.
+TEST_CASE("of two parts that were always lost together, requests with one alone are tried",
+          "[quarantine]") {
+    entry node;
+    for (int each = 1; each <= 3; ++each) {
+        node.crash("i-" + std::to_string(each), 300 * each,
+                   {{"r" + std::to_string(each), {"fatal", "sibling"}}});
+    }
+    CHECK(node.decide(1100) == 2);
+    CHECK(node.judge({"fatal", "sibling"}, 1110) == verdict::quarantined);
+    CHECK(node.judge({"sibling", "b1"}, 1110) == verdict::trial);
+
+    SECTION("until the sound one is cleared") {
+        node.survive("sibling", 1200);
+        CHECK(node.judge({"sibling", "b1"}, 1210) == verdict::allowed);
+        CHECK(node.judge({"fatal"}, 1210) == verdict::quarantined);
+    }
+    SECTION("or the fatal one crashes another upstream") {
+        CHECK(node.judge({"fatal", "b1"}, 1110) == verdict::trial);
+        node.crash("i-4", 1200, {{"r4", {"fatal", "b1"}}});
+        CHECK(node.judge({"fatal", "b2"}, 1210) == verdict::quarantined);
+        CHECK(node.judge({"sibling"}, 1210) == verdict::trial);
+    }
+}
+
+// Guards against two fatal parts that hide each other, since upstreams crash under one all the time
+// while the other is looked at.
+TEST_CASE("two parts that crash upstreams at the same time are both quarantined", "[quarantine]") {
+    entry node;
+    std::size_t started = 0;
+    int number = 0;
+    for (int now = 100; now < 3000 && started < 2; now += 80) {
+        const std::string fatal = now / 80 % 2 == 0 ? "first" : "second";
+        if (node.judge({fatal}, now - 40) == verdict::allowed) {
+            ++number;
+            node.crash("i-" + std::to_string(number), now,
+                       {{"r" + std::to_string(number), {fatal}}});
+        }
+        started += node.decide(now);
+    }
+    CHECK(started == 2);
+    CHECK(number <= 8);
+}
+
+// Guards against quarantining a sound part that requests share all the time, as upstreams are lost
+// for other reasons.
+TEST_CASE("upstreams lost at the same moment are no evidence against prompt parts",
+          "[quarantine]") {
+    entry node;
+    int number = 0;
+    for (int round = 0; round < 4; ++round) {
+        const int now = 1000 + 3000 * round;
+        for (int each = 0; each < 5; ++each) {
+            ++number;
+            node.crash("i-" + std::to_string(number), now + 10 * each,
+                       {{"r" + std::to_string(number), {"rare"}}});
+        }
+        CHECK(node.decide(now + 500) == 0);
+    }
+    CHECK(node.judge({"rare"}, 15000) != verdict::quarantined);
+}
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -15,6 +15,13 @@
                        [&upstream](const auto& each) { return each.upstream == upstream; });
 }
 
+// Whether the upstream may have crashed as it began to respond.
+bool had_hardly_begun(const crash_victim& victim, base::instant crashed_at,
+                      const quarantine_rules& rules) {
+    return !victim.response_started_at ||
+           crashed_at - *victim.response_started_at < rules.survival_time;
+}
+
 double crash_weight(const crash_victim& victim, base::instant crashed_at,
                     const quarantine_rules& rules) {
     const bool stable =
@@ -64,10 +71,20 @@
     return sent_after_previous && (sent_later || ran_there);
 }
 
-void record_victim(quarantine& state, const crash_report& report, const crash_victim& victim,
-                   base::instant now, const quarantine_rules& rules) {
-    auto& record = find_or_add_suspect(state, victim.request, now, rules);
-    if (has_crash_on(record, report.upstream)) {
+// Whether the same request was in flight at an earlier crash of the suspect. For a prompt part,
+// that is evidence against the request.
+bool is_repeated_request(const suspect& record, const crash_victim& victim) {
+    return is_prompt_part(record.request.digest) &&
+           std::any_of(record.crashes.begin(), record.crashes.end(), [&victim](const auto& each) {
+               return each.request == victim.request.digest;
+           });
+}
+
+// `identity` is that of the victim itself, or of a part of its prompt.
+void record_suspect(quarantine& state, const request_identity& identity, const crash_report& report,
+                    const crash_victim& victim, base::instant now, const quarantine_rules& rules) {
+    auto& record = find_or_add_suspect(state, identity, now, rules);
+    if (has_crash_on(record, report.upstream) || is_repeated_request(record, victim)) {
         return;
     }
     if (!is_independent_crash(record, victim, report, rules)) {
@@ -77,11 +94,30 @@
     if (record.crashes.size() >= rules.max_crashes_per_suspect) {
         record.crashes.erase(record.crashes.begin());
     }
-    record.crashes.push_back(
-        {report.upstream, report.at, victim.sent_at, crash_weight(victim, report.at, rules)});
+    record.crashes.push_back({report.upstream, report.at, victim.sent_at, victim.request.digest,
+                              crash_weight(victim, report.at, rules)});
     record.last_event_at = report.at;
 }
 
+// Whether a prompt part other than the suspect accounts for a crash by what is known of it: `known`
+// tells whether that is enough.
+template <class Known>
+bool is_due_to_part(const quarantine& state, const upstream_crash& crash, const suspect& record,
+                    Known known) {
+    return std::any_of(crash.in_flight.begin(), crash.in_flight.end(), [&](const auto& digest) {
+        const auto found = state.suspects.find(digest);
+        return is_prompt_part(digest) && digest != record.request.digest &&
+               found != state.suspects.end() && known(found->second);
+    });
+}
+
+// Whether another prompt part crashes upstreams in turn, so that its crashes say nothing about what
+// else happens at the same time.
+bool is_of_series(const quarantine& state, const upstream_crash& crash, const suspect& record) {
+    return is_due_to_part(state, crash, record,
+                          [](const suspect& other) { return other.crashes.size() > 1; });
+}
+
 // Whether several upstreams crashed at about the same time without the request, or more crashed
 // within the simultaneous window than one copy could have crashed in turn.
 bool is_unrelated_crash(const quarantine& state, const suspect& record, const counted_crash& crash,
@@ -91,7 +127,9 @@
     for (const auto& [upstream, each] : state.crashes) {
         const auto apart = std::chrono::abs(each.at - crash.at);
         const bool in_flight = each.in_flight.count(record.request.digest) > 0;
-        without_request += apart <= rules.unrelated_crash_window && !in_flight ? 1 : 0;
+        const bool is_unrelated = apart <= rules.unrelated_crash_window && !in_flight &&
+                                  !is_of_series(state, each, record);
+        without_request += is_unrelated ? 1 : 0;
         simultaneous += apart <= rules.simultaneous_window && upstream != crash.upstream ? 1 : 0;
     }
     return without_request > rules.max_unrelated_crashes ||
@@ -105,6 +143,15 @@
     return known != state.crashes.end() && known->second.at < crash.sent_at;
 }
 
+// Whether a prompt part that is quarantined was in flight at the crash.
+bool is_accounted_for(const quarantine& state, const suspect& record, const counted_crash& crash,
+                      base::instant now) {
+    const auto known = state.crashes.find(crash.upstream);
+    return known != state.crashes.end() &&
+           is_due_to_part(state, known->second, record,
+                          [now](const suspect& other) { return is_quarantined(other, now); });
+}
+
 // The evidence if no crash were discounted: a cheap upper bound. After many upstreams have crashed
 // together, it rules out hundreds of suspects with one crash each.
 double max_evidence(const suspect& record) {
@@ -115,12 +162,13 @@
     return evidence;
 }
 
-double total_evidence(const quarantine& state, const suspect& record,
+double total_evidence(const quarantine& state, const suspect& record, base::instant now,
                       const quarantine_rules& rules) {
     double evidence = record.prior_evidence;
     for (const auto& crash : record.crashes) {
         const bool is_discounted = was_lost_before_sending(state, crash) ||
-                                   is_unrelated_crash(state, record, crash, rules);
+                                   is_unrelated_crash(state, record, crash, rules) ||
+                                   is_accounted_for(state, record, crash, now);
         evidence += is_discounted ? 0.0 : crash.weight;
     }
     return evidence;
@@ -139,7 +187,7 @@
         const auto found = state.suspects.find(digest);
         return digest != record.request.digest && found != state.suspects.end() &&
                !is_quarantined(found->second, now) &&
-               total_evidence(state, found->second, rules) >= evidence;
+               total_evidence(state, found->second, now, rules) >= evidence;
     });
 }
 
@@ -148,7 +196,7 @@
     if (record.crashes.empty() || max_evidence(record) < rules.evidence_threshold) {
         return false;
     }
-    const double evidence = total_evidence(state, record, rules);
+    const double evidence = total_evidence(state, record, now, rules);
     if (evidence < rules.evidence_threshold) {
         return false;
     }
@@ -160,7 +208,55 @@
 bool awaits_reports(const quarantine& state, const suspect& record, base::instant now,
                     const quarantine_rules& rules) {
     return now - record.last_event_at < rules.report_delay &&
-           total_evidence(state, record, rules) >= rules.evidence_threshold;
+           total_evidence(state, record, now, rules) >= rules.evidence_threshold;
+}
+
+bool contains(const std::vector<base::request_digest>& all, const base::request_digest& one) {
+    return std::find(all.begin(), all.end(), one) != all.end();
+}
+
+// Whether another suspect was in flight at each crash of the first one.
+bool shares_all_crashes(const suspect& first, const suspect& other) {
+    return std::all_of(first.crashes.begin(), first.crashes.end(),
+                       [&other](const auto& each) { return has_crash_on(other, each.upstream); });
+}
+
+// Whether a quarantined part was in flight only together with another quarantined part, which the
+// request lacks.
+bool lacks_companion(const quarantine& state, const suspect& part, const request_suspects& request,
+                     base::instant now) {
+    if (part.crashes.empty()) {
+        return false;
+    }
+    const auto crash = state.crashes.find(part.crashes.back().upstream);
+    if (crash == state.crashes.end()) {
+        return false;
+    }
+    return is_due_to_part(state, crash->second, part, [&](const suspect& other) {
+        return is_quarantined(other, now) && shares_all_crashes(part, other) &&
+               !contains(request.parts, other.request.digest);
+    });
+}
+
+evaluation evaluate_part(const quarantine& state, const base::request_digest& part,
+                         const request_suspects& request, base::instant now,
+                         const quarantine_rules& rules) {
+    const auto found = state.suspects.find(part);
+    if (found == state.suspects.end()) {
+        return {};
+    }
+    const auto& record = found->second;
+    // One crash says little: each crash makes many parts suspects.
+    const bool is_weak =
+        !record.quarantined_until && max_evidence(record) < rules.evidence_threshold;
+    if (is_weak) {
+        return {};
+    }
+    if (is_quarantined(record, now) && now >= record.trial_until &&
+        lacks_companion(state, record, request, now)) {
+        return {verdict::trial, base::micros(0), part};
+    }
+    return evaluate(state, part, now, rules);
 }
 
 // Ends a quarantine. The remaining evidence is such that one more crash quarantines the request
@@ -187,7 +283,14 @@
     crash.at = is_new ? report.at : std::min(crash.at, report.at);
     for (const auto& victim : report.victims) {
         crash.in_flight.insert(victim.request.digest);
-        record_victim(state, report, victim, now, rules);
+        record_suspect(state, victim.request, report, victim, now, rules);
+        if (!had_hardly_begun(victim, report.at, rules)) {
+            continue;
+        }
+        for (const auto& part : victim.parts) {
+            crash.in_flight.insert(part.digest);
+            record_suspect(state, part, report, victim, now, rules);
+        }
     }
 }
 
@@ -234,8 +337,20 @@
 
 bool may_be_suspect(const quarantine& state, std::size_t body_bytes) {
     return std::any_of(
-        state.suspects.begin(), state.suspects.end(),
-        [body_bytes](const auto& each) { return each.second.request.body_bytes == body_bytes; });
+        state.suspects.begin(), state.suspects.end(), [body_bytes](const auto& each) {
+            return !is_prompt_part(each.first) && each.second.request.body_bytes == body_bytes;
+        });
+}
+
+bool has_suspected_parts(const quarantine& state) {
+    return std::any_of(state.suspects.begin(), state.suspects.end(),
+                       [](const auto& each) { return is_prompt_part(each.first); });
+}
+
+bool is_suspect(const quarantine& state, const request_suspects& request) {
+    return state.suspects.count(request.request) > 0 ||
+           std::any_of(request.parts.begin(), request.parts.end(),
+                       [&state](const auto& part) { return state.suspects.count(part) > 0; });
 }
 
 evaluation evaluate(const quarantine& state, const base::request_digest& request, base::instant now,
@@ -246,18 +361,31 @@
     }
     const auto& record = found->second;
     if (is_quarantined(record, now)) {
-        return {verdict::quarantined, *record.quarantined_until - now};
+        return {verdict::quarantined, *record.quarantined_until - now, request};
     }
     if (now < record.trial_until) {
-        return {verdict::deferred, record.trial_until - now};
+        return {verdict::deferred, record.trial_until - now, request};
     }
     if (now < record.retry_not_before) {
-        return {verdict::deferred, record.retry_not_before - now};
+        return {verdict::deferred, record.retry_not_before - now, request};
     }
     if (awaits_reports(state, record, now, rules)) {
-        return {verdict::deferred, rules.report_delay};
+        return {verdict::deferred, rules.report_delay, request};
+    }
+    return {verdict::trial, base::micros(0), request};
+}
+
+evaluation evaluate(const quarantine& state, const request_suspects& request, base::instant now,
+                    const quarantine_rules& rules) {
+    evaluation strictest = evaluate(state, request.request, now, rules);
+    for (const auto& part : request.parts) {
+        const auto next = evaluate_part(state, part, request, now, rules);
+        if (std::pair(next.what, next.retry_after) >
+            std::pair(strictest.what, strictest.retry_after)) {
+            strictest = next;
+        }
     }
-    return {verdict::trial, base::micros(0)};
+    return strictest;
 }
 
 void begin_trial(quarantine& state, const base::request_digest& request,
@@ -270,6 +398,26 @@
     }
 }
 
+void begin_trial(quarantine& state, const request_suspects& request,
+                 const base::upstream_id& upstream, base::instant now,
+                 const quarantine_rules& rules) {
+    begin_trial(state, request.request, upstream, now, rules);
+    for (const auto& part : request.parts) {
+        const bool is_on_trial =
+            evaluate_part(state, part, request, now, rules).what == verdict::trial;
+        if (is_on_trial) {
+            begin_trial(state, part, upstream, now, rules);
+        }
+    }
+}
+
+void end_trial(quarantine& state, const request_suspects& request) {
+    end_trial(state, request.request);
+    for (const auto& part : request.parts) {
+        end_trial(state, part);
+    }
+}
+
 void end_trial(quarantine& state, const base::request_digest& request) {
     const auto found = state.suspects.find(request);
     if (found != state.suspects.end()) {
@@ -284,6 +432,17 @@
     }
 }
 
+clearance clear_prompt_part(quarantine& state, const base::request_digest& part,
+                            base::instant now) {
+    const auto found = state.suspects.find(part);
+    if (found == state.suspects.end()) {
+        return clearance::none;
+    }
+    const bool was_quarantined = is_quarantined(found->second, now);
+    state.suspects.erase(found);
+    return was_quarantined ? clearance::quarantine_lifted : clearance::suspicion_removed;
+}
+
 std::vector<base::upstream_id> upstreams_with_trials(const quarantine& state, base::instant now) {
     std::vector<base::upstream_id> found;
     for (const auto& [digest, record] : state.suspects) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -10,12 +10,20 @@
 #include <set>
 #include <vector>
 
-// Quarantine of requests that crash every upstream that runs them ("queries of death").
+// Quarantine of requests that crash every upstream that runs them ("queries of death"), and of
+// parts of prompts that crash every upstream that begins to respond to a prompt with them.
 //
 // Every request in flight at an upstream when it crashes becomes a suspect. A suspect may run
 // again, but only one copy at a time and on the upstream where a crash would affect the fewest
 // other requests; a complete response clears it. A request under which several upstreams crash in
-// turn is quarantined for a while. The caller passes the current time; nothing here does I/O.
+// turn is quarantined for a while.
+//
+// Different requests may share a prompt part that crashes upstreams. The parts of each request that
+// had not begun to respond at a crash become suspects as well, and any response that begins clears
+// the parts of its prompt. What several different requests have in common that crash upstreams in
+// turn is quarantined; a request that was in flight alone is not enough to blame its parts.
+//
+// The caller passes the current time; nothing here does I/O.
 namespace camphorrail::quarantine {
 
 struct quarantine_rules {
@@ -45,6 +53,9 @@
     // The quarantine lasts twice as long each further time the request crashes an upstream.
     base::micros initial_duration = base::minutes(10);
     base::micros max_duration = base::minutes(24 * 60);
+    // A response that an upstream has begun and survived for this long shows that the parts of its
+    // prompt crash no upstream.
+    base::micros survival_time = base::milliseconds(200);
     std::size_t max_suspects = 512;
     std::size_t max_crashes_per_suspect = 8;
     std::size_t max_crashes = 64;
@@ -56,6 +67,8 @@
     base::instant sent_at{};
     // Empty if no response byte had arrived.
     std::optional<base::instant> response_started_at;
+    // The parts of its prompt that other requests may share.
+    std::vector<request_identity> parts;
 };
 
 // A crash as one entry observed it, with that entry's requests only.
@@ -75,15 +88,17 @@
 struct counted_crash {
     base::upstream_instance upstream;
     base::instant at{};
-    // When the copy that was in flight at the crash was sent.
+    // When the copy that was in flight at the crash was sent, and which request it was.
     base::instant sent_at{};
+    base::request_digest request;
     double weight = 1.0;
 };
 
-// The evidence against one request and the state of its trial and quarantine.
+// The evidence against one request or prompt part, and the state of its trial and quarantine.
 struct suspect {
     request_identity request;
-    // Independent crashes: each under a copy that was sent after the previous crash.
+    // Independent crashes: each under a copy that was sent after the previous crash, and under a
+    // different request if the suspect is a prompt part.
     std::vector<counted_crash> crashes;
     // Evidence carried over from before its last quarantine.
     double prior_evidence = 0.0;
@@ -139,6 +154,12 @@
 // computed.
 bool may_be_suspect(const quarantine& state, std::size_t body_bytes);
 
+// Whether any prompt part is a suspect. If not, those of a request need not be identified.
+bool has_suspected_parts(const quarantine& state);
+
+// Whether there is any evidence against a request or a part of its prompt.
+bool is_suspect(const quarantine& state, const request_suspects& request);
+
 enum class verdict {
     // There is no evidence against the request.
     allowed,
@@ -153,20 +174,39 @@
     verdict what = verdict::allowed;
     // When to ask again; set for `deferred` and `quarantined`.
     base::micros retry_after{0};
+    // The suspect that decides, if the request is not allowed.
+    base::request_digest suspect;
 };
 
 evaluation evaluate(const quarantine& state, const base::request_digest& request, base::instant now,
                     const quarantine_rules& rules);
 
+// Evaluates a request together with the parts of its prompt; the strictest verdict counts. Where
+// several parts were quarantined because they were in flight together at all of their crashes, a
+// request that lacks one of them may run as a trial: it shows which of them is to blame.
+evaluation evaluate(const quarantine& state, const request_suspects& request, base::instant now,
+                    const quarantine_rules& rules);
+
 // Marks that a suspect is sent to an upstream, and that its attempt there has ended.
 void begin_trial(quarantine& state, const base::request_digest& request,
                  const base::upstream_id& upstream, base::instant now,
                  const quarantine_rules& rules);
+void begin_trial(quarantine& state, const request_suspects& request,
+                 const base::upstream_id& upstream, base::instant now,
+                 const quarantine_rules& rules);
 void end_trial(quarantine& state, const base::request_digest& request);
+void end_trial(quarantine& state, const request_suspects& request);
 
 // Removes the suspicion after a complete response. A quarantine that has begun stays until it ends.
 void clear_suspicion(quarantine& state, const base::request_digest& request, base::instant now);
 
+// How a prompt part was cleared.
+enum class clearance { none, suspicion_removed, quarantine_lifted };
+
+// Removes the suspicion against a prompt part after an upstream has survived the begin of a
+// response to it. That also ends its quarantine, which was a mistake.
+clearance clear_prompt_part(quarantine& state, const base::request_digest& part, base::instant now);
+
 // The upstreams that currently run a trial.
 std::vector<base::upstream_id> upstreams_with_trials(const quarantine& state, base::instant now);
 
--- a/src/quarantine/request_identity.h
+++ b/src/quarantine/request_identity.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <string_view>
+#include <vector>
 
 namespace camphorrail::quarantine {
 
@@ -29,4 +30,19 @@
 
 request_identity identify(const identity_parts& parts);
 
+// Identifies a part of prompts at one model, whichever requests and clients share it. The upstreams
+// of a model crash under such a part for all clients alike.
+request_identity identify_prompt_part(const base::model_id& model, std::string_view part);
+
+// Whether an identity is that of a prompt part.
+bool is_prompt_part(const base::request_digest& digest);
+
+// What may be to blame for a crash under one request: the request itself, and the parts of its
+// prompt that other requests may share.
+struct request_suspects {
+    // Empty if there is no suspicion against any request like it, so that it was not computed.
+    base::request_digest request;
+    std::vector<base::request_digest> parts;
+};
+
 } // namespace camphorrail::quarantine
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -215,6 +215,9 @@
               [this](const proxy::broken_attempt& broken) {
                   this->crashes.record_broken_attempt(broken);
               },
+              [this](const std::vector<base::request_digest>& parts) {
+                  this->crashes.record_survived(parts);
+              },
               [this](const base::request_id& request, const resumption::stream_origin& origin,
                      base::milliseconds deadline) {
                   resumption::record_origin(this->state.origins,
@@ -241,6 +244,7 @@
     this->crashes.broadcast = [this](const peering::message& message) {
         this->told.push_back(message);
     };
+    this->crashes.send_clearances = this->crashes.broadcast;
     this->crashes.quarantine_started = [this](const quarantine::quarantined_request& held, bool) {
         const auto under_way = this->flows;
         for (const auto& flow : under_way) {
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -38,9 +38,15 @@
 
 // A small prompt, whose first part some calls share.
 std::string prompt_fields(const call_seen& call) {
-    return "\r\nModel-Name: " + call.model +
-           "\r\nToken-Count: 40,8\r\nPrompt-Prefix: " + call.key.back() + ":32,f" +
-           call.id.substr(call.id.find('-') + 1) + ":8";
+    const std::string number = call.id.substr(call.id.find('-') + 1);
+    const std::string shared = std::string(1, call.key.back()) + ":32,";
+    const std::string fatal = std::string(fatal_prompt_part) + ":8,";
+    const bool comes_first = number.back() % 2 == 0;
+    const std::string parts = !call.has_fatal_part ? shared
+                              : comes_first        ? fatal + shared
+                                                   : shared + fatal;
+    return "\r\nModel-Name: " + call.model + "\r\nToken-Count: 48,8\r\nPrompt-Prefix: " + parts +
+           "f" + number + ":8";
 }
 
 } // namespace
@@ -68,7 +74,8 @@
                 this);
             bufferevent_enable(this->socket, EV_READ | EV_WRITE);
         }
-        const std::string body = this->call.fatal     ? this->owner->fatal_body
+        const bool is_fatal_body = this->call.fatal && !this->call.has_fatal_part;
+        const std::string body = is_fatal_body        ? this->owner->fatal_body
                                  : this->call.popular ? "popular"
                                                       : "body of " + this->call.id;
         const std::string bytes =
@@ -250,8 +257,9 @@
     one.leaves_after = 0;
 }
 
-void callers::send_fatal_until(base::instant until) {
+void callers::send_fatal_until(base::instant until, bool share_part) {
     this->fatal_until = until;
+    this->fatal_by_part = share_part;
     this->fatal_body = "fatal " + std::to_string(++this->calls);
 }
 
@@ -262,7 +270,15 @@
     }
     call.fatal = true;
     call.kind = call_kind::stream;
-    call.key = this->keys.back();
+    if (!this->fatal_by_part) {
+        call.key = this->keys.back();
+        return;
+    }
+    call.has_fatal_part = true;
+    call.model = "m0";
+    if (this->calls % 2 == 0) {
+        call.kind = call_kind::resumable_stream;
+    }
 }
 
 void callers::make_popular(call_seen& call) {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -30,8 +30,9 @@
 
     // Whether callers leave some streams in the middle, and resume those that did not end.
     void resume_streams(bool do_resume) { this->resumes = do_resume; }
-    // Until then, every few calls a fatal one is sent, the same each time.
-    void send_fatal_until(base::instant until);
+    // Until then, every few calls a fatal one is sent: the same each time, or ones that are no two
+    // alike and share a part of their prompts.
+    void send_fatal_until(base::instant until, bool share_part);
     // From now on every few calls are one and the same harmless one.
     void send_popular() { this->popular = true; }
 
@@ -54,6 +55,7 @@
     std::int64_t calls = 0;
     base::instant fatal_until{};
     std::string fatal_body;
+    bool fatal_by_part = false;
     bool popular = false;
     bool resumes = false;
     std::string name;
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -174,16 +174,18 @@
             fatal[run.fatal].push_back(&run);
         }
     }
-    constexpr std::size_t third = 2;
+    constexpr std::size_t crashes_of_request = 3;
     for (const auto& [request, runs] : fatal) {
+        const std::size_t known =
+            request == fatal_prompt_part ? promises.crashes_of_part : crashes_of_request;
         std::set<std::string> crashed;
         std::size_t later = 0;
-        base::instant third_at{};
+        base::instant known_at{};
         for (const auto* run : runs) {
-            if (crashed.insert(run->instance).second && crashed.size() == third + 1) {
-                third_at = run->at;
+            if (crashed.insert(run->instance).second && crashed.size() == known) {
+                known_at = run->at;
             }
-            const bool late = crashed.size() > third && run->at > third_at + promises.calm;
+            const bool late = crashed.size() >= known && run->at > known_at + promises.calm;
             later += late && !unsettled(seen, run->at, promises) ? 1 : 0;
         }
         if (later > promises.sends_after_crashes) {
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -18,6 +18,8 @@
     // A request that has crashed three engines reaches no more than this many later than the calm
     // after the third.
     std::size_t sends_after_crashes = 3;
+    // The same for requests that share a part of their prompts, after so many crashes.
+    std::size_t crashes_of_part = 5;
     // A back end that has said through an entry that it leaves gets no call of it sent later.
     base::milliseconds drain{2000};
     // A back end whose list entry has called it leaving, or is gone, for this long begins on
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -301,6 +301,23 @@
         seen.pauses.pop_back();
         CHECK(soak::check(seen, {}).empty());
     }
+    SECTION("a fatal part of prompts that goes on crashing engines") {
+        for (int each = 0; each < 9; ++each) {
+            const std::string id = "f" + std::to_string(each);
+            seen.calls.push_back(call(id, soak::call_kind::stream, 0, 1000 + 3000 * each));
+            seen.calls.back().fatal = true;
+            seen.runs.push_back(run(id, 1010 + 3000 * each));
+            seen.runs.back().fatal = soak::fatal_prompt_part;
+            seen.runs.back().instance = "i-" + id;
+        }
+        // One of the four later ones comes within the calm after the fifth.
+        CHECK(soak::check(seen, {}).empty());
+        seen.calls.push_back(call("g", soak::call_kind::stream, 0, 29000));
+        seen.calls.back().fatal = true;
+        seen.runs.push_back(run("g", 29010));
+        seen.runs.back().fatal = soak::fatal_prompt_part;
+        CHECK(only_finding(seen).rfind("fatal requests are held back", 0) == 0);
+    }
     SECTION("a fatal request that goes on crashing engines") {
         for (int each = 0; each < 7; ++each) {
             const std::string id = "f" + std::to_string(each);
--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -153,8 +153,11 @@
         {call, this->id, stamp, exchange->header("Tenant-Id"), adapters::boot_now()});
     this->seen->runs.back().model = exchange->header("Model-Name");
     this->seen->runs.back().weights = this->version;
-    if (is_fatal(exchange->body())) {
-        this->seen->runs.back().fatal = exchange->path() + " " + exchange->body();
+    const bool has_fatal_part =
+        exchange->header("Prompt-Prefix").find(fatal_prompt_part) != std::string::npos;
+    if (has_fatal_part || is_fatal(exchange->body())) {
+        this->seen->runs.back().fatal = has_fatal_part ? std::string(fatal_prompt_part)
+                                                       : exchange->path() + " " + exchange->body();
         this->loop->after(crash_after, [this, of_start = this->starts] {
             if (this->starts == of_start && this->server != nullptr) {
                 this->crashes();
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -38,6 +38,9 @@
     return body.starts_with("fatal");
 }
 
+// So do prompts with this part, whatever else they hold.
+inline constexpr std::string_view fatal_prompt_part = "fa7a1";
+
 // One call as its caller saw it.
 struct call_seen {
     std::string id;
@@ -52,8 +55,9 @@
     std::string body;
     // The answer came to its end.
     bool whole = false;
-    // It crashes the engine that runs it.
+    // It crashes the engine that runs it, by itself or by a part of its prompt.
     bool fatal = false;
+    bool has_fatal_part = false;
     // The same for many callers, and harmless.
     bool popular = false;
     // The answer says that its engine leaves.
@@ -77,7 +81,8 @@
     std::string stamp;
     std::string team;
     base::instant at{};
-    // What the request is over all its attempts, where it crashes its engine; empty for others.
+    // What the request is over all its attempts, or the part of its prompt, where that crashes its
+    // engine; empty for others.
     std::string fatal;
     // The model that it is for, and the version of its weights when the run began.
     std::string model;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -140,7 +140,8 @@
         return;
     }
     if (base::random_below(random, 2) > 0) {
-        plan.push_back({at, quiet_span, fault_kind::fatal_requests, 0});
+        const int by_part = static_cast<int>(seed / 2 % 2);
+        plan.push_back({at, quiet_span, fault_kind::fatal_requests, by_part});
         return;
     }
     const auto engines = static_cast<std::uint64_t>(size.engines);
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -35,7 +35,8 @@
     remove_key,
     change_config,
     name_weights,
-    // Callers: one request that crashes each engine that runs it comes again and again.
+    // Callers: one request that crashes each engine that runs it comes again and again, or requests
+    // do that share a part of their prompts.
     fatal_requests,
     // An engine says in its answers that it leaves, and the list calls it ready.
     engine_says_leaving,
@@ -67,7 +68,8 @@
     base::milliseconds span{0};
     fault_kind kind = fault_kind::kill;
     // Which entry or engine, by number; of weights named in a pause, how many versions are skipped;
-    // of a return of the store, whether it leaves open watches unanswered.
+    // of a return of the store, whether it leaves open watches unanswered; of fatal requests,
+    // whether they share a part of their prompts.
     int target = 0;
     // How long after a return of the store its owners write again what it has lost.
     base::milliseconds operators_after{0};
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -294,7 +294,7 @@
         return;
     case fault_kind::fatal_requests:
         this->note(fault);
-        this->calling.send_fatal_until(adapters::boot_now() + fault.span);
+        this->calling.send_fatal_until(adapters::boot_now() + fault.span, fault.target > 0);
         return;
     case fault_kind::engines_lost_together:
         this->note(fault);
