Let a part account for requests that were repeated under it

A request with two attempts crashes two engines, so it looked as guilty as the part that it shares with another one, and the part was held back only after a further crash. A request all of whose crashes had the part in flight competes with it no more.

--- a/src/quarantine/prompt_part_tests.cpp
+++ b/src/quarantine/prompt_part_tests.cpp
@@ -110,6 +110,19 @@
     CHECK(node.judge({"rare"}, 710) == verdict::allowed);
 }
 
+// Guards against waiting for a further crash since a request that was repeated looks as guilty as
+// the part that it shares with another one.
+TEST_CASE("a part that accounts for the crashes of two repeated requests is quarantined",
+          "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"fatal"}}});
+    node.crash("i-2", 200, {{"r1", {"fatal"}}});
+    node.crash("i-3", 300, {{"r2", {"fatal"}}});
+    node.crash("i-4", 400, {{"r2", {"fatal"}}});
+    node.decide(560);
+    CHECK(node.judge({"fatal"}, 570) == verdict::quarantined);
+}
+
 TEST_CASE("the parts of a response that had gone on for a while are not suspects", "[quarantine]") {
     entry node;
     node.crash("i-1", 1000, {{"r1", {"busy"}, 400}, {"r2", {"fatal"}, 30}});
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -174,7 +174,17 @@
     return evidence;
 }
 
-// Whether another request was in flight at the same last crash and has at least as much evidence
+// Whether a prompt part was in flight at each crash of a request, so that it accounts for them all.
+bool accounts_for_request(const quarantine& state, const suspect& part, const suspect& request) {
+    return is_prompt_part(part.request.digest) && !is_prompt_part(request.request.digest) &&
+           std::all_of(request.crashes.begin(), request.crashes.end(), [&](const auto& each) {
+               const auto known = state.crashes.find(each.upstream);
+               return known != state.crashes.end() &&
+                      known->second.in_flight.count(part.request.digest) > 0;
+           });
+}
+
+// Whether another suspect was in flight at the same last crash and has at least as much evidence
 // against it.
 bool has_equal_suspect(const quarantine& state, const suspect& record, double evidence,
                        base::instant now, const quarantine_rules& rules) {
@@ -187,6 +197,7 @@
         const auto found = state.suspects.find(digest);
         return digest != record.request.digest && found != state.suspects.end() &&
                !is_quarantined(found->second, now) &&
+               !accounts_for_request(state, record, found->second) &&
                total_evidence(state, found->second, now, rules) >= evidence;
     });
 }
