Bound what is remembered of a crash, and clear parts once an attempt

A crash remembers 1,024 requests and parts at most. Only prompt parts leave crashes of another part's series out of account, so that what protects popular requests when many upstreams are lost stays as it was.

--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -59,6 +59,8 @@
         bool counts_against_limit = false;
         // When the first byte of the response was received.
         base::instant first_byte_at{};
+        // The response has gone on for so long that its upstream will not crash under the prompt.
+        bool survived = false;
         // Verifies the end of a response that has no length.
         std::unique_ptr<adapters::address_probe> end_probe;
     };
@@ -164,6 +166,7 @@
     const quarantine::request_identity& identity();
     const std::vector<quarantine::request_identity>& shared_parts();
     quarantine::request_suspects suspects();
+    void check_survival();
     void record_survived_parts();
 
     entry_context& context;
--- a/src/proxy/request_quarantine.cpp
+++ b/src/proxy/request_quarantine.cpp
@@ -88,11 +88,24 @@
     }
 }
 
+void request_flow::check_survival() {
+    const base::micros span = this->context.now() - this->current->first_byte_at;
+    if (!this->current->survived && span >= quarantine::quarantine_rules{}.survival_time) {
+        this->current->survived = true;
+        this->record_survived_parts();
+    }
+}
+
 // Called when a successful response is complete, or has gone on for a while after its first byte.
 void request_flow::record_survived_parts() {
-    if (quarantine::has_suspected_parts(this->context.state.quarantine)) {
-        this->context.record_survived_parts(this->suspects().parts);
+    if (!quarantine::has_suspected_parts(this->context.state.quarantine)) {
+        return;
+    }
+    std::vector<base::request_digest> parts;
+    for (const auto& part : this->shared_parts()) {
+        parts.push_back(part.digest);
     }
+    this->context.record_survived_parts(parts);
 }
 
 void request_flow::cancel_if_quarantined(const quarantine::quarantined_request& hold) {
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -111,10 +111,7 @@
         return;
     }
     this->record_first_byte();
-    const base::micros survived = this->context.now() - this->current->first_byte_at;
-    if (survived >= quarantine::quarantine_rules{}.survival_time) {
-        this->record_survived_parts();
-    }
+    this->check_survival();
     this->record_pause();
     if (this->state == response_state::none) {
         this->state = response_state::streaming;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -114,7 +114,8 @@
 // Whether another prompt part crashes upstreams in turn, so that its crashes say nothing about what
 // else happens at the same time.
 bool is_of_series(const quarantine& state, const upstream_crash& crash, const suspect& record) {
-    return is_due_to_part(state, crash, record,
+    return is_prompt_part(record.request.digest) &&
+           is_due_to_part(state, crash, record,
                           [](const suspect& other) { return other.crashes.size() > 1; });
 }
 
@@ -292,15 +293,18 @@
     const auto [found, is_new] = state.crashes.try_emplace(report.upstream);
     auto& crash = found->second;
     crash.at = is_new ? report.at : std::min(crash.at, report.at);
-    for (const auto& victim : report.victims) {
-        crash.in_flight.insert(victim.request.digest);
-        record_suspect(state, victim.request, report, victim, now, rules);
-        if (!had_hardly_begun(victim, report.at, rules)) {
-            continue;
+    const auto note = [&](const request_identity& identity, const crash_victim& victim) {
+        if (crash.in_flight.size() < rules.max_in_flight) {
+            crash.in_flight.insert(identity.digest);
+            record_suspect(state, identity, report, victim, now, rules);
         }
-        for (const auto& part : victim.parts) {
-            crash.in_flight.insert(part.digest);
-            record_suspect(state, part, report, victim, now, rules);
+    };
+    for (const auto& victim : report.victims) {
+        note(victim.request, victim);
+        const std::size_t parts =
+            had_hardly_begun(victim, report.at, rules) ? victim.parts.size() : 0;
+        for (std::size_t each = 0; each < parts; ++each) {
+            note(victim.parts[each], victim);
         }
     }
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -59,6 +59,8 @@
     std::size_t max_suspects = 512;
     std::size_t max_crashes_per_suspect = 8;
     std::size_t max_crashes = 64;
+    // Requests and prompt parts that are remembered of one crash, over all entries.
+    std::size_t max_in_flight = 1024;
 };
 
 // A request that was in flight at an upstream when the upstream crashed.
@@ -78,7 +80,7 @@
     std::vector<crash_victim> victims;
 };
 
-// A crash with the requests of all entries that have reported it.
+// A crash with the requests, and the parts of their prompts, of all entries that have reported it.
 struct upstream_crash {
     base::instant at{};
     std::set<base::request_digest> in_flight;
