--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -208,3 +208,38 @@
     CHECK(std::get<peering::handshake>(understood.value().payload).protocol ==
           peering::current_protocol);
 }
+
+TEST_CASE("crash reports and cleared prompt parts are unchanged by encoding and decoding",
+          "[proxy]") {
+    const auto part = quarantine::identify_prompt_part({"m0"}, "5c1e07a2");
+    const base::instant now{base::seconds(100)};
+    const quarantine::crash_report crash{
+        {{"e1"}, {17}},
+        now - base::seconds(1),
+        {{quarantine::identify({"/desk", "north", "r"}), now - base::seconds(2), {}, {part}}}};
+    const auto decoded = peering::decode(peering::encode({peering::to_message(crash, now)}));
+    const auto read =
+        peering::from_message(std::get<peering::crash_report>(decoded.value().payload), now);
+    CHECK(read.at == crash.at);
+    REQUIRE(read.victims.size() == 1);
+    CHECK(read.victims[0].request == crash.victims[0].request);
+    CHECK(read.victims[0].parts == crash.victims[0].parts);
+
+    const auto cleared =
+        peering::decode(peering::encode({peering::cleared_prompt_parts{{part.digest}}}));
+    CHECK(std::get<peering::cleared_prompt_parts>(cleared.value().payload).parts.at(0) ==
+          part.digest);
+}
+
+// Guards against dropping the link to an entry of a build that reports no parts of prompts.
+TEST_CASE("a crash report without prompt parts is read", "[proxy]") {
+    using nlohmann::json;
+    const json victim = {{"digest", 5}, 2000, -1};
+    const json report = {"crash", {"e1", 17}, 1000, json::array({victim})};
+    const auto bytes = json::to_cbor(json{70, report});
+    const auto read = peering::decode(std::string(bytes.begin(), bytes.end()));
+    REQUIRE(read.has_value());
+    const auto& crash = std::get<peering::crash_report>(read.value().payload);
+    REQUIRE(crash.victims.size() == 1);
+    CHECK(crash.victims[0].parts.empty());
+}
--- a/src/proxy/crash_detector_tests.cpp
+++ b/src/proxy/crash_detector_tests.cpp
@@ -160,6 +160,51 @@
     CHECK(world.call(tests::request(route, "fa", "sound")).heads.at(0).status == 200);
 }
 
+// Guards against an entry that holds back a sound part of prompts, or goes on to do so, although
+// other entries get responses to it.
+TEST_CASE("an entry clears a prompt part on another entry's word", "[proxy][quarantine]") {
+    tests::proxy_world world;
+    world.stop_clock();
+    world.add_engine("i-1", crash_on_fatal);
+    const auto part = quarantine::identify_prompt_part({}, "a1");
+    const auto tell_crash = [&](const std::string& upstream, const std::string& body) {
+        const base::instant now = world.entry().now();
+        const quarantine::crash_report report{
+            {{upstream}, {}},
+            now,
+            {{quarantine::identify({"/x", "north", body}), now, {}, {part}}}};
+        world.crash_detector().receive({"entry-2"}, peering::to_message(report, now), now);
+        world.move_clock(base::seconds(1));
+        world.prove_config();
+        world.crash_detector().tick();
+    };
+    const auto clear = [&] {
+        world.crash_detector().receive({"entry-3"}, peering::cleared_prompt_parts{{part.digest}});
+    };
+    const auto status = [&](const std::string& id) {
+        return world.call(prompt("safe", id, "a1:90")).heads.at(0).status;
+    };
+    tell_crash("i-8", "first");
+
+    SECTION("before it has reason to quarantine the part") {
+        clear();
+        tell_crash("i-9", "second");
+        CHECK(status("d1") == 200);
+    }
+    SECTION("which ends a quarantine") {
+        tell_crash("i-9", "second");
+        CHECK(status("d1") == 503);
+        clear();
+        CHECK(status("d2") == 200);
+        // The entry tells others when a response to the part has survived here.
+        tell_crash("i-10", "third");
+        CHECK(status("d3") == 200);
+        CHECK(std::any_of(world.told.begin(), world.told.end(), [](const auto& each) {
+            return std::holds_alternative<peering::cleared_prompt_parts>(each);
+        }));
+    }
+}
+
 // Guards against a client that gets another team's request refused by sending the same bytes until
 // they are quarantined.
 TEST_CASE("a quarantined request does not affect another team's identical request",
