Have entries of the soak inherit no sockets

Their engine had crashed under a fatal call. By the logs, connections to it stood and stayed silent afterwards, where engines of a later start refused them: the listening sockets of relays that were opened before the entries started lived on in the entries, which had inherited them. So an engine of the first start that crashed looked as if it were still there. Entries are started with their own files alone.

--- a/tests/soak/entry_process.cpp
+++ b/tests/soak/entry_process.cpp
@@ -61,6 +61,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, log_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A listening socket that an entry inherits would outlive the back end that it belongs to.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string program = this->place.program;
     std::string command = "proxy";
     std::string settings_path = settings;
