Settings for features that are on only where they are asked for

Cause: what is built for contention and uneven upstreams must not change what deployments that ask for none of it decide.

--- a/src/ports/platform_codec.h
+++ b/src/ports/platform_codec.h
@@ -7,6 +7,7 @@
 #include "ports/platform.h"
 #include "ratelimit/stated_limit.h"
 #include "routes/operators_config.h"
+#include "settings/settings.h"
 
 #include <cstdint>
 #include <functional>
@@ -181,6 +182,9 @@
     // The only prefix below which this system may write.
     std::string own_prefix;
 
+    // The features that the platform's agreements with its customers call for.
+    std::function<settings::feature_settings(const std::vector<std::string>& agreements)>
+        parse_agreements;
     std::function<base::result<routes::operators_config>(const std::string&)> parse_config;
     std::function<base::result<target_weights>(const std::string&)> parse_target_weights;
     // The key ends in the upstream's id.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -101,7 +101,15 @@
       origins(this->context), limits(this->context),
       retries_at_start(this->context, this->store_calls),
       software(this->context, this->store_calls),
-      kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {}
+      kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {
+    this->apply_agreements();
+}
+
+void proxy::apply_agreements() {
+    this->settings.features = settings::combine(
+        this->settings.features,
+        this->platform.codec.parse_agreements(this->settings.platform.agreements));
+}
 
 bool proxy::listen() {
     this->frontend = std::make_unique<frontend_server>(
@@ -443,6 +451,10 @@
     }
     // Addresses are not reloaded, because changing them would cut off requests in flight.
     this->settings.bounds = fresh->bounds;
+    this->settings.platform.agreements = fresh->platform.agreements;
+    this->settings.features = fresh->features;
+    this->settings.memory_mb = fresh->memory_mb;
+    this->apply_agreements();
     this->update_retry_budgets();
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -78,6 +78,8 @@
     void update_quota_entries();
     void refresh_quota_metrics();
     void tick();
+    // Turns on the features that the agreements in the settings call for.
+    void apply_agreements();
     void reload(const char* why);
     void stop();
     void continue_shutdown();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -20,6 +20,7 @@
 constexpr number_range idle_range{1, 3600};
 constexpr number_range events_range{0, 1000000};
 constexpr number_range slots_range{1, 10000};
+constexpr number_range memory_range{0, 1 << 20};
 constexpr double most_slack = 1e6;
 constexpr double most_quota_slack = 1e12;
 
@@ -30,6 +31,7 @@
     parsed.poll = base::milliseconds(reader.number("poll_ms", parsed.poll.count(), poll_range));
     parsed.timeout =
         base::milliseconds(reader.number("timeout_ms", parsed.timeout.count(), timeout_range));
+    parsed.agreements = reader.words("agreements");
     reader.finish();
     return parsed;
 }
@@ -111,6 +113,22 @@
     return parsed;
 }
 
+feature_settings parse_features(yaml_reader reader) {
+    feature_settings parsed;
+    parsed.team_shares = reader.flag("team_shares", parsed.team_shares);
+    parsed.rank_queueing = reader.flag("rank_queueing", parsed.rank_queueing);
+    parsed.shared_suspicion = reader.flag("shared_suspicion", parsed.shared_suspicion);
+    parsed.memory_budget = reader.flag("memory_budget", parsed.memory_budget);
+    reader.finish();
+    return parsed;
+}
+
+std::int64_t parse_memory(yaml_reader reader) {
+    const std::int64_t memory_mb = reader.number("memory_mb", 0, memory_range);
+    reader.finish();
+    return memory_mb;
+}
+
 proxy_settings parse_proxy(yaml_reader& reader) {
     proxy_settings parsed;
     parsed.id.value = reader.text("id");
@@ -121,12 +139,20 @@
     parsed.peer_listen = reader.address("peer_listen");
     parsed.platform = parse_platform(reader.section("platform"), entry_poll);
     parsed.bounds = parse_bounds(reader.section("bounds"));
+    parsed.features = parse_features(reader.section("features"));
+    parsed.memory_mb = parse_memory(reader.section("limits"));
     parsed.timeline = parse_timeline(reader.section("timeline"));
     return parsed;
 }
 
 } // namespace
 
+feature_settings combine(const feature_settings& left, const feature_settings& right) {
+    return {left.team_shares || right.team_shares, left.rank_queueing || right.rank_queueing,
+            left.shared_suspicion || right.shared_suspicion,
+            left.memory_budget || right.memory_budget};
+}
+
 parsed_settings parse_settings(const std::string& text) {
     parsed_settings parsed;
     YAML::Node root;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -17,6 +17,9 @@
     // How often this process reads the configuration's version.
     base::milliseconds poll{1000};
     base::milliseconds timeout{2000};
+    // What the platform has agreed with its customers, as it spells it. Decides which features are
+    // on besides those that are set.
+    std::vector<std::string> agreements;
 };
 
 // Bounds on what one caller may take up.
@@ -93,6 +96,21 @@
     base::milliseconds outdated_weights{8000};
 };
 
+// Decisions that an entry makes only where they are asked for.
+struct feature_settings {
+    // A team may use no more than its share of a pool while that is overloaded.
+    bool team_shares = false;
+    // Prompts wait only behind prompts that are at least as urgent.
+    bool rank_queueing = false;
+    // Entries exclude together the upstreams that several of them have found to be failing.
+    bool shared_suspicion = false;
+    // What is buffered for slow readers is bounded by the process's memory.
+    bool memory_budget = false;
+};
+
+// The features that are on in either.
+feature_settings combine(const feature_settings& left, const feature_settings& right);
+
 // Settings of `camphorrail proxy`: an entry whose upstreams have no agents.
 struct proxy_settings {
     base::entry_id id;
@@ -105,6 +123,9 @@
     std::string peer_listen;
     platform_settings platform;
     bound_settings bounds;
+    feature_settings features;
+    // Memory that the process may use, in MiB; 0 if unknown.
+    std::int64_t memory_mb = 0;
     timeline_settings timeline;
 };
 
--- a/src/settings/settings_tests.cpp
+++ b/src/settings/settings_tests.cpp
@@ -29,6 +29,28 @@
         CHECK(agent.platform.poll == base::milliseconds(5000));
     }
 
+    SECTION("of a proxy turn on no feature that is not asked for") {
+        const std::string proxy =
+            "role: proxy\nid: e-1\navailability_zone: a\n"
+            "listen: 127.0.0.1:18101\nready_listen: 127.0.0.1:18102\n"
+            "operators_listen: 127.0.0.1:18103\npeer_listen: 127.0.0.1:18104\n"
+            "platform:\n  endpoint: 127.0.0.1:18070\n";
+        const auto plain = settings::parse_settings(proxy);
+        REQUIRE(plain.faults.empty());
+        const auto& off = std::get<settings::proxy_settings>(plain.settings);
+        CHECK_FALSE(off.features.team_shares);
+        CHECK(off.memory_mb == 0);
+        const auto asked = settings::parse_settings(proxy + "  agreements: [base, pressure]\n"
+                                                            "features:\n  rank_queueing: true\n"
+                                                            "limits:\n  memory_mb: 88\n");
+        REQUIRE(asked.faults.empty());
+        const auto& on = std::get<settings::proxy_settings>(asked.settings);
+        CHECK(on.platform.agreements.size() == 2);
+        CHECK(on.features.rank_queueing);
+        CHECK_FALSE(on.features.shared_suspicion);
+        CHECK(on.memory_mb == 88);
+    }
+
     SECTION("with several faults report each with its line and number") {
         const auto parsed = settings::parse_settings(good + "lisen: 1\nmax_running: many\nlimits:\n"
                                                             "  max_body_bytes: 3\n");
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -92,6 +92,23 @@
     return read;
 }
 
+std::vector<std::string> yaml_reader::words(const std::string& key) {
+    std::vector<std::string> read;
+    const YAML::Node value = this->take(key);
+    if (!value.IsDefined()) {
+        return read;
+    }
+    for (const auto& item : value) {
+        if (!item.IsScalar()) {
+            this->report(base::code::settings_bad_value, item,
+                         "'" + this->path + key + "' must be a list of words");
+            return read;
+        }
+        read.push_back(item.Scalar());
+    }
+    return read;
+}
+
 std::string yaml_reader::checked_address(const std::string& key, const std::string& value) {
     if (!value.empty() && !is_address(value)) {
         this->report(base::code::settings_bad_value, this->node[key],
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -28,6 +28,8 @@
     std::string address(const std::string& key);
     std::string address(const std::string& key, const std::string& fallback);
     std::vector<std::string> addresses(const std::string& key);
+    // A list of words.
+    std::vector<std::string> words(const std::string& key);
     std::int64_t number(const std::string& key, std::int64_t fallback, number_range allowed);
     // A number from 0 to `high` that need not be whole.
     double fraction(const std::string& key, double fallback, double high);
