Read loads of three or more figures, and the stated slowdown

Cause: engines newly append to Server-Load how long work currently takes, in percent, and anything but three figures was dropped silently. Three or more are read; the fourth goes into reported_load::slowdown, what follows it is ignored, and a field that can't be read whole sets load_unreadable. Figures before an unreadable fourth still count.

--- a/src/ports/platform_codec.h
+++ b/src/ports/platform_codec.h
@@ -66,6 +66,8 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t slots = 0;
+    // How long work currently takes there, relative to the usual time; empty if it does not say.
+    std::optional<double> slowdown;
 };
 
 // Metadata of an upstream's response.
@@ -75,7 +77,10 @@
     bool not_run = false;
     // The address now belongs to another upstream.
     bool wrong_instance = false;
+    // Empty if the upstream reports no load, or if its first figures can't be read.
     std::optional<reported_load> load;
+    // A part of the reported load can't be read.
+    bool load_unreadable = false;
     std::optional<std::int64_t> weights_version;
     // The upstream is draining. If `wrong_instance` is set, this is about the upstream that
     // responded, not about the intended one.
