Learn how fast upstreams are, and place by it where they state slowdowns

Cause: engines of 0.6, 1.0 and 1.6 times the usual processing time got equal shares of the work, so slow ones queued while fast ones had room.

Change: module speed learns a factor for each incarnation from the first-byte samples that entries share, and fits the pool's model to samples divided by it. Expected times, waits, homes (weighted rendezvous hashing), lanes and the least loaded upstream use it, in a pool in which a slowdown was stated within a minute. The stated slowdown itself changes expected times only and is gone after 600 ms. An unreadable load is logged once per incarnation and counted. A load in the response of a wrong instance is no longer taken for the listed one's.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -333,10 +333,71 @@
     return std::max(in_flight, one.load->running + one.load->waiting - 1);
 }
 
+void record_load(fleet& state, member& one, const ports::reported_load& load, base::instant now) {
+    one.load = load;
+    one.load_at = now;
+    if (load.slowdown) {
+        speed::record_statement(one.speed, *load.slowdown, now, {});
+        state.slowdown_stated_at[one.listed.pool] = now;
+    }
+}
+
+namespace {
+
+void update_pool_speeds(const base::pool_id& pool, const std::vector<member*>& members,
+                        bool stating, base::instant now, const speed::speed_rules& rules,
+                        speed_changes& changes) {
+    const bool was_in_force = std::any_of(members.begin(), members.end(),
+                                          [](const auto* one) { return one->speed.in_force; });
+    std::vector<speed::upstream_speed*> speeds;
+    std::vector<double> before;
+    for (auto* one : members) {
+        speeds.push_back(&one->speed);
+        before.push_back(one->speed.factor);
+    }
+    speed::update_pool(speeds, stating, now, rules);
+    if (stating != was_in_force) {
+        changes.pools.emplace_back(pool, stating);
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        if (members[index]->speed.factor != before[index]) {
+            changes.members.push_back({members[index], before[index]});
+        }
+    }
+}
+
+} // namespace
+
+speed_changes update_speeds(fleet& state, base::instant now, const speed::speed_rules& rules) {
+    std::erase_if(state.slowdown_stated_at,
+                  [&](const auto& each) { return !speed::is_stating(each.second, now, rules); });
+    std::map<base::pool_id, std::vector<member*>> pools;
+    for (auto& [id, one] : state.members) {
+        pools[one.listed.pool].push_back(&one);
+    }
+    speed_changes changes;
+    for (const auto& [pool, members] : pools) {
+        update_pool_speeds(pool, members, state.slowdown_stated_at.count(pool) > 0, now, rules,
+                           changes);
+    }
+    return changes;
+}
+
+namespace {
+
+// The time that one more request takes at a member with this load, relative to other members.
+double relative_time(const member& one, double load, double slots, base::instant now) {
+    return one.speed.in_force ? (load + 1.0) * speed::time_factor(one.speed, now, {}) / slots
+                              : load / slots;
+}
+
+} // namespace
+
 member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
                      std::uint64_t number, base::instant now, const fleet_rules& rules) {
     struct rank {
         bool not_owed;
+        bool queues;
         double load;
         bool elsewhere;
         std::uint64_t draw;
@@ -346,10 +407,11 @@
     rank best_rank{};
     for (member* one : among) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(one->listed.slots, 1));
+        const auto load = static_cast<double>(estimated_load(*one, now, rules));
         const bool is_owed = one->limit.limit && one->owed_requests >= 1.0;
-        const rank candidate{!is_owed,
-                             static_cast<double>(estimated_load(*one, now, rules)) / slots,
-                             one->listed.zone != zone, base::combine_hashes(number, one->id_hash)};
+        const rank candidate{!is_owed, one->speed.in_force && load >= slots,
+                             relative_time(*one, load, slots, now), one->listed.zone != zone,
+                             base::combine_hashes(number, one->id_hash)};
         if (best == nullptr || candidate < best_rank) {
             best = one;
             best_rank = candidate;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,12 +7,14 @@
 #include "ports/platform_codec.h"
 #include "ratelimit/permits.h"
 #include "ratelimit/stated_limit.h"
+#include "speed/upstream_speed.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace camphorrail::fleet {
@@ -38,6 +40,8 @@
     // The load that the upstream last reported, and when.
     std::optional<ports::reported_load> load;
     base::instant load_at{};
+    // How fast the upstream works compared with its pool.
+    speed::upstream_speed speed;
     // When the last byte was received from the upstream, on any request.
     base::instant last_byte_at{};
     // The upstream gets no new requests before this time: it is loading weights, or has reported
@@ -76,6 +80,8 @@
     // list items expire during a store outage, and another entry may report a limit before this one
     // has read the list.
     std::map<base::upstream_instance, ratelimit::stated_limit> unlisted_limits;
+    // When an upstream of each pool last stated a slowdown.
+    std::map<base::pool_id, base::instant> slowdown_stated_at;
 };
 
 struct fleet_rules {
@@ -196,12 +202,33 @@
 // used if an even share would use it.
 void count_towards_shares(fleet& state, const base::pool_id& pool, base::instant now);
 
+// Records the load that a member has reported in a response.
+void record_load(fleet& state, member& one, const ports::reported_load& load, base::instant now);
+
+// A member whose speed factor in force has changed.
+struct speed_change {
+    const member* upstream = nullptr;
+    double factor_before = 1.0;
+};
+
+struct speed_changes {
+    std::vector<speed_change> members;
+    // Pools in which factors have come into force, or are no longer in force.
+    std::vector<std::pair<base::pool_id, bool>> pools;
+};
+
+// Updates the speed factors that decisions use: in force in the pools in which a slowdown was
+// stated recently, 1.0 in all others. Must be called frequently, and after every change of the
+// list.
+speed_changes update_speeds(fleet& state, base::instant now, const speed::speed_rules& rules);
+
 // Estimates the number of requests at a member, of this entry and of all others.
 std::int64_t estimated_load(const member& one, base::instant now, const fleet_rules& rules);
 
-// A candidate that is owed a request, or else the one with the lowest load relative to its size.
-// Ties go to a candidate in the given availability zone, and then to the one selected by `number`.
-// Null if there are no candidates.
+// A candidate that is owed a request, or else the one with the lowest load relative to its size. In
+// a pool with speed factors in force, the one at which a request takes the least time, of those
+// with a free slot if there are any. Ties go to a candidate in the given availability zone, and
+// then to the one selected by `number`. Null if there are no candidates.
 member* least_loaded(const std::vector<member*>& among, const base::availability_zone& zone,
                      std::uint64_t number, base::instant now, const fleet_rules& rules);
 
--- a/src/kvcache/home_engines.cpp
+++ b/src/kvcache/home_engines.cpp
@@ -17,10 +17,19 @@
 
 using scored_engines = std::vector<scored_engine>;
 
-void sort_by_score(scored_engines::iterator begin, scored_engines::iterator end,
-                   std::uint64_t key) {
+bool has_factors(const scored_engines& lane) {
+    return std::any_of(lane.begin(), lane.end(),
+                       [](const auto& each) { return each.engine->speed.in_force; });
+}
+
+// Sorts by score for the key, weighted by capacity if speed factors are in force.
+void sort_by_score(scored_engines::iterator begin, scored_engines::iterator end, std::uint64_t key,
+                   bool weighted) {
     for (auto each = begin; each != end; ++each) {
-        each->score = routing::score(each->engine->id_hash, key);
+        const auto& engine = *each->engine;
+        each->score =
+            weighted ? routing::weighted_score(engine.id_hash, key, speed::capacity(engine.speed))
+                     : routing::score(engine.id_hash, key);
     }
     std::sort(begin, end,
               [](const auto& left, const auto& right) { return left.score > right.score; });
@@ -50,10 +59,11 @@
         }
     }
     if (!chain.levels.empty()) {
-        sort_by_score(lane.begin(), lane.end(), chain.levels.front().key);
+        const bool weighted = has_factors(lane);
+        sort_by_score(lane.begin(), lane.end(), chain.levels.front().key, weighted);
         const auto home_count = home_engine_count(lane.size(), chain, outer_levels, now, rules);
         sort_by_score(lane.begin(), lane.begin() + static_cast<std::ptrdiff_t>(home_count),
-                      chain.levels.back().key);
+                      chain.levels.back().key, weighted);
     }
     std::vector<const fleet::member*> found;
     found.reserve(lane.size());
--- a/src/kvcache/home_engines.h
+++ b/src/kvcache/home_engines.h
@@ -25,8 +25,9 @@
 
 // Ranks the engines of a prompt's lane by rendezvous hashing; the first one is the prompt's home
 // engine, where its prefix is cached preferably. `pool_members` are all members of the pool,
-// including unavailable ones, so that a home does not move when an engine is briefly busy. Entries
-// that see the same list and similar traffic compute the same home without communicating.
+// including unavailable ones, so that a home does not move when an engine is briefly busy. Where
+// speed factors are in force, an engine is home to a share of prompts by its capacity. Entries that
+// see the same list and similar traffic compute the same home without communicating.
 std::vector<const fleet::member*>
 rank_engines(const std::vector<const fleet::member*>& pool_members, const prompt_chain& chain,
              const routing::popularity& outer_levels, base::instant now,
--- a/src/kvcache/lanes.cpp
+++ b/src/kvcache/lanes.cpp
@@ -37,14 +37,23 @@
     return order;
 }
 
-// Number of engines needed for the requests with short prompts that are in flight in a pool.
+double total_capacity(const std::vector<fleet::member*>& members) {
+    double sum = 0.0;
+    for (const auto* one : members) {
+        sum += speed::capacity(one->speed);
+    }
+    return sum;
+}
+
+// Number of engines of capacity 1.0 needed for the requests with short prompts that are in flight
+// in a pool. Requests stay longer at a slow engine, so fewer of them mean the same demand.
 double required_engines(const std::vector<fleet::member*>& members, base::instant now,
                         const lane_rules& rules) {
     double demand = 0.0;
     for (const auto* one : members) {
         const auto slots = static_cast<double>(std::max<std::int64_t>(one->listed.slots, 1));
         const auto in_flight = static_cast<double>(fleet::total_work(*one, now).short_prompts);
-        demand += in_flight / (rules.target_slot_utilization * slots);
+        demand += speed::capacity(one->speed) * in_flight / (rules.target_slot_utilization * slots);
     }
     return demand;
 }
@@ -67,16 +76,31 @@
     }
 }
 
-std::size_t reserved_engines(const lane_size& size, std::size_t members, const lane_rules& rules) {
-    const auto member_count = static_cast<double>(members);
-    const double max_reserved = std::max(1.0, std::floor(rules.max_share * member_count));
+// The capacity to reserve, in engines of capacity 1.0.
+std::size_t reserved_capacity(const lane_size& size, double total, const lane_rules& rules) {
+    const double max_reserved = std::max(1.0, std::floor(rules.max_share * total));
     const auto reserved = static_cast<double>(size.reserved);
-    const double min_change = std::max(rules.hysteresis, rules.hysteresis_share * member_count);
+    const double min_change = std::max(rules.hysteresis, rules.hysteresis_share * total);
     const bool keeps_size = size.reserved > 0 && std::abs(size.demand - reserved) < min_change;
     return static_cast<std::size_t>(
         std::clamp(keeps_size ? reserved : std::round(size.demand), 1.0, max_reserved));
 }
 
+// Moves engines to the short lane, in the given order, until their capacity is closest to the
+// reserved one.
+void fill_short_lane(const std::vector<fleet::member*>& order, std::size_t reserved) {
+    double missing = static_cast<double>(reserved);
+    for (auto* one : order) {
+        const double capacity = speed::capacity(one->speed);
+        const bool is_first = one == order.front();
+        if (!is_first && missing <= 0.5 * capacity) {
+            return;
+        }
+        one->short_lane = true;
+        missing -= capacity;
+    }
+}
+
 } // namespace
 
 void assign_lanes(fleet::fleet& state, lane_sizes& sizes, base::instant now,
@@ -93,13 +117,11 @@
             continue;
         }
         auto& size = sizes[id];
-        const double initial_demand = rules.initial_share * static_cast<double>(members.size());
+        const double total = total_capacity(members);
+        const double initial_demand = rules.initial_share * total;
         update_demand(size, required_engines(members, now, rules), initial_demand, now, rules);
-        size.reserved = reserved_engines(size, members.size(), rules);
-        const auto order = lane_order(members);
-        for (std::size_t index = 0; index < size.reserved; ++index) {
-            order[index]->short_lane = true;
-        }
+        size.reserved = reserved_capacity(size, total, rules);
+        fill_short_lane(lane_order(members), size.reserved);
     }
 }
 
--- a/src/kvcache/lanes.h
+++ b/src/kvcache/lanes.h
@@ -46,7 +46,8 @@
 // Recent demand for a pool's short lane, and the lane's current size.
 struct lane_size {
     // Averaged number of engines needed by the short prompts in flight; before any traffic, the
-    // initial size.
+    // initial size. This and `reserved` count engines of capacity 1.0, which all are unless speed
+    // factors are in force.
     double demand = 0.0;
     bool has_seen_traffic = false;
     std::size_t reserved = 0;
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -91,7 +91,7 @@
 }
 
 void record_prompt_read(entry_context& context, const kvcache::prompt_prefill& read) {
-    const auto* member = fleet::find_instance(context.state.fleet, read.engine);
+    auto* member = fleet::find_instance(context.state.fleet, read.engine);
     if (member == nullptr) {
         return;
     }
@@ -99,8 +99,8 @@
     kvcache::record_prefill(context.state.cache, read,
                             engine_capacity_tokens(context.state, read.engine), now);
     if (read.first_byte.ms > 0.0) {
-        latency::record_first_byte(context.state.latency[member->listed.pool], read.first_byte,
-                                   now);
+        speed::record_first_byte(member->speed, context.state.latency[member->listed.pool],
+                                 read.first_byte, now, {});
     }
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include "process/operators_port.h"
 #include "proxy/document_rules.h"
 #include "proxy/target_weights.h"
+#include "proxy/upstream_speeds.h"
 
 #include <algorithm>
 #include <cmath>
@@ -423,6 +424,7 @@
 }
 
 void proxy::assign_lanes() {
+    update_upstream_speeds(this->context);
     const auto before = this->state.lanes;
     kvcache::assign_lanes(this->state.fleet, this->state.lanes, this->context.now(), {});
     for (const auto& [pool, size] : this->state.lanes) {
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -1,4 +1,5 @@
 #include "proxy/proxy.h"
+#include "proxy/upstream_speeds.h"
 
 #include <nlohmann/json.hpp>
 
@@ -93,6 +94,7 @@
             quarantine::quarantined_requests(this->state.quarantine, this->context.now()).size()));
     this->refresh_weights_metric();
     this->refresh_quota_metrics();
+    refresh_speed_metrics(this->context);
     std::int64_t fit = 0;
     std::int64_t limited = 0;
     double share_of_limits = 0.0;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -3,6 +3,7 @@
 #include "proxy/retry_shares.h"
 #include "proxy/target_weights.h"
 #include "proxy/upstream_list.h"
+#include "proxy/upstream_speeds.h"
 
 #include <algorithm>
 #include <set>
@@ -132,6 +133,7 @@
         }
     }
     this->replaced_upstreams = list.replaced;
+    update_upstream_speeds(this->context);
     kvcache::assign_lanes(this->state.fleet, this->state.lanes, this->context.now(), {});
     const auto log_each = [this, source](const char* event,
                                          const std::vector<base::upstream_id>& ids) {
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -1,5 +1,6 @@
 #include "proxy/request_flow.h"
 #include "proxy/request_limits.h"
+#include "proxy/upstream_speeds.h"
 
 #include <algorithm>
 #include <utility>
@@ -39,10 +40,7 @@
     this->current->head_received = true;
     this->current->head = head;
     this->current->metadata = response;
-    if (auto* member = this->current_member(); member != nullptr && response.load) {
-        member->load = response.load;
-        member->load_at = this->context.now();
-    }
+    record_reported_load(this->context, instance_of(this->current->choice), response);
     this->handle_upstream_signals();
     return true;
 }
