Refuse requests of teams beyond their shares of overloaded pools

Cause: no entry kept teams to shares, so one team's burst filled the queues of all.

Change: with features.team_shares an entry counts prompts by team and pool, sends the counts in an optional element of its load reports, and refuses what is beyond a team's share with code 316 (beyond_share, 429, not run). Log lines, metrics and explain show why. Without the flag nothing is counted, sent or refused.

--- a/src/base/codes.cpp
+++ b/src/base/codes.cpp
@@ -60,6 +60,8 @@
     code_entry{code::upstreams_limited, "upstreams_limited", 503,
                "The rate limits of all upstreams that could take the request are used up; the "
                "request has not run."},
+    code_entry{code::beyond_share, "beyond_share", 429,
+               "The team uses its share of an overloaded pool; the request has not run."},
     code_entry{code::upstream_unreachable, "upstream_unreachable", 502,
                "The upstream takes no connection; nothing was sent to it."},
     code_entry{code::upstream_failed, "upstream_failed", 502,
--- a/src/explain/story.cpp
+++ b/src/explain/story.cpp
@@ -26,7 +26,9 @@
                                                  "weights_named",
                                                  "weights_dated",
                                                  "quota_entry_silent",
-                                                 "quota_entry_heard"};
+                                                 "quota_entry_heard",
+                                                 "shares_alone",
+                                                 "shares_together"};
 // Events that change what a process believes of one upstream; the field `upstream` names it.
 const std::set<std::string_view> upstream_beliefs{"upstream_added",
                                                   "upstream_changed",
@@ -40,12 +42,15 @@
                                                   "upstream_crashed",
                                                   "upstream_leaves",
                                                   "upstream_wants_pause"};
+// Events that change what a process believes of one pool; the field `pool` names it.
+const std::set<std::string_view> pool_beliefs{"pool_overload"};
 // Of several events about one thing the last counts: those of one group say the same thing.
 const std::map<std::string_view, std::string_view> groups{
     {"store_regained", "store_lost"},
     {"store_history_lost", "store_lost"},
     {"not_ready", "ready"},
-    {"quota_entry_heard", "quota_entry_silent"}};
+    {"quota_entry_heard", "quota_entry_silent"},
+    {"shares_together", "shares_alone"}};
 
 std::string group_of(const std::string& event) {
     const auto found = groups.find(event);
@@ -64,14 +69,18 @@
         all[line.process][group_of(line.event)] = line;
     } else if (upstream_beliefs.count(line.event) > 0) {
         all[line.process]["upstream " + line.fields.value("upstream", "")] = line;
+    } else if (pool_beliefs.count(line.event) > 0) {
+        all[line.process]["pool " + line.fields.value("pool", "")] = line;
     }
 }
 
 std::vector<log_line> relevant(const beliefs_by_thing& beliefs, const log_line& step) {
     std::vector<log_line> found;
     const std::string upstream = "upstream " + step.fields.value("upstream", "");
+    const std::string pool = "pool " + step.fields.value("pool", "");
     for (const auto& [thing, line] : beliefs) {
-        if (thing == upstream || !thing.starts_with("upstream ")) {
+        const bool is_of_one = thing.starts_with("upstream ") || thing.starts_with("pool ");
+        if (thing == upstream || thing == pool || !is_of_one) {
             found.push_back(line);
         }
     }
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+#include <utility>
+
 namespace camphorrail::peering {
 
 namespace {
@@ -148,6 +151,19 @@
             count.requested.value};
 }
 
+// Counts are grouped by pool, since its name would make up a large part of each.
+json to_json(const share_counts& message) {
+    std::map<base::pool_id, json> pools;
+    for (const auto& each : message.counts) {
+        pools[each.pool].push_back({each.team.value, each.count_id, each.requested, each.admitted});
+    }
+    json groups = json::array();
+    for (auto& [pool, counts] : pools) {
+        groups.push_back({pool.value, std::move(counts)});
+    }
+    return {message.uptime.count(), std::move(groups)};
+}
+
 json to_json(const stream_origin_item& item) {
     return {item.request.value, item.origin.pool.value, item.origin.software.value,
             to_json(item.origin.upstream), item.remaining.count()};
@@ -176,15 +192,19 @@
 }
 
 json to_json(const entry_load& load) {
-    return {load.from.value,
-            load.age.count(),
-            load.report_interval.count(),
-            load.complete,
-            to_json_array(load.items),
-            to_json_array(load.transfers),
-            to_json_array(load.reads),
-            load.uptime.count(),
-            to_json_array(load.usage)};
+    json list{load.from.value,
+              load.age.count(),
+              load.report_interval.count(),
+              load.complete,
+              to_json_array(load.items),
+              to_json_array(load.transfers),
+              to_json_array(load.reads),
+              load.uptime.count(),
+              to_json_array(load.usage)};
+    if (load.shares) {
+        list.push_back(to_json(*load.shares));
+    }
+    return list;
 }
 
 json to_json(const load_report& message) {
@@ -363,6 +383,21 @@
             {value.at(4).get<std::int64_t>()}};
 }
 
+share_counts read_share_counts(const json& value) {
+    share_counts message{base::milliseconds(value.at(0).get<std::int64_t>()), {}};
+    for (const auto& group : value.at(1)) {
+        const base::pool_id pool{group.at(0).get<std::string>()};
+        for (const auto& each : group.at(1)) {
+            message.counts.push_back({{each.at(0).get<std::string>()},
+                                      pool,
+                                      each.at(1).get<std::uint32_t>(),
+                                      each.at(2).get<shares::cumulative_ms>(),
+                                      each.at(3).get<shares::cumulative_ms>()});
+        }
+    }
+    return message;
+}
+
 entry_load read_entry_load(const json& value) {
     entry_load load;
     load.from = {value.at(0).get<std::string>()};
@@ -382,6 +417,9 @@
     for (const auto& each : value.at(8)) {
         load.usage.push_back(read_usage_count(each));
     }
+    if (value.size() > 9 && !value.at(9).is_null()) {
+        load.shares = read_share_counts(value.at(9));
+    }
     return load;
 }
 
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -11,6 +11,7 @@
 #include "quota/quota.h"
 #include "ratelimit/stated_limit.h"
 #include "resumption/stream_origins.h"
+#include "shares/shares.h"
 
 #include <cstdint>
 #include <optional>
@@ -71,6 +72,13 @@
     double duration_ms = 0.0;
 };
 
+// The slot time that an entry was asked for and has admitted, by team and pool.
+struct share_counts {
+    // Time for which the entry has been counting.
+    base::milliseconds uptime{0};
+    std::vector<shares::usage_count> counts;
+};
+
 // One entry's in-flight work at upstreams, and the prompts that upstreams have read for its
 // requests since its last report.
 struct entry_load {
@@ -88,6 +96,8 @@
     // Uptime of the entry, and the use of teams' quotas by requests that it has admitted.
     base::milliseconds uptime{0};
     std::vector<quota::usage_count> usage;
+    // Empty from an entry of an older build, or one that does not keep teams to their shares.
+    std::optional<share_counts> shares;
 };
 
 // The sender's own load, and the loads of entries of other availability zones that it relays.
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -195,6 +195,36 @@
     CHECK_FALSE(items[1].limit.has_value());
 }
 
+// Guards against closing the link to an entry of an older or a newer build.
+TEST_CASE("counts for teams' shares are optional in load reports", "[proxy][shares]") {
+    using nlohmann::json;
+    const auto decode = [](const json& load) {
+        const auto bytes = json::to_cbor(json{70, {"load", json::array({load})}});
+        const auto read = peering::decode(std::string(bytes.begin(), bytes.end()));
+        REQUIRE(read.has_value());
+        return std::get<peering::load_report>(read.value().payload).loads.at(0);
+    };
+    const json none = json::array();
+    json load = {"entry-3", 0, 100, true, none, none, none, 12'000, none};
+    CHECK_FALSE(decode(load).shares.has_value());
+    load.push_back({5000, {{"pool", {{"north", 4, 900, 700, "later"}}, "later"}}, "later"});
+    load.push_back("of a newer build");
+    const std::vector<shares::usage_count> expected{{{"north"}, {"pool"}, 4, 900, 700}};
+    CHECK(decode(load).shares.value().uptime == base::seconds(5));
+    CHECK(decode(load).shares.value().counts == expected);
+
+    peering::entry_load sent;
+    const auto transfer = [&sent] {
+        const auto read = peering::decode(peering::encode({peering::load_report{{sent}}}));
+        return std::get<peering::load_report>(read.value().payload).loads.at(0).shares;
+    };
+    CHECK_FALSE(transfer().has_value());
+    sent.shares = {base::milliseconds(7), {{{"north"}, {"pool"}, 4, 4'000'000'000U, 7}}};
+    CHECK(transfer().value().counts == sent.shares->counts);
+    sent.shares->counts.clear();
+    CHECK(transfer().value().counts.empty());
+}
+
 // An older build does not state which messages it understands, and closes a link on which it gets
 // others.
 TEST_CASE("an entry that states no protocol understands the first one", "[proxy]") {
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -21,6 +21,7 @@
 #include "resumption/software_versions.h"
 #include "resumption/stream_origins.h"
 #include "settings/settings.h"
+#include "shares/shares.h"
 
 #include <map>
 #include <memory>
@@ -54,6 +55,8 @@
     quarantine::quarantine quarantine;
     // Use of the teams' quotas over all entries.
     quota::ledger quotas;
+    // Use of the pools by teams over all entries, if teams are kept to their shares.
+    shares::share_table shares;
     // The software versions of the pools that serve streams, and where streams began that clients
     // may resume.
     std::map<base::pool_id, resumption::pool_versions> software;
--- a/src/proxy/load_exchange.cpp
+++ b/src/proxy/load_exchange.cpp
@@ -17,7 +17,8 @@
 constexpr int expiry_periods = 3;
 constexpr base::milliseconds min_expiry{500};
 // If any team has a quota, an entry reports at least this often, because a part of each quota stays
-// reserved for an entry that is silent.
+// reserved for an entry that is silent. If teams are kept to their shares, an entry that hears of
+// no other assumes a partition.
 constexpr base::milliseconds heartbeat_period{150};
 
 bool same_work(const fleet::workload& left, const fleet::workload& right) {
@@ -32,7 +33,8 @@
 }
 
 bool is_empty(const peering::entry_load& load) {
-    return load.items.empty() && load.transfers.empty() && load.reads.empty() && load.usage.empty();
+    return load.items.empty() && load.transfers.empty() && load.reads.empty() &&
+           load.usage.empty() && (!load.shares || load.shares->counts.empty());
 }
 
 } // namespace
@@ -78,6 +80,10 @@
     auto& quotas = this->context.state.quotas;
     load.uptime = std::chrono::duration_cast<base::milliseconds>(quota::uptime(quotas, now));
     load.usage = quota::collect_counts(quotas, now, quota_rules_of(this->context.settings));
+    if (this->context.settings.features.team_shares) {
+        auto& shares = this->context.state.shares;
+        load.shares = {shares::uptime(shares, now), shares::collect_counts(shares, now, {})};
+    }
     return load;
 }
 
@@ -93,7 +99,9 @@
 
 bool load_exchange::heartbeat_due() {
     const base::instant now = this->context.now();
-    if (this->context.state.quotas.teams.empty() || now < this->next_heartbeat) {
+    const bool others_rely_on_it =
+        !this->context.state.quotas.teams.empty() || this->context.settings.features.team_shares;
+    if (!others_rely_on_it || now < this->next_heartbeat) {
         return false;
     }
     this->next_heartbeat = now + heartbeat_period;
@@ -136,6 +144,10 @@
     auto& state = this->context.state;
     quota::apply_report(state.quotas, {load.from, load.age, load.uptime, load.usage}, now,
                         quota_rules_of(this->context.settings));
+    if (this->context.settings.features.team_shares && load.shares) {
+        shares::apply_report(
+            state.shares, {load.from, load.age, load.shares->uptime, load.shares->counts}, now, {});
+    }
     if (load.complete) {
         for (auto& [id, member] : state.fleet.members) {
             member.remote_work.erase(load.from);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -407,6 +407,7 @@
     this->retries_at_start.tick();
     this->update_retry_budgets();
     this->update_quota_entries();
+    this->update_share_entries();
     this->store.tick();
     this->kv_stores.tick();
     this->assign_lanes();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -77,6 +77,9 @@
     // each may grant.
     void update_quota_entries();
     void refresh_quota_metrics();
+    // Updates the registered entries, and logs whether this one seems to be partitioned from them.
+    void update_share_entries();
+    void refresh_share_metrics();
     void tick();
     // Turns on the features that the agreements in the settings call for.
     void apply_agreements();
@@ -127,6 +130,7 @@
     std::int64_t last_flow = 0;
     shutdown_state shutdown;
     bool was_ready = false;
+    bool was_partitioned = false;
     base::instant started_at = adapters::boot_now();
     // This process has not seen yet that all pools that serve streams may begin some.
     bool awaits_software_records = true;
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -61,6 +61,25 @@
     }
 }
 
+void proxy::refresh_share_metrics() {
+    if (!this->settings.features.team_shares) {
+        return;
+    }
+    for (const auto& status : shares::share_statuses(this->state.shares)) {
+        const auto show = [&](const char* name, double value) {
+            this->metrics.set(name, value,
+                              {{"team", status.team.value}, {"pool", status.pool.value}});
+        };
+        show("camphorrail_share_slots", status.share);
+        show("camphorrail_share_used_slots", status.use);
+        show("camphorrail_share_asked_slots", status.demand);
+    }
+    for (const auto& [pool, account] : this->state.shares.pools) {
+        this->metrics.set("camphorrail_pool_overloaded", account.overloaded ? 1.0 : 0.0,
+                          {{"pool", pool.value}});
+    }
+}
+
 void proxy::refresh_metrics() {
     const auto age = mirror::age(this->state.store, this->context.now());
     this->metrics.set("camphorrail_config_age_seconds",
@@ -93,6 +112,7 @@
             quarantine::quarantined_requests(this->state.quarantine, this->context.now()).size()));
     this->refresh_weights_metric();
     this->refresh_quota_metrics();
+    this->refresh_share_metrics();
     std::int64_t fit = 0;
     std::int64_t limited = 0;
     double share_of_limits = 0.0;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -73,6 +73,7 @@
     this->update_retry_budgets();
     quota::set_limits(this->state.quotas, this->state.config->teams, this->context.now(),
                       quota_rules_of(this->settings));
+    shares::set_teams(this->state.shares, this->state.config->teams);
     this->prune_prompt_sizes();
 }
 
@@ -92,6 +93,29 @@
     }
 }
 
+void proxy::update_share_entries() {
+    if (!this->settings.features.team_shares) {
+        if (this->state.shares.started_at) {
+            // The feature was turned off.
+            this->state.shares = {};
+        }
+        return;
+    }
+    const base::instant now = this->context.now();
+    auto& shares = this->state.shares;
+    if (shares.weights.empty() && this->state.config != nullptr) {
+        shares::set_teams(shares, this->state.config->teams);
+    }
+    shares::set_entries(shares, this->peer_entries.listed_entries().others, now, {});
+    const bool partitioned = shares::is_partitioned(shares, now, {});
+    if (partitioned != this->was_partitioned) {
+        this->was_partitioned = partitioned;
+        this->log.line(importance::keep, partitioned ? "shares_alone" : "shares_together")
+            .number("listed", static_cast<std::int64_t>(shares.listed.size()) + 1)
+            .number("heard", static_cast<std::int64_t>(shares::heard_entries(shares)) + 1);
+    }
+}
+
 void proxy::prune_prompt_sizes() {
     std::set<std::string> names;
     for (const auto& route : this->state.config->routes) {
@@ -99,6 +123,8 @@
     }
     std::erase_if(this->state.prompt_sizes,
                   [&names](const auto& each) { return names.count(each.first) == 0; });
+    std::erase_if(this->state.shares.slot_times,
+                  [&names](const auto& each) { return names.count(each.first) == 0; });
 }
 
 void proxy::update_retry_budgets() {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -100,7 +100,7 @@
     }
     admission::record_request(this->context.state.retries[this->criteria.pool],
                               this->context.now());
-    if (this->refuse_if_over_quota()) {
+    if (this->refuse_if_over_quota() || this->refuse_if_beyond_share()) {
         return;
     }
     this->timeout_timer.set(this->time_left());
@@ -200,6 +200,7 @@
     }
     this->state = response_state::ended;
     this->settle_quota();
+    this->settle_share();
     this->timeout_timer.clear();
     this->stall_timer.clear();
     this->trial_timer.clear();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -90,6 +90,11 @@
     void send_attempt();
     bool refuse_if_over_quota();
     void settle_quota();
+    bool refuse_if_beyond_share();
+    void settle_share();
+    [[nodiscard]] bool is_shared() const;
+    void update_shares();
+    void record_slot_time();
     bool refuse_if_quarantined();
     void report_broken_attempt();
     void clear_suspicion();
@@ -181,6 +186,8 @@
     std::optional<resumption::stream_origin> origin;
     // Units charged to the team's quota; empty if the team has no quota.
     std::optional<quota::units> charged_quota;
+    // What the request was charged to its team's share of the pool; empty if it was not.
+    std::optional<shares::share_request> charged_share;
     base::milliseconds timeout{0};
     adapters::timer timeout_timer;
     adapters::timer stall_timer;
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -131,6 +131,7 @@
         this->settings.id = id;
         this->settings.zone = zone;
     }
+    settings::feature_settings& features() { return this->settings.features; }
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
