Expect urgent prompts to wait only behind those as urgent

Entries expected every prompt to wait behind all others, though upstreams admit by rank: urgent prompts were refused in an overload of less urgent ones.

With features.rank_queueing the rank is the position of the pair of the team's and the route's priority in the configuration. Load reports state by rank what waits for its first byte, behind the elements that older builds read, and placement counts only what is admitted before the prompt. The time in a slot is learned by route. Work of entries that report no ranks counts as ahead of everyone.

Checking which members are nearly full sums only their KV cache tokens, since the whole work of an entry has become larger.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -307,20 +307,29 @@
     return all;
 }
 
+std::int64_t total_kv_tokens(const member& one, base::instant now) {
+    std::int64_t tokens = one.local_work.kv_tokens;
+    for (const auto& [entry, load] : one.remote_work) {
+        tokens += now <= load.expires_at ? load.work.kv_tokens : 0;
+    }
+    return tokens;
+}
+
 std::int64_t estimate_pending_prefill_tokens(const member& one, base::instant now,
-                                             double tokens_per_ms) {
+                                             double tokens_per_ms,
+                                             std::optional<queueing::rank> rank) {
     double reported = 0.0;
     double weighted_age_ms = 0.0;
     for (const auto& [entry, load] : one.remote_work) {
         if (now <= load.expires_at) {
-            const auto tokens = static_cast<double>(load.work.pending_prefill_tokens);
+            const auto tokens = static_cast<double>(work_ahead(load.work, rank).unread_tokens);
             const std::chrono::duration<double, std::milli> age = now - load.reported_at;
             reported += tokens;
             weighted_age_ms += tokens * age.count();
         }
     }
     const double read = reported > 0.0 ? tokens_per_ms * weighted_age_ms / reported : 0.0;
-    return one.local_work.pending_prefill_tokens +
+    return work_ahead(one.local_work, rank).unread_tokens +
            static_cast<std::int64_t>(std::max(0.0, reported - read));
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -183,13 +183,18 @@
 // In-flight work of all entries at a member, according to reports that have not expired.
 workload total_work(const member& one, base::instant now);
 
+// The KV cache tokens of that work alone, for checks of many members.
+std::int64_t total_kv_tokens(const member& one, base::instant now);
+
 // Estimates the prompt tokens that wait for prefill at a member, which reads `tokens_per_ms` of
 // them per millisecond. Tokens that other entries reported are reduced by what the member has read
 // since: with a hundred entries that report twice a second, most reported tokens have been read by
 // the time they are counted, and without this prompts left their cached copies to avoid queues that
-// no longer existed.
+// no longer existed. With a rank, only tokens that are read before a new request of that rank
+// count.
 std::int64_t estimate_pending_prefill_tokens(const member& one, base::instant now,
-                                             double tokens_per_ms);
+                                             double tokens_per_ms,
+                                             std::optional<queueing::rank> rank = std::nullopt);
 
 // Counts a request to a pool towards the even shares of its members that state a rate limit. Such a
 // member gets nothing while it has no permit; what it missed is owed to it, so that its limit is
--- a/src/fleet/workload.h
+++ b/src/fleet/workload.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "queueing/rank_queue.h"
+
 #include <cstdint>
+#include <optional>
 
 namespace camphorrail::fleet {
 
@@ -13,6 +16,8 @@
     bool non_retryable = false;
     // The request belongs to the lane for short prompts; see kvcache/lanes.h.
     bool short_prompt = false;
+    // Empty if upstreams do not admit by rank as far as this entry is concerned.
+    std::optional<queueing::rank> rank;
 };
 
 // The load that all requests of one entry put on an upstream.
@@ -24,6 +29,8 @@
     std::int64_t kv_tokens = 0;
     std::int64_t non_retryable = 0;
     std::int64_t short_prompts = 0;
+    // The requests that wait for their first byte, by rank.
+    queueing::rank_queue queue;
 
     workload& operator+=(const workload& other);
 };
@@ -37,4 +44,7 @@
 // Removes a request that has ended or was cancelled.
 void remove_request(workload& load, const request_work& work, bool first_byte_received);
 
+// The work that a new request of the given rank waits for; all of it if the request has none.
+queueing::work_ahead work_ahead(const workload& load, std::optional<queueing::rank> rank);
+
 } // namespace camphorrail::fleet
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -26,12 +26,16 @@
 // Interval after which a prompt is saved again if the store's contents are unknown.
 constexpr base::seconds unknown_store_save_interval{20};
 
-// Expected time until a slot becomes free if more than `threshold` of an engine's slots are taken.
+// Expected time until the prompt gets a slot if more than `threshold` of an engine's slots are
+// taken.
 double slot_wait_ms(const fleet::member& one, const fleet::workload& work, double threshold,
-                    const placement_costs& costs) {
+                    const prompt_request& request, const placement_costs& costs) {
     const auto slots = static_cast<double>(std::max<std::int64_t>(one.listed.slots, 1));
     const double excess = std::max(0.0, static_cast<double>(work.in_flight) - threshold * slots);
-    return excess * costs.response_ms / slots;
+    const double responses =
+        request.rank ? queueing::responses_awaited(fleet::work_ahead(work, request.rank), excess)
+                     : excess;
+    return responses * costs.response_ms / slots;
 }
 
 // Expected time until there is room for the prompt if more than `threshold` of an engine's memory
@@ -42,16 +46,21 @@
         return 0.0;
     }
     const double available = threshold * static_cast<double>(request.pool.kv_capacity_tokens);
-    const auto required = static_cast<double>(work.kv_tokens + request.chain.total_tokens());
+    // Unread prompts that are admitted later take no memory before this one.
+    const std::int64_t behind =
+        work.pending_prefill_tokens - fleet::work_ahead(work, request.rank).unread_tokens;
+    const auto required =
+        static_cast<double>(work.kv_tokens - behind + request.chain.total_tokens());
     const double turnover =
         costs.memory_turnover_ms / static_cast<double>(request.pool.kv_capacity_tokens);
     return std::max(0.0, required - available) * turnover;
 }
 
-std::int64_t queued_prefill_tokens_at(const fleet::member& one, const placement_context& view) {
+std::int64_t queued_prefill_tokens_at(const fleet::member& one, const prompt_request& request,
+                                      const placement_context& view) {
     const double token_ms = latency::prefill_ms(view.model, {1.0, 0.0, 0.0});
-    return fleet::estimate_pending_prefill_tokens(one, view.now,
-                                                  token_ms > 0.0 ? 1.0 / token_ms : 0.0);
+    return fleet::estimate_pending_prefill_tokens(
+        one, view.now, token_ms > 0.0 ? 1.0 / token_ms : 0.0, request.rank);
 }
 
 // Expected time that the prompt waits in an engine's queue before its prefill.
@@ -59,8 +68,9 @@
                         const placement_context& view) {
     const auto work = fleet::total_work(one, view.now);
     const latency::prefill_work queued{
-        0.0, static_cast<double>(queued_prefill_tokens_at(one, view)), 0.0};
-    return latency::prefill_ms(view.model, queued) + slot_wait_ms(one, work, 1.0, view.costs) +
+        0.0, static_cast<double>(queued_prefill_tokens_at(one, request, view)), 0.0};
+    return latency::prefill_ms(view.model, queued) +
+           slot_wait_ms(one, work, 1.0, request, view.costs) +
            memory_wait_ms(work, 1.0, request, view.costs);
 }
 
@@ -134,7 +144,7 @@
     const bool misses_shared =
         option.prefill_tokens > request.chain.unshared_tokens || option.fetch_ms > 0.0;
     double cost = option.first_byte_ms;
-    cost += slot_wait_ms(*one.engine, work, costs.slot_pressure_threshold, costs);
+    cost += slot_wait_ms(*one.engine, work, costs.slot_pressure_threshold, request, costs);
     cost += memory_wait_ms(work, costs.memory_pressure_threshold, request, costs);
     cost += static_cast<double>(work.in_flight) * costs.running_request_ms;
     cost += one.outdated ? outdated_penalty_ms(request, costs) : 0.0;
@@ -237,7 +247,7 @@
     chosen.salt = make_salt(request.scope, best.target->weights);
     chosen.fetch_from = std::move(best.source.address);
     chosen.prefill_tokens = best.prefill_tokens;
-    chosen.queued_prefill_tokens = queued_prefill_tokens_at(*best.target->engine, view);
+    chosen.queued_prefill_tokens = queued_prefill_tokens_at(*best.target->engine, request, view);
     chosen.wait_ms = best.wait_ms;
     chosen.fetch_ms = best.fetch_ms;
     chosen.first_byte_ms = best.first_byte_ms;
--- a/src/kvcache/placement.h
+++ b/src/kvcache/placement.h
@@ -7,6 +7,7 @@
 #include "latency/first_byte.h"
 #include "routes/operators_config.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,8 @@
     const std::vector<const fleet::member*>& pool_members;
     // Responses whose first event arrives within this time are on time.
     base::milliseconds target{0};
+    // The prompt waits only behind those of this rank or before; behind all if empty.
+    std::optional<queueing::rank> rank;
 };
 
 // The state of an entry that placement decisions depend on.
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -129,10 +129,31 @@
             read.saved, to_json(read.first_byte)};
 }
 
+// Index of the queue by rank in an upstream's load, behind the fields that all builds send.
+constexpr std::size_t queue_index = 7;
+
+// The ranks at which requests wait: [rank, requests, unread tokens].
+json to_json(const queueing::rank_queue& queue) {
+    json ranks = json::array();
+    for (std::size_t rank = 0; rank < queue.by_rank.size(); ++rank) {
+        const auto& waiting = queue.by_rank[rank];
+        if (waiting.requests != 0) {
+            ranks.push_back({rank, waiting.requests, waiting.unread_tokens});
+        }
+    }
+    return ranks;
+}
+
 json to_json(const upstream_load& item) {
-    return {to_json(item.upstream),    item.work.in_flight,     item.work.pending_prefill_tokens,
-            item.work.kv_tokens,       item.work.non_retryable, item.work.short_prompts,
-            item.last_byte_age.count()};
+    const auto& work = item.work;
+    json values{
+        to_json(item.upstream), work.in_flight,     work.pending_prefill_tokens, work.kv_tokens,
+        work.non_retryable,     work.short_prompts, item.last_byte_age.count()};
+    const bool has_ranks = work.in_flight > 0 && work.queue.ranked_requests == work.in_flight;
+    if (has_ranks) {
+        values.push_back(to_json(work.queue));
+    }
+    return values;
 }
 
 json to_json(const store_transfer& transfer) {
@@ -348,10 +369,24 @@
     return view;
 }
 
+// Throws if an item names a rank that does not exist.
+queueing::rank_queue read_rank_queue(const json& value, std::int64_t in_flight) {
+    queueing::rank_queue queue;
+    for (const auto& item : value) {
+        queue.by_rank.at(item.at(0).get<std::size_t>()) = {item.at(1).get<std::int32_t>(),
+                                                           item.at(2).get<std::int32_t>()};
+    }
+    queue.ranked_requests = in_flight;
+    return queue;
+}
+
 upstream_load read_upstream_load(const json& value) {
-    const fleet::workload work{value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(),
-                               value.at(3).get<std::int64_t>(), value.at(4).get<std::int64_t>(),
-                               value.at(5).get<std::int64_t>()};
+    fleet::workload work{value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(),
+                         value.at(3).get<std::int64_t>(), value.at(4).get<std::int64_t>(),
+                         value.at(5).get<std::int64_t>()};
+    if (queue_index < value.size()) {
+        work.queue = read_rank_queue(value.at(queue_index), work.in_flight);
+    }
     return {read_instance(value.at(0)), work, base::milliseconds(value.at(6).get<std::int64_t>())};
 }
 
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -60,6 +60,7 @@
 // An entry's in-flight work at one upstream. All zero once that work has ended.
 struct upstream_load {
     base::upstream_instance upstream;
+    // Its queue by rank is sent only if the ranks of all requests are known.
     fleet::workload work;
     // Time since that entry received the last byte from the upstream.
     base::milliseconds last_byte_age{0};
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -243,3 +243,53 @@
     REQUIRE(crash.victims.size() == 1);
     CHECK(crash.victims[0].parts.empty());
 }
+
+// Guards against builds that can't run side by side during an upgrade, and against messages that
+// change although the feature is off.
+TEST_CASE("queues by rank are exchanged with builds that do not know ranks", "[proxy][queueing]") {
+    using nlohmann::json;
+    peering::upstream_load item{{{"e1"}, {17}}, {2, 900, 1900, 1}, base::milliseconds(40)};
+    const auto encoded = [&item] {
+        peering::entry_load load;
+        load.items = {item};
+        return peering::encode({peering::load_report{{load}}});
+    };
+    const auto read = [](const std::string& bytes) {
+        const auto frame = peering::decode(bytes);
+        return std::get<peering::load_report>(frame.value().payload).loads.at(0).items.at(0).work;
+    };
+    const auto first_item = [](const std::string& bytes) {
+        return json::from_cbor(bytes).at(1).at(1).at(0).at(4).at(0);
+    };
+    const json without_ranks = {{"e1", 17}, 2, 900, 1900, 1, 0, 40};
+    CHECK(first_item(encoded()) == without_ranks);
+    CHECK(read(encoded()).queue == queueing::rank_queue{});
+    CHECK(fleet::work_ahead(read(encoded()), queueing::rank{0}).requests == 2);
+
+    item.work.queue.by_rank[3] = {1, 900};
+    item.work.queue.ranked_requests = 1;
+    // Another request is of a time before ranks were known.
+    CHECK(first_item(encoded()) == without_ranks);
+
+    item.work.queue.ranked_requests = 2;
+    json expected = without_ranks;
+    expected.push_back({{3, 1, 900}});
+    CHECK(first_item(encoded()) == expected);
+    CHECK(read(encoded()).queue == item.work.queue);
+    CHECK(fleet::work_ahead(read(encoded()), queueing::rank{2}).requests == 0);
+
+    SECTION("with elements of a later build") {
+        auto whole = json::from_cbor(encoded());
+        whole.at(1).at(1).at(0).at(4).at(0).push_back("later");
+        const auto bytes = json::to_cbor(whole);
+        CHECK(read({bytes.begin(), bytes.end()}).queue == item.work.queue);
+    }
+    SECTION("but not if they name an unknown rank") {
+        auto whole = json::from_cbor(encoded());
+        whole.at(1).at(1).at(0).at(4).at(0).at(7).at(0).at(0) = 10;
+        const auto bytes = json::to_cbor(whole);
+        CHECK(
+            peering::decode({reinterpret_cast<const char*>(bytes.data()), bytes.size()}).error() ==
+            base::code::frame_malformed);
+    }
+}
--- a/src/proxy/admission.cpp
+++ b/src/proxy/admission.cpp
@@ -1,6 +1,9 @@
 #include "proxy/admission.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace camphorrail::proxy {
 
@@ -35,4 +38,33 @@
                       lowest_rank);
 }
 
+namespace {
+
+queueing::priority_pair priorities_of(const routes::route& route, const routes::team* team) {
+    const bool has_team_priority = team != nullptr && team->priority >= 0;
+    return queueing::make_priorities(has_team_priority ? std::optional(team->priority)
+                                                       : std::nullopt,
+                                     std::max(route.priority, 0));
+}
+
+} // namespace
+
+queueing::rank_table make_rank_table(const routes::operators_config& config) {
+    std::vector<queueing::priority_pair> pairs;
+    for (const auto& route : config.routes) {
+        if (route.is_public || config.teams.empty()) {
+            pairs.push_back(priorities_of(route, nullptr));
+            continue;
+        }
+        for (const auto& team : config.teams) {
+            pairs.push_back(priorities_of(route, &team));
+        }
+    }
+    return queueing::make_rank_table(std::move(pairs));
+}
+
+queueing::rank queueing_rank(const queueing::rank_table& table, const admitted_request& request) {
+    return queueing::rank_of(table, priorities_of(*request.route, request.team));
+}
+
 } // namespace camphorrail::proxy
--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -3,6 +3,7 @@
 #include "base/codes.h"
 #include "base/result.h"
 #include "ports/platform_codec.h"
+#include "queueing/ranks.h"
 #include "routes/operators_config.h"
 
 #include <memory>
@@ -44,4 +45,11 @@
 // route's.
 int priority_rank(const admitted_request& request);
 
+// The ranks of the requests that a configuration allows, which take the place of that priority if
+// upstreams admit by rank.
+queueing::rank_table make_rank_table(const routes::operators_config& config);
+
+// The rank of a request among those of its configuration.
+queueing::rank queueing_rank(const queueing::rank_table& table, const admitted_request& request);
+
 } // namespace camphorrail::proxy
--- a/src/proxy/admission_tests.cpp
+++ b/src/proxy/admission_tests.cpp
@@ -49,6 +49,18 @@
         CHECK(rank("k1") == 2);
         CHECK(rank("k2") == 4);
     }
+    SECTION("or at its rank among the pairs of both") {
+        const auto table = proxy::make_rank_table(*state.config);
+        const auto rank = [&](const std::string& target, const std::string& key) {
+            return proxy::queueing_rank(table, proxy::admit(state, request(target),
+                                                            {.request_id = "1", .bearer_key = key})
+                                                   .value())
+                .value;
+        };
+        CHECK(rank("/o/x", "") == 0);
+        CHECK(rank("/tag/x", "k1") == 1);
+        CHECK(rank("/tag/x", "k2") == 2);
+    }
 }
 
 // An entry that is cut off from the store, or frozen, does not learn that a key was revoked and
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -1,5 +1,7 @@
 #include "proxy/context.h"
 
+#include <utility>
+
 namespace camphorrail::proxy {
 
 const weights_history& history_of(const entry_state& state, const base::model_id& model) {
@@ -8,6 +10,11 @@
     return found == state.weights.end() ? none : found->second;
 }
 
+void set_config(entry_state& state, std::shared_ptr<const routes::operators_config> config) {
+    state.ranks = make_rank_table(*config);
+    state.config = std::move(config);
+}
+
 std::string registration_prefix(const entry_context& context) {
     return context.codec.own_prefix + "entries/";
 }
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -17,6 +17,8 @@
 #include "proxy/connection_pool.h"
 #include "proxy/weights_history.h"
 #include "quarantine/quarantine.h"
+#include "queueing/ranks.h"
+#include "queueing/slot_times.h"
 #include "quota/quota.h"
 #include "resumption/software_versions.h"
 #include "resumption/stream_origins.h"
@@ -31,7 +33,10 @@
 // Mutable state of an entry, updated from the store, from other entries and from its own requests.
 struct entry_state {
     mirror::store_mirror store;
+    // Set by `set_config`.
     std::shared_ptr<const routes::operators_config> config;
+    // The ranks of the requests that it allows.
+    queueing::rank_table ranks;
     fleet::fleet fleet;
     std::map<base::model_id, weights_history> weights;
     kvcache::cache_index cache;
@@ -39,6 +44,8 @@
     kvcache::store_index stored_prompts;
     // First-byte latency of each pool's engines, learned from their requests.
     std::map<base::pool_id, latency::first_byte_model> latency;
+    // How long requests occupy slots of each pool's upstreams.
+    std::map<base::pool_id, queueing::slot_times> slot_times;
     // Number of engines per pool that are reserved for short prompts.
     kvcache::lane_sizes lanes;
     // Placement results of the latest prompts, by route name.
@@ -120,6 +127,9 @@
 // invented ones.
 const weights_history& history_of(const entry_state& state, const base::model_id& model);
 
+// Puts a configuration in force.
+void set_config(entry_state& state, std::shared_ptr<const routes::operators_config> config);
+
 // The prefix of the keys under which entries register in the store.
 std::string registration_prefix(const entry_context& context);
 
--- a/src/proxy/load_exchange.cpp
+++ b/src/proxy/load_exchange.cpp
@@ -24,7 +24,7 @@
     return left.in_flight == right.in_flight &&
            left.pending_prefill_tokens == right.pending_prefill_tokens &&
            left.kv_tokens == right.kv_tokens && left.non_retryable == right.non_retryable &&
-           left.short_prompts == right.short_prompts;
+           left.short_prompts == right.short_prompts && left.queue == right.queue;
 }
 
 base::milliseconds complete_report_period(std::size_t connected_count) {
--- a/src/proxy/load_exchange_tests.cpp
+++ b/src/proxy/load_exchange_tests.cpp
@@ -151,3 +151,43 @@
         CHECK(is_responsive());
     }
 }
+
+// Guards against an urgent prompt that is refused because of less urgent work of another entry, and
+// against one that is sent behind the work of an entry whose build does not report ranks.
+TEST_CASE("entries report what waits at which rank", "[proxy][queueing]") {
+    exchange_world world;
+    const fleet::request_work later{800, 800, false, true, queueing::rank{3}};
+    for (int each = 0; each < 5; ++each) {
+        fleet::add_request(world.at_sender().local_work, later);
+    }
+    REQUIRE(world.send_report());
+    const auto ahead_of = [&](queueing::rank rank) {
+        const auto work = fleet::total_work(world.at_receiver(), world.receiver.entry().now());
+        return fleet::work_ahead(work, rank).requests;
+    };
+    CHECK(ahead_of({0}) == 0);
+    CHECK(ahead_of({3}) == 5);
+
+    SECTION("a first byte is a change to report") {
+        fleet::record_first_byte(world.at_sender().local_work, later);
+        REQUIRE(world.send_report());
+        CHECK(ahead_of({3}) == 4);
+    }
+    SECTION("work of an older build counts as ahead of everyone") {
+        world.at_sender().local_work = {6, 5000, 9000, 0};
+        REQUIRE(world.send_report());
+        CHECK(ahead_of({0}) == 6);
+    }
+    SECTION("a lost report is corrected by the next complete one") {
+        fleet::record_first_byte(world.at_sender().local_work, later);
+        world.sending.collect(exchange_world::connected_count);
+        CHECK(ahead_of({3}) == 5);
+        world.wait(base::milliseconds(150));
+        REQUIRE(world.send_report());
+        CHECK(ahead_of({3}) == 4);
+    }
+    SECTION("the work of an entry that is killed expires") {
+        world.wait(base::seconds(2));
+        CHECK(ahead_of({3}) == 0);
+    }
+}
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -69,7 +69,8 @@
         .number("revision", found->second.mod_revision.number)
         .number("routes", static_cast<std::int64_t>(read.value().routes.size()))
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
-    this->state.config = std::make_shared<const routes::operators_config>(std::move(read.value()));
+    set_config(this->state,
+               std::make_shared<const routes::operators_config>(std::move(read.value())));
     this->update_retry_budgets();
     quota::set_limits(this->state.quotas, this->state.config->teams, this->context.now(),
                       quota_rules_of(this->settings));
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -112,7 +112,8 @@
     parameters.expected_instance = choice.id;
     parameters.team = this->request.team == nullptr ? base::team_id{} : this->request.team->id;
     parameters.time_left = this->time_left() - min_round_trip;
-    parameters.priority = priority_rank(this->request);
+    parameters.priority = this->criteria.rank ? static_cast<int>(this->criteria.rank->value)
+                                              : priority_rank(this->request);
     parameters.cache_salt = choice.cache_salt;
     parameters.fetch_from = choice.fetch_from;
     parameters.save_to = choice.save_to;
@@ -319,7 +320,7 @@
     const bool short_prompt =
         choice.chain.total_tokens() > 0 && !kvcache::is_long_prompt(choice.chain);
     return {choice.chain.total_tokens(), choice.prefill_tokens, !may_repeat(*this->request.route),
-            short_prompt};
+            short_prompt, this->criteria.rank};
 }
 
 // Ends the attempt and returns its connection to the pool.
--- a/src/proxy/request_endings.cpp
+++ b/src/proxy/request_endings.cpp
@@ -101,6 +101,7 @@
     this->clear_suspicion();
     if (this->current->head.status < first_refusal_status) {
         this->record_survived_parts();
+        this->record_slot_time();
     }
     if (this->state != response_state::streaming) {
         this->on_full_response();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -93,6 +93,9 @@
     this->criteria.hash = request_hash(this->metadata);
     this->criteria.pool = routes::choose_pool(route, this->criteria.hash);
     this->criteria.target = route.target;
+    if (this->context.settings.features.rank_queueing) {
+        this->criteria.rank = queueing_rank(this->context.state.ranks, this->request);
+    }
     this->criteria.begins_stream = this->may_be_resumed();
     this->criteria.prompt = route.prompt_affinity ? &this->metadata : nullptr;
     if (this->request.team != nullptr && this->request.team->isolated) {
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -148,6 +148,7 @@
     void record_first_byte();
     void record_pause();
     void report_prompt_read();
+    void record_slot_time();
     [[nodiscard]] latency::first_byte_sample first_byte_sample() const;
     void record_prompt_sent();
     void end_attempt();
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -453,6 +453,31 @@
     }
 }
 
+// Guards against urgent prompts that are refused in an overload of less urgent ones, and against a
+// change of decisions and of the rank sent upstream where the feature is off.
+TEST_CASE("an urgent prompt waits behind less urgent ones only without ranks",
+          "[proxy][flow][queueing]") {
+    prompt_world world(one_event);
+    world.config.teams.front().priority = 1;
+    world.config.teams.push_back({.id = {"south"}, .priority = 3, .keys = {"k2"}});
+    world.prove_config();
+    CHECK(world.call(prompt("stream", "r1")).heads.at(0).status == 200);
+    CHECK(world.engine.requests.back().field("Request-Priority") == "1");
+    world.upstream().listed.slots = 32;
+    auto& work = world.upstream().local_work;
+    work = {200, 200000, 60000};
+    work.queue.by_rank[1] = {200, 200000};
+    work.queue.ranked_requests = 200;
+    const bool by_rank = GENERATE(true, false);
+    world.features().rank_queueing = by_rank;
+    CHECK(world.call(prompt("stream", "r2")).heads.at(0).status == (by_rank ? 200 : 429));
+    if (by_rank) {
+        CHECK(world.engine.requests.back().field("Request-Priority") == "0");
+        CHECK(work.in_flight == 200);
+        CHECK(work.queue.ranked_requests == 200);
+    }
+}
+
 // In overload the largest prompts would be refused at every attempt and the others never, since the
 // largest miss their target after the shortest wait. A prompt whose size has been refused too often
 // must be accepted, though it will be late.
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -195,6 +195,23 @@
     this->context.state.unreported_reads.push_back(std::move(read));
 }
 
+// The time from the first byte to the end, and for reading the prompt before. A wait in the
+// upstream's queue takes no slot.
+void request_flow::record_slot_time() {
+    using ms = std::chrono::duration<double, std::milli>;
+    const auto& attempt = *this->current;
+    if (!this->criteria.rank || !attempt.response_started) {
+        return;
+    }
+    const ms streamed = this->context.now() - attempt.first_byte_at;
+    const ms until_first_byte = attempt.first_byte_at - attempt.sent_at;
+    const double reading =
+        std::min(until_first_byte.count(), attempt.choice.first_byte_ms - attempt.choice.wait_ms);
+    queueing::record_slot_time(this->context.state.slot_times[this->criteria.pool],
+                               this->request.route->name, streamed.count() + std::max(reading, 0.0),
+                               this->context.now());
+}
+
 // An upstream that was asked to resume a stream responded with an error. The response is complete
 // but the stream is not: it resumes at another upstream or is aborted.
 void request_flow::on_resume_failed() {
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -33,6 +33,18 @@
     return found;
 }
 
+// Without ranks, all waits count by the same time in a slot, as in builds that did not learn it.
+kvcache::placement_costs placement_costs_of(const entry_context& context,
+                                            const selection_criteria& criteria) {
+    kvcache::placement_costs costs;
+    const auto learned = context.state.slot_times.find(criteria.pool);
+    if (criteria.rank && learned != context.state.slot_times.end()) {
+        costs.response_ms =
+            queueing::cautious_slot_ms(learned->second, queueing::prior_slot_ms, context.now());
+    }
+    return costs;
+}
+
 // Whether the software of a member allows it to take the request.
 bool runs_suitable_software(const entry_context& context, const selection_criteria& criteria,
                             const fleet::member& member) {
@@ -91,8 +103,8 @@
     const auto& pools = context.state.config->pools;
     const auto pool = pools.find(member.listed.pool);
     const std::int64_t capacity = pool == pools.end() ? 0 : pool->second.kv_capacity_tokens;
-    const auto work = fleet::total_work(member, context.now());
-    return static_cast<double>(work.kv_tokens) > high_load_share * static_cast<double>(capacity);
+    const std::int64_t taken = fleet::total_kv_tokens(member, context.now());
+    return static_cast<double>(taken) > high_load_share * static_cast<double>(capacity);
 }
 
 // The time since which weights may have been outdated: when newer ones were named, or else when it
@@ -206,15 +218,10 @@
     const kvcache::prompt_scope space{criteria.prompt->model, criteria.isolated_team};
     auto chain = kvcache::make_chain(space, criteria.prompt->prompt_parts);
     const auto members = pool_members(context.state.fleet, criteria.pool);
-    auto placement =
-        kvcache::place(candidates, {space, chain, pool->second, members, criteria.target},
-                       {context.state.cache,
-                        context.state.stored_prompts,
-                        config.kv_stores,
-                        now,
-                        rules,
-                        latency_model_of(context.state, criteria.pool),
-                        {}});
+    auto placement = kvcache::place(
+        candidates, {space, chain, pool->second, members, criteria.target, criteria.rank},
+        {context.state.cache, context.state.stored_prompts, config.kv_stores, now, rules,
+         latency_model_of(context.state, criteria.pool), placement_costs_of(context, criteria)});
     const auto& target = *placement.target.engine;
     upstream_choice choice;
     choice.id = target.listed.id;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -16,6 +16,8 @@
     base::team_id isolated_team;
     std::uint64_t hash = 0;
     base::milliseconds target{0};
+    // Empty if the entry does not expect upstreams to admit by rank.
+    std::optional<queueing::rank> rank;
     // The attempt resumes a response that another upstream has begun.
     bool resumed = false;
     // The response is a stream that may be resumed, so only versions that may begin streams do.
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -302,7 +302,7 @@
 }
 
 void proxy_world::prove_config() {
-    this->state.config = std::make_shared<const routes::operators_config>(this->config);
+    proxy::set_config(this->state, std::make_shared<const routes::operators_config>(this->config));
     mirror::mark_verified(this->state.store, this->context.now());
 }
 
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -132,6 +132,7 @@
         this->settings.zone = zone;
     }
     proxy::entry_context& entry() { return this->context; }
+    settings::feature_settings& features() { return this->settings.features; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
     // The entries that this one is linked to.
