--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -133,6 +133,7 @@
     }
     settings::feature_settings& features() { return this->settings.features; }
     proxy::entry_context& entry() { return this->context; }
+    settings::feature_settings& features() { return this->settings.features; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
     // The entries that this one is linked to.
