Exclude upstreams that several entries have found to be failing

Where suspicions are shared (features.shared_suspicion, or a pool whose upstreams state a slowdown), each failed attempt is a report to the entries that understand protocol 4, and ejections count as reports, too. An upstream that becomes commonly suspected gets nothing while others of its pool serve within 250 ms. The entry whose turn it is probes it: by a connection, and if that is accepted, by one request that may be repeated. Attempts that wait there and may be repeated move at once within the retry budget. The first byte at any entry ends the suspicion here, and the new message `upstream_responding` ends it at the others. One log line for each change replaces those for each report. With the feature off nothing is reported or excluded.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -28,6 +28,10 @@
 // More than this is not made up for after a stretch without permits.
 constexpr double max_owed_requests = 2.0;
 
+// An upstream that is busy for no longer than this will serve soon. Covers the time for which one
+// that has refused a request, or changes weights, gets no more.
+constexpr base::milliseconds short_wait{250};
+
 // Maximum for the pause that an upstream may ask for; after it the upstream is tried again.
 constexpr base::minutes max_pause{10};
 
@@ -195,7 +199,20 @@
 }
 
 bool is_suspected(const member& one, base::instant now) {
-    return !membership::is_usable(one.health, now) || now < one.suspected_until;
+    return !membership::is_usable(one.health, now) || now < one.suspected_until ||
+           one.common != common_suspicion::none;
+}
+
+void end_suspicion(member& one, base::instant now) {
+    one.common = common_suspicion::none;
+    one.probe_until = {};
+    one.suspected_until = std::min(one.suspected_until, now);
+    membership::end_ejection(one.health, now);
+}
+
+bool awaits_probe(const member& one, base::instant now) {
+    return one.common != common_suspicion::none && now < one.probe_until && is_available(one) &&
+           now >= unavailable_until(one) && is_within_limit(one, now);
 }
 
 base::instant unavailable_until(const member& one) {
@@ -259,20 +276,25 @@
                                 const std::function<bool(const member&)>& is_suitable) {
     std::vector<member*> eligible;
     std::vector<member*> suspected;
+    std::vector<member*> excluded;
     std::vector<member*> last_resort;
     bool any_listed = false;
+    bool any_free_soon = false;
     for (auto& [id, one] : state.members) {
         if (one.listed.pool != pool || !is_suitable(one)) {
             continue;
         }
         any_listed = any_listed || (!one.unlisted_since && !one.drain_reported_at);
+        any_free_soon =
+            any_free_soon || (one.common != common_suspicion::excluded && !contains(except, id) &&
+                              is_available(one) && now + short_wait >= unavailable_until(one));
         if (contains(except, id) || !is_within_limit(one, now)) {
             continue;
         }
         if (is_eligible(one, now)) {
             eligible.push_back(&one);
         } else if (is_available(one) && now >= unavailable_until(one)) {
-            suspected.push_back(&one);
+            (one.common == common_suspicion::excluded ? excluded : suspected).push_back(&one);
         } else if (!is_available(one) && now >= one.pause_until &&
                    may_serve_in_grace(one, now, rules)) {
             last_resort.push_back(&one);
@@ -284,6 +306,11 @@
     if (!suspected.empty()) {
         return suspected;
     }
+    // When the rest of a pool is full for some tens of milliseconds, a refusal is over sooner than
+    // an attempt at an upstream that does not respond.
+    if (!excluded.empty() && !any_free_soon) {
+        return excluded;
+    }
     // An upstream that disappears while others of its pool are listed has left, perhaps seconds
     // ago: list updates arrive late behind a large configuration, and requests reached such
     // upstreams after the allowed time. During an outage of the platform's store, all list entries
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -24,6 +24,15 @@
     base::instant reported_at{};
 };
 
+// Whether several entries have found an upstream to be failing, and what follows from it.
+enum class common_suspicion {
+    none,
+    // So many of the pool are suspected that the cause is probably on the entries' side.
+    second_choice,
+    // The upstream gets no requests while others of its pool can serve.
+    excluded,
+};
+
 // An upstream as one entry sees it: its item in the platform's list, and the state derived from
 // requests and from reports of other entries.
 struct member {
@@ -48,6 +57,9 @@
     // Another entry has ejected the upstream until then. Since the cause may be that entry's own
     // network, this only makes the upstream a second choice.
     base::instant suspected_until{};
+    common_suspicion common = common_suspicion::none;
+    // Until this time the entry may send one request to the commonly suspected upstream as a probe.
+    base::instant probe_until{};
     // The upstream is about to change weights, or is changing them, until this time.
     base::instant weights_change_until{};
     // The rate limit that the upstream states, and this entry's share of it.
@@ -165,9 +177,17 @@
 // Whether a new request may be sent to the member without reservations.
 bool is_eligible(const member& one, base::instant now);
 
+// Ends what was concluded from failures of the member, here and at other entries, after it has been
+// shown to serve.
+void end_suspicion(member& one, base::instant now);
+
+// Whether the member may get one request as a probe; see `member::probe_until`.
+bool awaits_probe(const member& one, base::instant now);
+
 // The members of a pool that a new request may be sent to, of those whose rate limits allow it: the
 // eligible ones; if there are none,
-// those that are only suspected; if the whole pool has just vanished or reported draining, those
+// those that are only suspected; if no other can serve now or soon, those that are excluded by a
+// common suspicion; if the whole pool has just vanished or reported draining, those
 // that may serve in the grace period. Members listed in `except` are left out. Members that are not
 // suitable are disregarded as if they were of another pool.
 std::vector<member*> candidates(fleet& state, const base::pool_id& pool, base::instant now,
--- a/src/membership/health.cpp
+++ b/src/membership/health.cpp
@@ -57,6 +57,11 @@
     return true;
 }
 
+void end_ejection(health& state, base::instant now) {
+    state.ejected_until = std::min(state.ejected_until, now);
+    state.consecutive_failures = 0;
+}
+
 bool is_usable(const health& state, base::instant now) {
     return !state.draining && !state.listed_draining && now >= state.ejected_until;
 }
--- a/src/membership/health.h
+++ b/src/membership/health.h
@@ -52,6 +52,9 @@
 // cache hints of it are invalid.
 bool record_incarnation(health& state, std::int64_t engine_incarnation, base::instant now);
 
+// Ends an ejection, after another entry has been served by the upstream.
+void end_ejection(health& state, base::instant now);
+
 // Whether new work may be sent to the upstream.
 bool is_usable(const health& state, base::instant now);
 
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -25,6 +25,10 @@
             message.changing_weights};
 }
 
+json to_json(const upstream_responding& message) {
+    return {"responding", to_json(message.upstream), message.age.count()};
+}
+
 json to_json(const loaded_weights& message) {
     return {"weights", to_json(message.upstream), message.model.value, message.version};
 }
@@ -406,6 +410,10 @@
                          base::milliseconds(value.at(2).get<std::int64_t>()),
                          value.at(3).get<std::string>(), value.at(4).get<bool>()};
     }
+    if (kind == "responding") {
+        return upstream_responding{read_instance(value.at(1)),
+                                   base::micros(value.at(2).get<std::int64_t>())};
+    }
     if (kind == "weights") {
         return loaded_weights{read_instance(value.at(1)),
                               {value.at(2).get<std::string>()},
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -30,7 +30,8 @@
 inline constexpr std::int64_t resumption_protocol = 1;
 inline constexpr std::int64_t rate_limit_protocol = 2;
 inline constexpr std::int64_t prompt_part_protocol = 3;
-inline constexpr std::int64_t current_protocol = prompt_part_protocol;
+inline constexpr std::int64_t shared_suspicion_protocol = 4;
+inline constexpr std::int64_t current_protocol = shared_suspicion_protocol;
 
 // The first message on a link; identifies its sender.
 struct handshake {
@@ -50,6 +51,13 @@
     bool changing_weights = false;
 };
 
+// The sender has received a byte from an upstream that several entries had found to be failing.
+struct upstream_responding {
+    base::upstream_instance upstream;
+    // Time since that byte.
+    base::micros age{0};
+};
+
 // An upstream has loaded these weights. Sent before the platform's list shows them.
 struct loaded_weights {
     base::upstream_instance upstream;
@@ -243,7 +251,7 @@
     std::variant<handshake, suspicion, loaded_weights, load_report, store_query, store_view,
                  kv_store_contents, store_changes, crash_report, quarantine_notice,
                  upstream_draining, stream_origins, origin_query, origin_reply,
-                 software_record_seen, upstream_limits, cleared_prompt_parts>;
+                 software_record_seen, upstream_limits, cleared_prompt_parts, upstream_responding>;
 
 // A message with its sender's uptime when it was sent. The receiver derives the send time from the
 // uptime: the message may be buffered for long, and its ages and durations count from when it was
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -56,6 +56,11 @@
         {peering::suspicion{{{"e1"}, {17}}, base::milliseconds(250), "silent", true}}));
     CHECK(std::get<peering::suspicion>(suspicion.value().payload).reason == "silent");
     CHECK(std::get<peering::suspicion>(suspicion.value().payload).changing_weights);
+    const auto end = peering::decode(
+        peering::encode({peering::upstream_responding{{{"e1"}, {17}}, base::micros(1500)}}));
+    CHECK(std::get<peering::upstream_responding>(end.value().payload).upstream.incarnation.value ==
+          17);
+    CHECK(std::get<peering::upstream_responding>(end.value().payload).age == base::micros(1500));
 }
 
 TEST_CASE("bytes that are not a valid message are rejected", "[proxy]") {
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -180,9 +180,7 @@
 void record_upstream_failure(entry_context& context, const base::upstream_instance& upstream,
                              const char* why) {
     const auto span = update_health(context, upstream, why, membership::record_failure);
-    if (span) {
-        context.broadcast_suspicion(upstream, *span, why);
-    }
+    context.broadcast_suspicion(upstream, span.value_or(base::micros(0)), why);
 }
 
 void record_upstream_error(entry_context& context, const base::upstream_instance& upstream) {
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -89,7 +89,8 @@
     adapters::metrics& metrics;
     // Monotonic time that includes time during which the VM was suspended.
     std::function<base::instant()> now;
-    // Notifies other entries to send an upstream no new requests for a while.
+    // Notifies other entries to send an upstream no new requests for a while. The span is 0 after a
+    // failure for which this entry goes on sending requests; only a common suspicion counts it.
     std::function<void(const base::upstream_instance&, base::micros, const char* reason)>
         broadcast_suspicion;
     // Notifies other entries that an upstream accepts no new requests while it changes weights.
@@ -113,6 +114,8 @@
     // Records what the response to a request of this entry states of its upstream's rate limit.
     std::function<void(const base::upstream_instance&, const ratelimit::statement&)>
         record_stated_limit;
+    // Records that a byte was received from an upstream that is commonly suspected.
+    std::function<void(const base::upstream_instance&)> record_suspect_byte;
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -462,6 +462,13 @@
     } else {
         member.suspected_until = std::max<base::instant>(member.suspected_until, until);
     }
+    if (this->suspicion_received(this->links.at(key).id, message, written)) {
+        // Changes of the common suspicion are logged in place of single reports.
+        return;
+    }
+    if (message.duration == base::milliseconds(0)) {
+        return;
+    }
     this->context.log.line(importance::keep, "upstream_suspected_by_entry")
         .text("upstream", message.upstream.id.value)
         .text("entry", this->links.at(key).id.value)
@@ -469,6 +476,11 @@
         .number("for_ms", message.duration.count());
 }
 
+void peers::handle(link_key key, const peering::upstream_responding& message,
+                   base::instant written) {
+    this->upstream_responding_received(this->links.at(key).id, message, written);
+}
+
 void peers::handle(link_key /*key*/, const peering::loaded_weights& message,
                    base::instant /*written*/) {
     this->weights_changed(message);
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -93,6 +93,14 @@
     std::function<void(const base::entry_id& from, const peering::upstream_limits&,
                        base::instant written)>
         upstream_limits_received;
+    // Handles a report that an upstream fails, written at that time; returns false if the report is
+    // only to make the upstream a second choice.
+    std::function<bool(const base::entry_id& from, const peering::suspicion&,
+                       base::instant written)>
+        suspicion_received = [](const auto&, const auto&, base::instant) { return false; };
+    std::function<void(const base::entry_id& from, const peering::upstream_responding&,
+                       base::instant written)>
+        upstream_responding_received = [](const auto&, const auto&, base::instant) {};
     // The messages sent on a new link after the handshake.
     std::function<std::vector<peering::message>()> initial_messages;
 
@@ -144,6 +152,7 @@
     // `written` is the estimated time of sending, however long the message waited to be read.
     void handle(link_key key, const peering::handshake& message, base::instant written);
     void handle(link_key key, const peering::suspicion& message, base::instant written);
+    void handle(link_key key, const peering::upstream_responding& message, base::instant written);
     void handle(link_key key, const peering::loaded_weights& message, base::instant written);
     void handle(link_key key, const peering::load_report& message, base::instant written);
     void handle(link_key key, const peering::kv_store_contents& message, base::instant written);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -54,8 +54,11 @@
           this->metrics,
           adapters::boot_now,
           [this](const base::upstream_instance& upstream, base::micros span, const char* why) {
-              this->peer_entries.broadcast(peering::suspicion{
-                  upstream, std::chrono::duration_cast<base::milliseconds>(span), why});
+              if (span > base::micros(0)) {
+                  this->peer_entries.broadcast(peering::suspicion{
+                      upstream, std::chrono::duration_cast<base::milliseconds>(span), why});
+              }
+              this->suspicions.record_failure(upstream, span, why);
           },
           [this](const base::upstream_instance& upstream, base::micros span) {
               this->peer_entries.broadcast(peering::suspicion{
@@ -80,6 +83,9 @@
           },
           [this](const base::upstream_instance& upstream, const ratelimit::statement& stated) {
               this->limits.record(upstream, stated);
+          },
+          [this](const base::upstream_instance& upstream) {
+              this->suspicions.record_byte(upstream);
           }},
       platform_calls(std::make_shared<adapters::platform_budget>()),
       store_calls(adapters::with_budget(this->platform.make_store(this->loop.base(),
@@ -98,7 +104,7 @@
       peer_entries(this->context, this->store_calls), crashes(this->context),
       quarantine_store(this->context, this->store_calls,
                        [this] { return this->leader.fencing_token() != 0; }),
-      origins(this->context), limits(this->context),
+      origins(this->context), limits(this->context), suspicions(this->context),
       retries_at_start(this->context, this->store_calls),
       software(this->context, this->store_calls),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {
@@ -241,6 +247,7 @@
     this->connect_quarantine();
     this->connect_stream_origins();
     this->connect_rate_limits();
+    this->connect_suspicions();
     this->peer_entries.entry_connected = [this](const base::entry_id& entry) {
         this->origins.send_all_to(entry);
         this->software.acknowledge_all();
@@ -332,6 +339,32 @@
                base::instant written) { this->limits.receive(from, message, written); };
 }
 
+void proxy::connect_suspicions() {
+    this->suspicions.listed_entries = [this] {
+        const auto others = this->peer_entries.listed_entries().others;
+        std::vector<base::entry_id> all(others.begin(), others.end());
+        all.push_back(this->settings.id);
+        return all;
+    };
+    this->suspicions.linked_entries = [this](std::int64_t protocol) {
+        return this->peer_entries.linked_entries(protocol);
+    };
+    this->suspicions.send = this->message_sender();
+    this->suspicions.move_attempts = [this](const base::upstream_instance& upstream) {
+        // A copy, since requests may end and remove themselves from the map.
+        const auto in_flight = this->flows;
+        for (const auto& [number, flow] : in_flight) {
+            flow->leave_suspected_upstream(upstream);
+        }
+    };
+    this->peer_entries.suspicion_received =
+        [this](const base::entry_id& from, const peering::suspicion& message,
+               base::instant written) { return this->suspicions.receive(from, message, written); };
+    this->peer_entries.upstream_responding_received =
+        [this](const base::entry_id& from, const peering::upstream_responding& message,
+               base::instant written) { this->suspicions.receive(from, message, written); };
+}
+
 void proxy::on_quarantine_started(const quarantine::quarantined_request& quarantined,
                                   bool decided_here) {
     if (decided_here) {
@@ -401,6 +434,7 @@
     this->quarantine_store.tick();
     this->origins.tick();
     this->limits.tick();
+    this->suspicions.tick();
     this->software.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -22,6 +22,7 @@
 #include "proxy/startup_slot.h"
 #include "proxy/store_follower.h"
 #include "proxy/store_updates.h"
+#include "proxy/suspicion_exchange.h"
 #include "proxy/weights_loader.h"
 
 #include <functional>
@@ -58,6 +59,7 @@
     message_sender();
     void connect_stream_origins();
     void connect_rate_limits();
+    void connect_suspicions();
     // The messages sent to a newly connected entry.
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void log_deferred_call(adapters::platform_call kind, base::micros wait);
@@ -116,6 +118,7 @@
     quarantine_records quarantine_store;
     origin_exchange origins;
     limit_exchange limits;
+    suspicion_exchange suspicions;
     startup_slot retries_at_start;
     software_records software;
     kv_store_follower kv_stores;
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -37,7 +37,10 @@
     if (this->refuse_if_quarantined()) {
         return;
     }
+    this->criteria.may_probe = this->is_first_attempt() && this->may_retry() &&
+                               this->request.route->attempts > 1 && !this->criteria.resumed;
     auto choice = choose_upstream(this->context, this->criteria);
+    this->criteria.may_probe = false;
     if (!choice) {
         this->refuse_without_upstream();
         return;
@@ -190,6 +193,7 @@
         non_repeatable ? base::micros(non_repeatable_max_idle) : max_idle_time);
     if (auto* member = this->current_member()) {
         this->current->last_resort = !fleet::is_available(*member);
+        member->probe_until = {};
         fleet::add_request(member->local_work, this->current_work());
         this->count_against_limit();
     }
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -257,6 +257,18 @@
     return true;
 }
 
+void request_flow::leave_suspected_upstream(const base::upstream_instance& upstream) {
+    const bool waits = this->current && instance_of(this->current->choice) == upstream &&
+                       !this->current->head_received && !this->current->response_started;
+    const bool may_move = waits && this->state == response_state::none &&
+                          this->possible_executions + 1 < this->request.route->attempts &&
+                          this->may_retry();
+    if (may_move && count_upstreams(this->context, this->criteria.pool).eligible > 0) {
+        const auto self = this->shared_from_this();
+        this->fail_over(true);
+    }
+}
+
 // Cancels an attempt at an engine that was slower than predicted and has not begun to respond by
 // the time its weights are outdated for as long as is allowed. Engines drop a request that is
 // cancelled before its first event, so nothing begins on outdated weights; whether the engine was
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -34,6 +34,10 @@
     // were named.
     void renew_begin_deadline();
 
+    // Moves the current attempt to another upstream if it waits at this one, which is commonly
+    // suspected, and may be repeated. Does nothing if no other upstream can take it.
+    void leave_suspected_upstream(const base::upstream_instance& upstream);
+
     // Called once, when the request has ended.
     std::function<void()> on_end;
 
@@ -145,6 +149,7 @@
     void record_stated_limit();
     void refuse_without_upstream();
     void record_progress();
+    void record_byte();
     void record_first_byte();
     void record_pause();
     void report_prompt_read();
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -35,7 +35,7 @@
             .number("status", head.status);
         return false;
     }
-    this->record_progress();
+    this->record_byte();
     this->current->head_received = true;
     this->current->head = head;
     this->current->metadata = response;
@@ -93,8 +93,17 @@
     }
 }
 
-void request_flow::on_response_body(std::string bytes) {
+// Records that the upstream has sent something, which ends a common suspicion.
+void request_flow::record_byte() {
     this->record_progress();
+    if (const auto* member = this->current_member();
+        member != nullptr && member->common != fleet::common_suspicion::none) {
+        this->context.record_suspect_byte(instance_of(this->current->choice));
+    }
+}
+
+void request_flow::on_response_body(std::string bytes) {
+    this->record_byte();
     if (this->is_stream_response()) {
         this->forward_events(bytes);
         return;
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -241,6 +241,48 @@
     return choice;
 }
 
+upstream_choice choose_least_loaded(const entry_context& context,
+                                    const selection_criteria& criteria,
+                                    const std::vector<fleet::member*>& available) {
+    const auto* target = fleet::least_loaded(available, context.settings.zone, criteria.hash,
+                                             context.now(), fleet_rules_of(context.settings));
+    upstream_choice choice;
+    choice.id = target->listed.id;
+    choice.incarnation = target->listed.incarnation;
+    choice.address = target->listed.address;
+    choice.software = target->listed.software;
+    choice.reason = "least_loaded";
+    return choice;
+}
+
+bool has_prompt(const selection_criteria& criteria) {
+    return criteria.prompt != nullptr && !criteria.prompt->model.empty();
+}
+
+// The commonly suspected upstream that the request is to probe, if there is one. A prompt that
+// would be late there anyway probes none.
+std::optional<upstream_choice> choose_probe(entry_context& context,
+                                            const selection_criteria& criteria) {
+    if (!criteria.may_probe || criteria.suspect) {
+        return std::nullopt;
+    }
+    const base::instant now = context.now();
+    for (auto& [id, member] : context.state.fleet.members) {
+        if (!fleet::awaits_probe(member, now) || member.listed.pool != criteria.pool ||
+            !runs_suitable_software(context, criteria, member)) {
+            continue;
+        }
+        auto choice = has_prompt(criteria)
+                          ? choose_for_prompt(context, criteria, {&member})
+                          : std::optional(choose_least_loaded(context, criteria, {&member}));
+        if (choice && choice->first_byte_ms <= static_cast<double>(criteria.target.count())) {
+            choice->reason = "probe";
+            return choice;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<base::instant> begin_deadline(const entry_context& context,
@@ -258,6 +300,9 @@
 
 std::optional<upstream_choice> choose_upstream(entry_context& context,
                                                const selection_criteria& criteria) {
+    if (auto probe = choose_probe(context, criteria)) {
+        return probe;
+    }
     const base::instant now = context.now();
     const auto rules = fleet_rules_of(context.settings);
     auto available = fleet::candidates(
@@ -266,22 +311,14 @@
     if (available.empty()) {
         return std::nullopt;
     }
-    if (criteria.prompt != nullptr && !criteria.prompt->model.empty()) {
+    if (has_prompt(criteria)) {
         return choose_for_prompt(context, criteria, available);
     }
     if (criteria.suspect) {
         keep_safest(context, available);
     }
     fleet::count_towards_shares(context.state.fleet, criteria.pool, now);
-    const auto* target =
-        fleet::least_loaded(available, context.settings.zone, criteria.hash, now, rules);
-    upstream_choice choice;
-    choice.id = target->listed.id;
-    choice.incarnation = target->listed.incarnation;
-    choice.address = target->listed.address;
-    choice.software = target->listed.software;
-    choice.reason = "least_loaded";
-    return choice;
+    return choose_least_loaded(context, criteria, available);
 }
 
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool) {
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -25,6 +25,8 @@
     // The request is suspected of crashing upstreams, so it goes where a crash would affect the
     // fewest other requests.
     bool suspect = false;
+    // The request may go to a commonly suspected upstream as a probe.
+    bool may_probe = false;
     // Upstreams that have refused or failed the request.
     std::vector<base::upstream_id> tried;
 };
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -206,7 +206,9 @@
               this->log,
               this->metrics,
               [this] { return this->now(); },
-              [](const base::upstream_instance&, base::micros, const char*) {},
+              [this](const base::upstream_instance& upstream, base::micros span, const char* why) {
+                  this->suspicions.record_failure(upstream, span, why);
+              },
               [](const base::upstream_instance&, base::micros) {},
               [](const base::upstream_instance&, const base::model_id&, std::int64_t) {},
               [this](const base::upstream_instance& upstream) {
@@ -229,8 +231,11 @@
               },
               [this](const base::upstream_instance& upstream, const ratelimit::statement& stated) {
                   this->limits.record(upstream, stated);
+              },
+              [this](const base::upstream_instance& upstream) {
+                  this->suspicions.record_byte(upstream);
               }},
-      crashes(this->context), limits(this->context),
+      crashes(this->context), limits(this->context), suspicions(this->context),
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
@@ -255,6 +260,21 @@
     this->limits.send = [this](const auto&, const peering::message& message) {
         this->told.push_back(message);
     };
+    this->suspicions.listed_entries = [this] {
+        std::vector<base::entry_id> all{this->settings.id};
+        for (const auto& each : this->linked) {
+            all.push_back(each.id);
+        }
+        return all;
+    };
+    this->suspicions.linked_entries = [this](std::int64_t) { return this->linked; };
+    this->suspicions.send = this->limits.send;
+    this->suspicions.move_attempts = [this](const base::upstream_instance& upstream) {
+        const auto under_way = this->flows;
+        for (const auto& flow : under_way) {
+            flow->leave_suspected_upstream(upstream);
+        }
+    };
     this->settings.peer_listen = own_address(18994);
     using routes::request_kind;
     const auto route = [](const char* name, request_kind kind, int attempts, bool resumable) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -5,6 +5,7 @@
 #include "proxy/frontend_server.h"
 #include "proxy/limit_exchange.h"
 #include "proxy/request_flow.h"
+#include "proxy/suspicion_exchange.h"
 
 #include <functional>
 #include <map>
@@ -134,6 +135,8 @@
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
+    proxy::suspicion_exchange& suspicion_exchange() { return this->suspicions; }
+    settings::feature_settings& features() { return this->settings.features; }
     // The entries that this one is linked to.
     std::vector<entries::linked_entry> linked;
     // What the entry has told others.
@@ -161,6 +164,7 @@
     proxy::entry_context context;
     proxy::crash_detector crashes;
     proxy::limit_exchange limits;
+    proxy::suspicion_exchange suspicions;
     proxy::frontend_server server;
     std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
     std::vector<std::unique_ptr<scripted_engine>> engines;
