Join the parts: one estimate of slot times, speeds within ranked waits

Cause: the shares of teams and the queueing by rank each learned how long requests occupy a slot, and the wait estimates of speeds and ranks met in the same lines. Shares take the slot time from the module queueing now, and the switch of shared suspicions sees pools that state slowdowns.

--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -61,14 +61,10 @@
     return speed::time_factor(one.speed, view.now, {});
 }
 
-std::int64_t queued_prefill_tokens_at(const fleet::member& one, const placement_context& view) {
-    const double token_ms =
-        time_factor(one, view) * latency::prefill_ms(view.model, {1.0, 0.0, 0.0});
-    return fleet::estimate_pending_prefill_tokens(one, view.now,
-                                                  token_ms > 0.0 ? 1.0 / token_ms : 0.0);
 std::int64_t queued_prefill_tokens_at(const fleet::member& one, const prompt_request& request,
                                       const placement_context& view) {
-    const double token_ms = latency::prefill_ms(view.model, {1.0, 0.0, 0.0});
+    const double token_ms =
+        time_factor(one, view) * latency::prefill_ms(view.model, {1.0, 0.0, 0.0});
     return fleet::estimate_pending_prefill_tokens(
         one, view.now, token_ms > 0.0 ? 1.0 / token_ms : 0.0, request.rank);
 }
@@ -78,14 +74,10 @@
                         const placement_context& view) {
     const auto work = fleet::total_work(one, view.now);
     const latency::prefill_work queued{
-        0.0, static_cast<double>(queued_prefill_tokens_at(one, view)), 0.0};
-    return time_factor(one, view) *
-           (latency::prefill_ms(view.model, queued) + slot_wait_ms(one, work, 1.0, view.costs) +
-            memory_wait_ms(work, 1.0, request, view.costs));
         0.0, static_cast<double>(queued_prefill_tokens_at(one, request, view)), 0.0};
-    return latency::prefill_ms(view.model, queued) +
-           slot_wait_ms(one, work, 1.0, request, view.costs) +
-           memory_wait_ms(work, 1.0, request, view.costs);
+    return time_factor(one, view) * (latency::prefill_ms(view.model, queued) +
+                                     slot_wait_ms(one, work, 1.0, request, view.costs) +
+                                     memory_wait_ms(work, 1.0, request, view.costs));
 }
 
 // Cost of serving a prompt away from its home, per rank step.
@@ -160,12 +152,9 @@
         option.prefill_tokens > request.chain.unshared_tokens || option.fetch_ms > 0.0;
     double cost = option.first_byte_ms;
     const double factor = time_factor(*one.engine, view);
-    cost += factor * slot_wait_ms(*one.engine, work, costs.slot_pressure_threshold, costs);
+    cost += factor * slot_wait_ms(*one.engine, work, costs.slot_pressure_threshold, request, costs);
     cost += factor * memory_wait_ms(work, costs.memory_pressure_threshold, request, costs);
     cost += factor * static_cast<double>(work.in_flight) * costs.running_request_ms;
-    cost += slot_wait_ms(*one.engine, work, costs.slot_pressure_threshold, request, costs);
-    cost += memory_wait_ms(work, costs.memory_pressure_threshold, request, costs);
-    cost += static_cast<double>(work.in_flight) * costs.running_request_ms;
     cost += one.outdated ? outdated_penalty_ms(request, costs) : 0.0;
     cost += misses_shared ? static_cast<double>(steps) * off_home_step_ms(request, view) : 0.0;
     if (!in_lane(*one.engine, request.chain)) {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -351,6 +351,9 @@
         return this->peer_entries.linked_entries(protocol);
     };
     this->suspicions.send = this->message_sender();
+    this->suspicions.pool_states_slowdown = [this](const base::pool_id& pool) {
+        return this->state.fleet.slowdown_stated_at.count(pool) > 0;
+    };
     this->suspicions.move_attempts = [this](const base::upstream_instance& upstream) {
         // A copy, since requests may end and remove themselves from the map.
         const auto in_flight = this->flows;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -125,8 +125,10 @@
     }
     std::erase_if(this->state.prompt_sizes,
                   [&names](const auto& each) { return names.count(each.first) == 0; });
-    std::erase_if(this->state.shares.slot_times,
-                  [&names](const auto& each) { return names.count(each.first) == 0; });
+    for (auto& [pool, times] : this->state.slot_times) {
+        std::erase_if(times.routes,
+                      [&names](const auto& each) { return names.count(each.first) == 0; });
+    }
 }
 
 void proxy::update_retry_budgets() {
--- a/src/proxy/request_endings.cpp
+++ b/src/proxy/request_endings.cpp
@@ -99,7 +99,6 @@
 void request_flow::on_response_complete() {
     ++this->possible_executions;
     this->clear_suspicion();
-    this->record_slot_time();
     if (this->current->head.status < first_refusal_status) {
         this->record_survived_parts();
         this->record_slot_time();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -98,7 +98,7 @@
     void settle_share();
     [[nodiscard]] bool is_shared() const;
     void update_shares();
-    void record_slot_time();
+    [[nodiscard]] base::milliseconds expected_slot_time() const;
     bool refuse_if_quarantined();
     void report_broken_attempt();
     void clear_suspicion();
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -207,7 +207,8 @@
 void request_flow::record_slot_time() {
     using ms = std::chrono::duration<double, std::milli>;
     const auto& attempt = *this->current;
-    if (!this->criteria.rank || !attempt.response_started) {
+    const bool is_needed = this->criteria.rank || this->charged_share;
+    if (!is_needed || !attempt.response_started) {
         return;
     }
     const ms streamed = this->context.now() - attempt.first_byte_at;
--- a/src/proxy/request_shares.cpp
+++ b/src/proxy/request_shares.cpp
@@ -2,6 +2,7 @@
 #include "proxy/request_flow.h"
 
 #include <algorithm>
+#include <cmath>
 
 // Keeps teams to their shares of overloaded pools.
 namespace camphorrail::proxy {
@@ -58,6 +59,16 @@
         .thousandths("capacity_in_1000", account.correction);
 }
 
+milliseconds request_flow::expected_slot_time() const {
+    const auto& times = this->context.state.slot_times;
+    const auto learned = times.find(this->criteria.pool);
+    const double ms = learned == times.end()
+                          ? queueing::prior_slot_ms
+                          : queueing::route_slot_ms(learned->second, this->request.route->name,
+                                                    queueing::prior_slot_ms, this->context.now());
+    return milliseconds(std::max<std::int64_t>(std::llround(ms), 1));
+}
+
 // Refuses the request if its team is beyond its share of the pool; returns true if so.
 bool request_flow::refuse_if_beyond_share() {
     if (!this->is_shared()) {
@@ -66,12 +77,9 @@
     this->update_shares();
     auto& state = this->context.state.shares;
     const shares::share_request charge{
-        this->request.team->id,
-        this->criteria.pool,
-        shares::expected_slot_time(state, this->request.route->name, {}),
-        base::stable_hash(this->metadata.request_id),
-        this->time_left(),
-        this->resumes_earlier_request()};
+        this->request.team->id,     this->criteria.pool,
+        this->expected_slot_time(), base::stable_hash(this->metadata.request_id),
+        this->time_left(),          this->resumes_earlier_request()};
     const auto decision = shares::admit(state, charge, this->context.now(), {});
     if (decision.admitted) {
         this->charged_share = charge;
@@ -102,27 +110,4 @@
     this->charged_share.reset();
 }
 
-// Learns how long the route's requests are in a slot: while the prompt is read, and from the first
-// byte to the end. The time that an attempt waited for a slot does not count.
-void request_flow::record_slot_time() {
-    constexpr int first_error = 400;
-    const bool is_whole = this->charged_share && this->retry_count == 0 &&
-                          !this->charged_share->resumes && this->current->head.status < first_error;
-    if (!is_whole) {
-        return;
-    }
-    const auto& choice = this->current->choice;
-    const base::instant now = this->context.now();
-    const base::micros total = now - this->current->sent_at;
-    const auto in_ms = [](double ms) {
-        return base::micros(static_cast<std::int64_t>(std::max(0.0, ms) * 1000));
-    };
-    const base::micros in_slot =
-        this->current->response_started
-            ? now - this->current->first_byte_at + in_ms(choice.first_byte_ms - choice.wait_ms)
-            : total - in_ms(choice.wait_ms);
-    shares::record_slot_time(this->context.state.shares, this->request.route->name,
-                             std::clamp(in_slot, total / 4, total), {});
-}
-
 } // namespace camphorrail::proxy
--- a/src/proxy/request_shares_tests.cpp
+++ b/src/proxy/request_shares_tests.cpp
@@ -33,7 +33,10 @@
             // The entry has been running for long, and knows how long requests take.
             shares::update_pool(this->state.shares, this->pool(), {}, this->entry().now(), {});
             this->move_clock(base::seconds(5));
-            shares::record_slot_time(this->state.shares, "safe", base::milliseconds(10), {});
+            for (int each = 0; each < 2000; ++each) {
+                queueing::record_slot_time(this->state.slot_times[this->pool()], "safe", 10.0,
+                                           this->entry().now());
+            }
             this->ask_for(80, "north");
             this->ask_for(1, "south");
         }
--- a/src/shares/shares.cpp
+++ b/src/shares/shares.cpp
@@ -194,21 +194,6 @@
     update_silence(state, now, rules);
 }
 
-base::milliseconds expected_slot_time(const share_table& state, const std::string& route,
-                                      const share_rules& rules) {
-    const auto found = state.slot_times.find(route);
-    const millis expected = found == state.slot_times.end() ? millis(rules.default_slot_time)
-                                                            : millis(found->second.mean_ms);
-    return std::max(std::chrono::round<base::milliseconds>(expected), base::milliseconds(1));
-}
-
-void record_slot_time(share_table& state, const std::string& route, base::micros observed,
-                      const share_rules& rules) {
-    auto& estimate = state.slot_times[route];
-    estimate.samples = std::min(estimate.samples + 1.0, rules.slot_time_samples);
-    estimate.mean_ms += (millis(observed).count() - estimate.mean_ms) / estimate.samples;
-}
-
 bool is_update_due(const share_table& state, const base::pool_id& pool, base::instant now,
                    const share_rules& rules) {
     const auto found = state.pools.find(pool);
--- a/src/shares/shares.h
+++ b/src/shares/shares.h
@@ -80,10 +80,6 @@
     base::micros idle_timeout = base::seconds(5);
     // Bounds the memory for other entries' counts, to 0.8 MB. Counts beyond it are ignored.
     std::size_t max_remote_counts = 25'000;
-    // Slot time of a route without a completed request.
-    base::micros default_slot_time = base::milliseconds(2500);
-    // Slot times are averaged over this many requests.
-    double slot_time_samples = 50;
     // Bounds of the time over which the retries of refused clients are spread, and the largest part
     // of the client's time left that a retry may wait.
     base::micros min_retry_spread = base::milliseconds(100);
@@ -184,12 +180,6 @@
     bool silent = false;
 };
 
-// The expected slot time of a route's requests in milliseconds.
-struct slot_time_estimate {
-    double mean_ms = 0.0;
-    double samples = 0.0;
-};
-
 // One entry's state of all teams' shares.
 struct share_table {
     std::optional<base::instant> started_at;
@@ -201,8 +191,6 @@
     base::instant next_report{};
     // By team; 1 if missing.
     std::map<base::team_id, double> weights;
-    // By route.
-    std::map<std::string, slot_time_estimate> slot_times;
 };
 
 // Derives teams' weights from their quotas, each relative to the mean of the quotas in its unit.
@@ -216,12 +204,6 @@
 void set_entries(share_table& state, const std::set<base::entry_id>& others, base::instant now,
                  const share_rules& rules);
 
-// The time in a slot that a request of the route is expected to take, and the observation of one.
-base::milliseconds expected_slot_time(const share_table& state, const std::string& route,
-                                      const share_rules& rules);
-void record_slot_time(share_table& state, const std::string& route, base::micros observed,
-                      const share_rules& rules);
-
 // The usable slots of a pool and the requests of all entries that are in flight there.
 struct pool_load {
     std::int64_t slots = 0;
@@ -241,6 +223,7 @@
 struct share_request {
     base::team_id team;
     base::pool_id pool;
+    // The time in a slot that the request is expected to take.
     base::milliseconds slot_time{0};
     // Any number that differs between requests; determines which of them are refused.
     std::uint64_t draw_key = 0;
--- a/src/shares/shares_fleet_tests.cpp
+++ b/src/shares/shares_fleet_tests.cpp
@@ -101,7 +101,6 @@
         one.in_flight = 0;
         one.others_in_flight.clear();
         one.stopped = false;
-        shares::record_slot_time(one.state, "route", milliseconds(1000), this->rules);
         std::set<base::entry_id> others;
         for (std::size_t each = 0; each < this->nodes.size(); ++each) {
             if (&this->nodes[each] != &one) {
@@ -201,12 +200,11 @@
                                 this->rules);
         }
         const int left_ms = timeout_ms - (this->now - each.arrived_ms);
-        const shares::share_request request{
-            {"team-" + std::to_string(each.team)},
-            pool,
-            shares::expected_slot_time(one.state, "route", this->rules),
-            base::stable_hash("request", ++this->requests),
-            milliseconds(left_ms)};
+        const shares::share_request request{{"team-" + std::to_string(each.team)},
+                                            pool,
+                                            milliseconds(1000),
+                                            base::stable_hash("request", ++this->requests),
+                                            milliseconds(left_ms)};
         const auto decision = shares::admit(one.state, request, now_at, this->rules);
         auto& result = this->result_of(each.team);
         ++result.requested;
