Bound what an entry buffers for slow readers by its memory

Cause: an entry stopped reading an upstream as soon as its client had 256 KB to read, and upstreams cut off responses that stay unread for some seconds. Request bodies and their copies for upstreams were not bounded at all.

Change: module buffers keeps an account by connection and kind, and decides which holder yields, whether a new request may be sent and whether an upstream is read on. proxy/request_buffers measures and carries it out. With features.memory_budget and limits.memory_mb, half of the memory is the budget; the largest holder yields beyond it: refused as not run (317) while it has not been sent, broken off by a reset once its response has begun.

--- a/src/base/codes.cpp
+++ b/src/base/codes.cpp
@@ -60,6 +60,9 @@
     code_entry{code::upstreams_limited, "upstreams_limited", 503,
                "The rate limits of all upstreams that could take the request are used up; the "
                "request has not run."},
+    code_entry{
+        code::memory_exhausted, "memory_exhausted", 503,
+        "The entry's memory for requests and responses is used up; the request has not run."},
     code_entry{code::upstream_unreachable, "upstream_unreachable", 502,
                "The upstream takes no connection; nothing was sent to it."},
     code_entry{code::upstream_failed, "upstream_failed", 502,
--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -45,6 +45,7 @@
     quota_spent = 313,
     stream_origin_unknown = 314,
     upstreams_limited = 315,
+    memory_exhausted = 317,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -181,6 +181,10 @@
     return std::exchange(this->held->reader.body, {});
 }
 
+std::size_t request_reader::body_size() const {
+    return this->held->reader.body.size();
+}
+
 struct response_reader::state {
     explicit state(read_limits bounds) : reader(bounds) {}
     parser<false> reader;
--- a/src/http/readers.h
+++ b/src/http/readers.h
@@ -33,6 +33,8 @@
     [[nodiscard]] request_head& head();
     // The body read since the last call.
     std::string take_body();
+    // The size of that body so far.
+    [[nodiscard]] std::size_t body_size() const;
 
 private:
     struct state;
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -28,6 +28,8 @@
 
 namespace camphorrail::proxy {
 
+class request_buffers;
+
 // Mutable state of an entry, updated from the store, from other entries and from its own requests.
 struct entry_state {
     mirror::store_mirror store;
@@ -113,6 +115,8 @@
     // Records what the response to a request of this entry states of its upstream's rate limit.
     std::function<void(const base::upstream_instance&, const ratelimit::statement&)>
         record_stated_limit;
+    // What requests buffer. Null if it is not counted.
+    request_buffers* buffers = nullptr;
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -133,11 +133,33 @@
             this->end_exchange(false);
             return;
         }
+        this->reset();
+    }
+
+    void reset() {
         this->set_reset_on_close(true);
         this->exchange.reset();
         this->close();
     }
 
+    [[nodiscard]] connection_buffers buffered() {
+        const std::size_t input =
+            this->socket == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(this->socket));
+        const bool has_head = this->reading && this->reader.has_head();
+        return {this->reader.body_size() + input, this->unsent(), this->reading,
+                has_head ? &this->reader.head() : nullptr};
+    }
+
+    // Refuses a request that is still being received. What follows of it is read and dropped.
+    void refuse(int status, const http::fields& fields, const std::string& body) {
+        this->reader = http::request_reader(this->limits.read);
+        this->reading = false;
+        this->write(
+            http::write_response_head(status, fields, {http::framing::length, body.size()}, false));
+        this->write(body);
+        this->end_exchange(false);
+    }
+
     // Stops reading requests and closes the connection once all output is sent: a response may be
     // complete for the server while part of it still waits for the client's link.
     void close_gracefully() {
@@ -257,6 +279,9 @@
                    this->limits.head_timeout) {
             this->refuse(status_timeout);
         }
+        if (this->reading && this->server->callbacks.on_received) {
+            this->server->callbacks.on_received(this->number);
+        }
     }
 
     // Some clients send an empty line after a body; it belongs to no request.
@@ -296,8 +321,8 @@
         bufferevent_setwatermark(this->socket, EV_READ, 0, read_ahead_bytes);
         this->reading = false;
         this->exchange = std::make_shared<client_exchange>(
-            this->weak_from_this(), std::move(this->reader.head()), this->reader.take_body(),
-            this->request_start);
+            this->weak_from_this(), this->number, std::move(this->reader.head()),
+            this->reader.take_body(), this->request_start);
         const auto held = this->exchange;
         this->server->callbacks.on_request(held);
     }
@@ -358,9 +383,10 @@
 };
 
 client_exchange::client_exchange(std::weak_ptr<client_connection> connection,
-                                 http::request_head head, std::string body, base::instant arrived)
+                                 std::int64_t connection_number, http::request_head head,
+                                 std::string body, base::instant arrived)
     : head(std::move(head)), body(std::move(body)), arrived(arrived),
-      connection(std::move(connection)) {}
+      connection_number(connection_number), connection(std::move(connection)) {}
 
 bool client_exchange::is_open() const {
     const auto held = this->connection.lock();
@@ -397,6 +423,12 @@
     }
 }
 
+void client_exchange::reset() {
+    if (const auto held = this->connection.lock()) {
+        held->reset();
+    }
+}
+
 std::size_t client_exchange::unsent() const {
     const auto held = this->connection.lock();
     return held == nullptr ? 0 : held->unsent();
@@ -547,6 +579,28 @@
     }
 }
 
+connection_buffers frontend_server::buffered(std::int64_t connection) const {
+    const auto found = this->connections.find(connection);
+    return found == this->connections.end() ? connection_buffers{} : found->second->buffered();
+}
+
+void frontend_server::refuse(std::int64_t connection, int status, const http::fields& fields,
+                             const std::string& body) {
+    const auto found = this->connections.find(connection);
+    if (found != this->connections.end()) {
+        const auto held = found->second;
+        held->refuse(status, fields, body);
+    }
+}
+
+void frontend_server::reset(std::int64_t connection) {
+    const auto found = this->connections.find(connection);
+    if (found != this->connections.end()) {
+        const auto held = found->second;
+        held->reset();
+    }
+}
+
 std::size_t frontend_server::unsent() const {
     std::size_t bytes = 0;
     for (const auto& [number, connection] : this->connections) {
--- a/src/proxy/frontend_server.h
+++ b/src/proxy/frontend_server.h
@@ -24,12 +24,14 @@
 // sent after the client has disconnected is dropped.
 class client_exchange {
 public:
-    client_exchange(std::weak_ptr<client_connection> connection, http::request_head head,
-                    std::string body, base::instant arrived);
+    client_exchange(std::weak_ptr<client_connection> connection, std::int64_t connection_number,
+                    http::request_head head, std::string body, base::instant arrived);
 
     http::request_head head;
     std::string body;
     base::instant arrived;
+    // Identifies the client's connection among those of the server.
+    std::int64_t connection_number;
 
     [[nodiscard]] bool is_open() const;
     // Sends a complete response.
@@ -41,6 +43,8 @@
     // Breaks the connection during a response that cannot be completed, so that the client cannot
     // mistake it for a complete one.
     void abort();
+    // The same at once: what the client has not received yet is dropped, which frees its memory.
+    void reset();
     // Bytes of the response that the kernel has not accepted yet, which shows how far the client
     // lags in reading.
     [[nodiscard]] std::size_t unsent() const;
@@ -70,6 +74,20 @@
     std::function<base::instant()> now;
     // A request was refused with this status before it was received completely.
     std::function<void(int status)> on_refused;
+    // More of a request was received; may be empty.
+    std::function<void(std::int64_t connection)> on_received = {};
+};
+
+// What a client's connection buffers, in bytes.
+struct connection_buffers {
+    // The request that is being received, and what was received after it.
+    std::size_t received = 0;
+    // Responses that the kernel has not accepted yet.
+    std::size_t unsent = 0;
+    // A request has been received in part and no response to it has begun.
+    bool is_receiving = false;
+    // The head of that request; null before it is received completely.
+    const http::request_head* head = nullptr;
 };
 
 // More connections than any process can have.
@@ -94,6 +112,13 @@
     void stop();
     // Bytes of responses that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsent() const;
+    // What a connection buffers; nothing if it has ended.
+    [[nodiscard]] connection_buffers buffered(std::int64_t connection) const;
+    // Refuses a request that is still being received, and closes its connection.
+    void refuse(std::int64_t connection, int status, const http::fields& fields,
+                const std::string& body);
+    // Breaks a connection and drops what it buffers.
+    void reset(std::int64_t connection);
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
     // Limits the number of open connections. The connections that have been idle longest are closed
     // to make room; if none is idle, accepting pauses until a connection is closed.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -101,7 +101,9 @@
       origins(this->context), limits(this->context),
       retries_at_start(this->context, this->store_calls),
       software(this->context, this->store_calls),
-      kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }) {
+      kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }),
+      buffered(this->context) {
+    this->context.buffers = &this->buffered;
     this->apply_agreements();
 }
 
@@ -129,7 +131,9 @@
                 this->log.line(importance::keep, "request_unreadable").number("status", status);
                 this->metrics.count("camphorrail_unreadable_requests_total",
                                     {{"status", std::to_string(status)}});
-            }});
+            },
+            [this](std::int64_t connection) { this->buffered.update({connection}); }});
+    this->buffered.connect(*this->frontend);
     this->serve_operators_and_balancer();
     const std::pair<const char*, bool> listened[] = {
         {"listen", this->frontend->listen(this->settings.listen)},
@@ -397,6 +401,7 @@
                       this->log);
     this->continue_shutdown();
     this->connections.close_expired();
+    this->buffered.tick();
     this->crashes.tick();
     this->quarantine_store.tick();
     this->origins.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -16,6 +16,7 @@
 #include "proxy/origin_exchange.h"
 #include "proxy/peers.h"
 #include "proxy/quarantine_records.h"
+#include "proxy/request_buffers.h"
 #include "proxy/request_flow.h"
 #include "proxy/shutdown.h"
 #include "proxy/software_records.h"
@@ -119,6 +120,7 @@
     startup_slot retries_at_start;
     software_records software;
     kv_store_follower kv_stores;
+    request_buffers buffered;
     std::unique_ptr<frontend_server> frontend;
     std::unique_ptr<adapters::http_server> balancer;
     std::unique_ptr<adapters::http_server> operators;
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -93,6 +93,7 @@
             quarantine::quarantined_requests(this->state.quarantine, this->context.now()).size()));
     this->refresh_weights_metric();
     this->refresh_quota_metrics();
+    this->buffered.show_metrics();
     std::int64_t fit = 0;
     std::int64_t limited = 0;
     double share_of_limits = 0.0;
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -263,6 +263,7 @@
                                          const auto self = weak.lock();
                                          return self != nullptr && self->may_still_send();
                                      }});
+    this->update_buffers();
 }
 
 // Checked once a new connection is established, before anything is sent. Connecting can take up to
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -203,7 +203,7 @@
 
 void request_flow::check_for_stall() {
     const auto self = this->shared_from_this();
-    if (!this->current || this->reading_paused) {
+    if (!this->current || this->reading.paused) {
         return;
     }
     const auto& route = *this->request.route;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "process/problem.h"
+#include "proxy/request_buffers.h"
 #include "proxy/request_limits.h"
 
 #include <algorithm>
@@ -67,6 +68,9 @@
             flow->on_client_drained();
         }
     });
+    if (this->context.buffers != nullptr) {
+        this->context.buffers->attach(self, this->holder());
+    }
     auto read = this->context.codec.parse_request(this->exchange->head);
     if (!read.has_value()) {
         this->refuse(base::to_code(read.error()), base::execution_state::not_run, milliseconds(0));
@@ -100,7 +104,7 @@
     }
     admission::record_request(this->context.state.retries[this->criteria.pool],
                               this->context.now());
-    if (this->refuse_if_over_quota()) {
+    if (this->refuse_if_memory_exhausted() || this->refuse_if_over_quota()) {
         return;
     }
     this->timeout_timer.set(this->time_left());
@@ -217,6 +221,9 @@
         .number("sent_again", this->retry_count);
     this->context.metrics.count("camphorrail_answers_total",
                                 {{"kind", this->kind_name()}, {"outcome", outcome}});
+    if (this->context.buffers != nullptr) {
+        this->context.buffers->detach(this->holder());
+    }
     const auto callback = std::move(this->on_end);
     if (callback) {
         callback();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -2,6 +2,7 @@
 
 #include "adapters/address_probe.h"
 #include "adapters/timer.h"
+#include "buffers/yielding.h"
 #include "proxy/admission.h"
 #include "proxy/context.h"
 #include "proxy/frontend_server.h"
@@ -34,6 +35,14 @@
     // were named.
     void renew_begin_deadline();
 
+    [[nodiscard]] base::request_id id() const;
+    // What the request buffers, apart from what its client's connection does.
+    [[nodiscard]] buffers::holding buffered() const;
+    // Ends the request because the memory that it holds is needed.
+    void yield_buffers();
+    // Reads the upstream again after a pause that the memory budget called for.
+    void resume_reading_if_due();
+
     // Called once, when the request has ended.
     std::function<void()> on_end;
 
@@ -88,6 +97,10 @@
     void ask_incarnation(std::string request_bytes);
     void on_incarnation_stated(const std::string& answer, const std::string& request_bytes);
     void send_attempt();
+    [[nodiscard]] buffers::holder_id holder() const;
+    bool refuse_if_memory_exhausted();
+    void update_buffers();
+    void pause_reading_if_due(std::size_t bytes);
     bool refuse_if_over_quota();
     void settle_quota();
     bool refuse_if_quarantined();
@@ -202,7 +215,7 @@
     // An upstream's error response, sent to the client if no other upstream gives a better one.
     std::optional<full_response> upstream_error;
     response_state state = response_state::none;
-    bool reading_paused = false;
+    buffers::reading_state reading;
     // When the current attempt last received a byte, or was sent.
     base::instant last_progress{};
     // When the next stall check is due.
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -100,6 +100,7 @@
         return;
     }
     this->body_buffer += bytes;
+    this->update_buffers();
     if (this->body_buffer.size() > max_buffered_bytes) {
         this->on_attempt_failed(call_failure::malformed);
     }
@@ -120,9 +121,9 @@
     }
     this->exchange->send(complete_events);
     this->start_stall_timer();
+    this->update_buffers();
     if (this->exchange->unsent() > max_unsent_bytes) {
-        this->reading_paused = true;
-        this->current->connection->pause_reading();
+        this->pause_reading_if_due(complete_events.size());
     }
 }
 
@@ -276,8 +277,8 @@
 }
 
 void request_flow::on_client_drained() {
-    if (this->reading_paused && this->current) {
-        this->reading_paused = false;
+    if (this->reading.paused && this->current) {
+        this->reading.paused = false;
         this->current->connection->resume_reading();
     }
 }
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -201,6 +201,12 @@
     this->release();
 }
 
+std::size_t upstream_connection::unsent() const {
+    const std::size_t written =
+        this->socket == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->socket));
+    return this->pending_request.size() + written;
+}
+
 void upstream_connection::pause_reading() {
     if (this->socket != nullptr) {
         bufferevent_disable(this->socket, EV_READ);
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -56,6 +56,8 @@
     void call(std::string bytes, call_handlers handlers);
     // Aborts the current request by closing the connection; most upstreams then stop working on it.
     void cancel();
+    // Bytes of the current request that the kernel has not accepted yet.
+    [[nodiscard]] std::size_t unsent() const;
     void pause_reading();
     void resume_reading();
 
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -230,7 +230,7 @@
               [this](const base::upstream_instance& upstream, const ratelimit::statement& stated) {
                   this->limits.record(upstream, stated);
               }},
-      crashes(this->context), limits(this->context),
+      crashes(this->context), limits(this->context), buffered(this->context),
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
@@ -240,7 +240,10 @@
                   };
                   flow->begin();
               },
-              [] { return proxy::client_limits{}; }, this->context.now, [](int) {}}) {
+              [] { return proxy::client_limits{}; }, this->context.now, [](int) {},
+              [this](std::int64_t connection) { this->buffered.update({connection}); }}) {
+    this->context.buffers = &this->buffered;
+    this->buffered.connect(this->server);
     this->crashes.broadcast = [this](const peering::message& message) {
         this->told.push_back(message);
     };
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -4,6 +4,7 @@
 #include "proxy/crash_detector.h"
 #include "proxy/frontend_server.h"
 #include "proxy/limit_exchange.h"
+#include "proxy/request_buffers.h"
 #include "proxy/request_flow.h"
 
 #include <functional>
@@ -131,6 +132,11 @@
         this->settings.id = id;
         this->settings.zone = zone;
     }
+    void set_memory_budget(std::int64_t memory_mb) {
+        this->settings.features.memory_budget = true;
+        this->settings.memory_mb = memory_mb;
+    }
+    proxy::request_buffers& buffers() { return this->buffered; }
     proxy::entry_context& entry() { return this->context; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
@@ -161,6 +167,7 @@
     proxy::entry_context context;
     proxy::crash_detector crashes;
     proxy::limit_exchange limits;
+    proxy::request_buffers buffered;
     proxy::frontend_server server;
     std::unordered_set<std::shared_ptr<proxy::request_flow>> flows;
     std::vector<std::unique_ptr<scripted_engine>> engines;
