--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -32,6 +32,7 @@
         : loop(&loop), born(loop.clock().wall_ms()), id(option(given, "id", "i-1")),
           pool(option(given, "pool", "pool")), address(option(given, "listen", "")),
           store(option(given, "store", "")), events(number(given, "events", 10)),
+          event_bytes(number(given, "event-bytes", 0)),
           loses_answers(option(given, "loses", "") == "yes"),
           says_leaving(option(given, "leaving", "") == "yes"), pause(option(given, "pause", "")),
           software(option(given, "software", "v1")), breaks_after(number(given, "breaks", 0)),
@@ -189,12 +190,18 @@
             return;
         }
         exchange->send("id: " + std::to_string(next) + "\ndata: " + this->software + " word" +
-                       std::to_string(next) + "\n\n");
+                       std::to_string(next) + this->padding() + "\n\n");
         this->loop->after(event_pause, [this, exchange, next, breaks_at] {
             this->send_event(exchange, next + 1, breaks_at);
         });
     }
 
+    [[nodiscard]] std::string padding() const {
+        return this->event_bytes == 0
+                   ? ""
+                   : " " + std::string(static_cast<std::size_t>(this->event_bytes), 'x');
+    }
+
     void break_off(adapters::http_exchange& exchange, std::int64_t next) const {
         if (this->breaks_by == "end") {
             std::_Exit(1);
@@ -214,6 +221,8 @@
     std::string address;
     std::string store;
     std::int64_t events;
+    // Each event has so many bytes more than usual.
+    std::int64_t event_bytes;
     bool loses_answers;
     bool says_leaving;
     // What it asks for in place of running a call, in seconds; empty for nothing.
