--- a/src/base/codes.cpp
+++ b/src/base/codes.cpp
@@ -62,6 +62,9 @@
                "request has not run."},
     code_entry{code::beyond_share, "beyond_share", 429,
                "The team uses its share of an overloaded pool; the request has not run."},
+    code_entry{
+        code::memory_exhausted, "memory_exhausted", 503,
+        "The entry's memory for requests and responses is used up; the request has not run."},
     code_entry{code::upstream_unreachable, "upstream_unreachable", 502,
                "The upstream takes no connection; nothing was sent to it."},
     code_entry{code::upstream_failed, "upstream_failed", 502,
--- a/src/base/codes.h
+++ b/src/base/codes.h
@@ -46,6 +46,7 @@
     stream_origin_unknown = 314,
     upstreams_limited = 315,
     beyond_share = 316,
+    memory_exhausted = 317,
 
     upstream_unreachable = 401,
     upstream_failed = 402,
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -31,6 +31,8 @@
 
 namespace camphorrail::proxy {
 
+class request_buffers;
+
 // Mutable state of an entry, updated from the store, from other entries and from its own requests.
 struct entry_state {
     mirror::store_mirror store;
@@ -126,6 +128,8 @@
         record_stated_limit;
     // Records that a byte was received from an upstream that is commonly suspected.
     std::function<void(const base::upstream_instance&)> record_suspect_byte;
+    // What requests buffer. Null if it is not counted.
+    request_buffers* buffers = nullptr;
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/proxy_status.cpp
+++ b/src/proxy/proxy_status.cpp
@@ -115,6 +115,7 @@
     this->refresh_quota_metrics();
     refresh_speed_metrics(this->context);
     this->refresh_share_metrics();
+    this->buffered.show_metrics();
     std::int64_t fit = 0;
     std::int64_t limited = 0;
     double share_of_limits = 0.0;
