--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -107,8 +107,8 @@
     }
     admission::record_request(this->context.state.retries[this->criteria.pool],
                               this->context.now());
-    if (this->refuse_if_over_quota() || this->refuse_if_beyond_share()) {
-    if (this->refuse_if_memory_exhausted() || this->refuse_if_over_quota()) {
+    if (this->refuse_if_memory_exhausted() || this->refuse_if_over_quota() ||
+        this->refuse_if_beyond_share()) {
         return;
     }
     this->timeout_timer.set(this->time_left());
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -236,7 +236,7 @@
                   this->suspicions.record_byte(upstream);
               }},
       crashes(this->context), limits(this->context), suspicions(this->context),
-      crashes(this->context), limits(this->context), buffered(this->context),
+      buffered(this->context),
       server(this->loop.base(),
              {[this](const proxy::exchange_ptr& exchange) {
                   const auto flow = std::make_shared<proxy::request_flow>(this->context, exchange);
