Have engines of the soak differ in speed and state how slow they are

Cause: no soak covered pools in which factors of speed are in force. Engines now take 0.6, 1.0 or 1.6 times the usual time by kind, 2.5 times that in 15 % of their periods of 600 ms, and report it as the fourth figure of their load.

--- a/tests/soak/engine.cpp
+++ b/tests/soak/engine.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cmath>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,6 +32,7 @@
 constexpr std::uint64_t streams_a_break = 4;
 constexpr int first_port = 11000;
 constexpr int ports = 20000;
+constexpr double percent = 100.0;
 
 } // namespace
 
@@ -129,11 +132,28 @@
     this->changed();
 }
 
+// Engines are uneven by kind, and take 2.5 times as long in 15 % of their periods of 600 ms.
+double engine::slowdown() const {
+    constexpr std::array kinds{0.6, 1.0, 1.6};
+    constexpr base::milliseconds period{600};
+    constexpr std::uint64_t slow_percent = 15;
+    const auto number_of_period =
+        static_cast<std::uint64_t>(adapters::boot_now().time_since_epoch() / period);
+    const auto draw = base::combine_hashes(base::stable_hash(this->id), number_of_period);
+    return kinds.at(static_cast<std::size_t>(this->number) % kinds.size()) *
+           (draw % 100 < slow_percent ? 2.5 : 1.0);
+}
+
+base::milliseconds engine::slowed(base::milliseconds usual) const {
+    return std::chrono::round<base::milliseconds>(usual * this->slowdown());
+}
+
 ports::headers engine::fields(const adapters::http_exchange& exchange,
                               const std::string& stamp) const {
-    ports::headers all{{"Request-Id", exchange.header("Request-Id")},
-                       {"Response-Stamp", stamp},
-                       {"Server-Load", "1,0,32"}};
+    ports::headers all{
+        {"Request-Id", exchange.header("Request-Id")},
+        {"Response-Stamp", stamp},
+        {"Server-Load", "1,0,32," + std::to_string(std::lround(percent * this->slowdown()))}};
     if (this->says_leaving) {
         all.emplace_back("Server-Leaving", "1");
     }
@@ -185,7 +205,8 @@
         this->send_event(stream);
         return;
     }
-    this->loop->after(work_time, [this, exchange, call, stamp, of_start = this->starts] {
+    const auto time = this->slowed(work_time);
+    this->loop->after(time, [this, exchange, call, stamp, of_start = this->starts] {
         if (this->starts != of_start || this->server == nullptr || !exchange->open()) {
             return;
         }
@@ -241,7 +262,7 @@
                    "\nid: " + std::to_string(stream.next) + "\ndata: " + stream.call + "\n\n");
     ++stream.next;
     stream.version = this->version;
-    this->loop->after(event_pause, [this, stream] { this->send_event(stream); });
+    this->loop->after(this->slowed(event_pause), [this, stream] { this->send_event(stream); });
 }
 
 } // namespace camphorrail::soak
--- a/tests/soak/engine.h
+++ b/tests/soak/engine.h
@@ -63,6 +63,9 @@
     [[nodiscard]] bool breaks_off(const stream_run& stream) const;
     static void break_off(const stream_run& stream);
     void send_event(stream_run stream);
+    // How long its work takes at the moment, relative to the usual time.
+    [[nodiscard]] double slowdown() const;
+    [[nodiscard]] base::milliseconds slowed(base::milliseconds usual) const;
     void ask_for_pause(adapters::http_exchange& exchange);
     [[nodiscard]] bool refuses(const adapters::http_exchange& exchange) const;
     [[nodiscard]] ports::headers fields(const adapters::http_exchange& exchange,
