Admit by rank without starving any, and schedule returns of refused callers

A refused caller was told to return after 600 to 1,100 ms, mostly into the same overload. Strict ranks alone would leave the least urgent nothing while more urgent requests fill a pool.

With features.rank_queueing an entry schedules returns one after the other at its share of the rate at which the pool frees room for their rank, and keeps a part of the queue for them. Nothing is accepted that its caller would not wait for. A rank that is served less than 0.35 as often as the mean is accepted, and the next more urgent ones leave it room.

--- a/src/kvcache/size_fairness.cpp
+++ b/src/kvcache/size_fairness.cpp
@@ -47,8 +47,10 @@
            rules.min_relative_acceptance * accepted_share(record, 0);
 }
 
-admission_decision evaluate_prompt(const size_history& record, const prompt_estimate& prompt,
-                                   const size_fairness_rules& rules) {
+} // namespace
+
+admission_decision evaluate_admission(const size_history& record, const prompt_estimate& prompt,
+                                      const size_fairness_rules& rules) {
     if (!should_reject(prompt.first_byte_ms, prompt.wait_ms, prompt.target)) {
         return admission_decision::accepted;
     }
@@ -60,15 +62,18 @@
                : admission_decision::rejected;
 }
 
-} // namespace
-
-admission_decision decide_admission(size_history& record, const prompt_estimate& prompt,
-                                    const size_fairness_rules& rules) {
-    const auto verdict = evaluate_prompt(record, prompt, rules);
-    record.prompts.push_back({prompt.tokens, verdict != admission_decision::rejected});
+void record_admission(size_history& record, const sized_prompt& prompt,
+                      const size_fairness_rules& rules) {
+    record.prompts.push_back(prompt);
     if (record.prompts.size() > rules.window_size) {
         record.prompts.pop_front();
     }
+}
+
+admission_decision decide_admission(size_history& record, const prompt_estimate& prompt,
+                                    const size_fairness_rules& rules) {
+    const auto verdict = evaluate_admission(record, prompt, rules);
+    record_admission(record, {prompt.tokens, verdict != admission_decision::rejected}, rules);
     return verdict;
 }
 
--- a/src/kvcache/size_fairness.h
+++ b/src/kvcache/size_fairness.h
@@ -56,6 +56,14 @@
     rejected
 };
 
+// Decides whether to accept a prompt.
+admission_decision evaluate_admission(const size_history& record, const prompt_estimate& prompt,
+                                      const size_fairness_rules& rules);
+
+// Records the final decision on a prompt.
+void record_admission(size_history& record, const sized_prompt& prompt,
+                      const size_fairness_rules& rules);
+
 // Decides whether to accept a prompt, and records the decision in the history.
 admission_decision decide_admission(size_history& record, const prompt_estimate& prompt,
                                     const size_fairness_rules& rules);
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -17,8 +17,8 @@
 #include "proxy/connection_pool.h"
 #include "proxy/weights_history.h"
 #include "quarantine/quarantine.h"
+#include "queueing/pool_state.h"
 #include "queueing/ranks.h"
-#include "queueing/slot_times.h"
 #include "quota/quota.h"
 #include "resumption/software_versions.h"
 #include "resumption/stream_origins.h"
@@ -44,8 +44,8 @@
     kvcache::store_index stored_prompts;
     // First-byte latency of each pool's engines, learned from their requests.
     std::map<base::pool_id, latency::first_byte_model> latency;
-    // How long requests occupy slots of each pool's upstreams.
-    std::map<base::pool_id, queueing::slot_times> slot_times;
+    // What admission by rank to each pool depends on.
+    std::map<base::pool_id, queueing::pool_state> queueing;
     // Number of engines per pool that are reserved for short prompts.
     kvcache::lane_sizes lanes;
     // Placement results of the latest prompts, by route name.
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -72,9 +72,14 @@
         return true;
     }
     auto& record = this->context.state.prompt_sizes[this->request.route->name];
-    const auto verdict = kvcache::decide_admission(
-        record, {tokens, choice.wait_ms, choice.first_byte_ms, this->criteria.target}, {});
-    if (verdict == kvcache::admission_decision::accepted_for_fairness) {
+    const kvcache::prompt_estimate estimate{tokens, choice.wait_ms, choice.first_byte_ms,
+                                            this->criteria.target};
+    const auto verdict = kvcache::evaluate_admission(record, estimate, {});
+    const bool acceptable = verdict != kvcache::admission_decision::rejected;
+    const bool accepted =
+        this->criteria.rank ? this->admit_by_rank(choice, acceptable) : acceptable;
+    kvcache::record_admission(record, {tokens, accepted}, {});
+    if (accepted && verdict == kvcache::admission_decision::accepted_for_fairness) {
         this->context.log.line(importance::keep, "taken_for_its_size")
             .text("request", this->metadata.request_id)
             .text("route", this->request.route->name)
@@ -84,7 +89,7 @@
             .number("target_ms", this->criteria.target.count());
         this->context.metrics.count("camphorrail_prompts_taken_for_their_size_total");
     }
-    return verdict != kvcache::admission_decision::rejected;
+    return accepted;
 }
 
 // True if the request has not been sent to any upstream yet.
@@ -102,9 +107,22 @@
         .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
         .number("expected_first_byte_ms", static_cast<std::int64_t>(choice.first_byte_ms))
         .number("target_ms", this->criteria.target.count())
-        .number("unread_there", choice.queued_tokens);
+        .number("unread_there", choice.queued_tokens)
+        .number("rank", this->upstream_rank())
+        .number("requests_ahead", choice.requests_ahead)
+        .number("slot_ms", static_cast<std::int64_t>(choice.slot_ms))
+        .text("why",
+              this->rank_decision ? std::string(queueing::name_of(*this->rank_decision)) : "wait");
     this->refuse(base::code::overloaded, base::execution_state::not_run,
-                 kvcache::retry_delay(base::stable_hash(this->metadata.request_id)));
+                 this->criteria.rank
+                     ? this->schedule_return(choice)
+                     : kvcache::retry_delay(base::stable_hash(this->metadata.request_id)));
+}
+
+// The priority that upstreams are told.
+int request_flow::upstream_rank() const {
+    return this->criteria.rank ? static_cast<int>(this->criteria.rank->value)
+                               : priority_rank(this->request);
 }
 
 ports::attempt_parameters request_flow::parameters_for(const upstream_choice& choice) const {
@@ -112,8 +130,7 @@
     parameters.expected_instance = choice.id;
     parameters.team = this->request.team == nullptr ? base::team_id{} : this->request.team->id;
     parameters.time_left = this->time_left() - min_round_trip;
-    parameters.priority = this->criteria.rank ? static_cast<int>(this->criteria.rank->value)
-                                              : priority_rank(this->request);
+    parameters.priority = this->upstream_rank();
     parameters.cache_salt = choice.cache_salt;
     parameters.fetch_from = choice.fetch_from;
     parameters.save_to = choice.save_to;
@@ -170,6 +187,7 @@
         .number("prompt_tokens", choice.chain.total_tokens())
         .number("to_read", choice.prefill_tokens)
         .number("unread_there", choice.queued_tokens)
+        .number("requests_ahead", choice.requests_ahead)
         .number("wait_ms", static_cast<std::int64_t>(choice.wait_ms))
         .number("fetch_ms", static_cast<std::int64_t>(choice.fetch_ms))
         .number("expected_first_byte_ms", static_cast<std::int64_t>(choice.first_byte_ms))
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -203,6 +203,7 @@
     }
     this->state = response_state::ended;
     this->settle_quota();
+    this->record_rank_loss();
     this->timeout_timer.clear();
     this->stall_timer.clear();
     this->trial_timer.clear();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -99,6 +99,12 @@
     [[nodiscard]] std::optional<base::instant> current_begin_deadline() const;
     bool admit_prompt(const upstream_choice& choice);
     void refuse_in_overload(const upstream_choice& choice);
+    [[nodiscard]] int upstream_rank() const;
+    [[nodiscard]] queueing::pool_request ranked_request(const upstream_choice& choice,
+                                                        bool acceptable) const;
+    bool admit_by_rank(const upstream_choice& choice, bool acceptable);
+    base::milliseconds schedule_return(const upstream_choice& choice);
+    void record_rank_loss();
     void send_to(upstream_choice choice);
     [[nodiscard]] std::string request_bytes(const ports::attempt_parameters& parameters) const;
     void log_sent(const upstream_choice& choice, const ports::attempt_parameters& parameters);
@@ -193,6 +199,8 @@
     std::optional<attempt> current;
     // Number of upstreams that may have begun to execute the request.
     int possible_executions = 0;
+    // The decision on a prompt that has a rank.
+    std::optional<queueing::ranked_decision> rank_decision;
     // The request, or a part of its prompt, was a suspect when the last attempt ended.
     bool was_suspect = false;
     // Attempts after the first, and connections that could not be established.
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -478,6 +478,32 @@
     }
 }
 
+// Guards against a refused caller that waits for longer than it may, and against one whose reason
+// can't be found in the log.
+TEST_CASE("a prompt refused by rank returns within a third of its time",
+          "[proxy][flow][queueing]") {
+    prompt_world world(one_event);
+    world.features().rank_queueing = true;
+    CHECK(world.call(prompt("stream", "r1")).heads.at(0).status == 200);
+    world.upstream().local_work.pending_prefill_tokens = 2'000'000;
+    world.log_lines();
+    const auto seen = world.call(prompt("stream", "r2"));
+    CHECK(seen.heads.at(0).status == 429);
+    const double delay =
+        std::stod(std::string(http::value_of(seen.heads.at(0).all, "Retry-After")));
+    CHECK(delay >= 0.24);
+    CHECK(delay <= 4.0 / 3.0);
+    std::string log;
+    for (const auto& line : world.log_lines()) {
+        log += line;
+    }
+    CHECK(log.find("\"why\":\"beyond_patience\"") != std::string::npos);
+    CHECK(log.find("\"rank\":0") != std::string::npos);
+    const auto& service = world.state.queueing.at({"pool"}).service.by_rank[0];
+    CHECK(service.asked == Approx(2.0).margin(0.5));
+    CHECK(service.served == Approx(1.0).margin(0.5));
+}
+
 // In overload the largest prompts would be refused at every attempt and the others never, since the
 // largest miss their target after the shortest wait. A prompt whose size has been refused too often
 // must be accepted, though it will be late.
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -207,7 +207,7 @@
     const ms until_first_byte = attempt.first_byte_at - attempt.sent_at;
     const double reading =
         std::min(until_first_byte.count(), attempt.choice.first_byte_ms - attempt.choice.wait_ms);
-    queueing::record_slot_time(this->context.state.slot_times[this->criteria.pool],
+    queueing::record_slot_time(this->context.state.queueing[this->criteria.pool].times,
                                this->request.route->name, streamed.count() + std::max(reading, 0.0),
                                this->context.now());
 }
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -37,10 +37,10 @@
 kvcache::placement_costs placement_costs_of(const entry_context& context,
                                             const selection_criteria& criteria) {
     kvcache::placement_costs costs;
-    const auto learned = context.state.slot_times.find(criteria.pool);
-    if (criteria.rank && learned != context.state.slot_times.end()) {
-        costs.response_ms =
-            queueing::cautious_slot_ms(learned->second, queueing::prior_slot_ms, context.now());
+    const auto learned = context.state.queueing.find(criteria.pool);
+    if (criteria.rank && learned != context.state.queueing.end()) {
+        costs.response_ms = queueing::cautious_slot_ms(learned->second.times,
+                                                       queueing::prior_slot_ms, context.now());
     }
     return costs;
 }
@@ -218,10 +218,11 @@
     const kvcache::prompt_scope space{criteria.prompt->model, criteria.isolated_team};
     auto chain = kvcache::make_chain(space, criteria.prompt->prompt_parts);
     const auto members = pool_members(context.state.fleet, criteria.pool);
+    const auto costs = placement_costs_of(context, criteria);
     auto placement = kvcache::place(
         candidates, {space, chain, pool->second, members, criteria.target, criteria.rank},
         {context.state.cache, context.state.stored_prompts, config.kv_stores, now, rules,
-         latency_model_of(context.state, criteria.pool), placement_costs_of(context, criteria)});
+         latency_model_of(context.state, criteria.pool), costs});
     const auto& target = *placement.target.engine;
     upstream_choice choice;
     choice.id = target.listed.id;
@@ -235,6 +236,11 @@
     choice.prefill_tokens = placement.prefill_tokens;
     choice.reason = placement.is_home ? "home" : "least_cost";
     choice.queued_tokens = placement.queued_prefill_tokens;
+    if (criteria.rank) {
+        choice.requests_ahead =
+            fleet::work_ahead(fleet::total_work(target, now), criteria.rank).requests;
+    }
+    choice.slot_ms = costs.response_ms;
     choice.wait_ms = placement.wait_ms;
     choice.fetch_ms = placement.fetch_ms;
     choice.first_byte_ms = placement.first_byte_ms;
@@ -291,6 +297,23 @@
     return choice;
 }
 
+queueing::pool_size size_of_pool(const entry_context& context, const selection_criteria& criteria,
+                                 const upstream_choice& choice) {
+    const base::instant now = context.now();
+    queueing::pool_size size;
+    for (const auto* member : suitable_members(context, criteria)) {
+        if (fleet::is_eligible(*member, now)) {
+            ++size.upstreams;
+            size.slots += std::max<std::int64_t>(member->listed.slots, 1);
+        }
+    }
+    const auto tokens = static_cast<double>(choice.prefill_tokens);
+    const auto all_tokens = static_cast<double>(choice.chain.total_tokens());
+    size.read_ms = latency::prefill_ms(latency_model_of(context.state, criteria.pool),
+                                       {tokens, 0.0, latency::attention_pairs(tokens, all_tokens)});
+    return size;
+}
+
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool) {
     const base::instant now = context.now();
     pool_counts count;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -43,8 +43,14 @@
     std::string fetch_from;
     std::string save_to;
     std::int64_t prefill_tokens = 0;
-    // Tokens that are already queued at the upstream, over all entries.
+    // Tokens that are already queued at the upstream, over all entries. With a rank, only those
+    // that are read before the prompt.
     std::int64_t queued_tokens = 0;
+    // Requests there, over all entries, that are admitted before this one; -1 if upstreams do not
+    // admit by rank.
+    std::int64_t requests_ahead = -1;
+    // How long a request occupies a slot of the pool.
+    double slot_ms = 0.0;
     // Predicted times in milliseconds: in the upstream's queue, to fetch KV cache, and until the
     // first event in all.
     double wait_ms = 0.0;
@@ -80,6 +86,10 @@
     std::int64_t limited = 0;
 };
 
+// The upstreams that may take the request, and how long they read its prompt.
+queueing::pool_size size_of_pool(const entry_context& context, const selection_criteria& criteria,
+                                 const upstream_choice& choice);
+
 pool_counts count_upstreams(const entry_context& context, const base::pool_id& pool);
 
 // If nothing but the rate limits that they state keeps the upstreams from taking the request: the
