--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -125,8 +125,8 @@
     }
     std::erase_if(this->state.prompt_sizes,
                   [&names](const auto& each) { return names.count(each.first) == 0; });
-    for (auto& [pool, times] : this->state.slot_times) {
-        std::erase_if(times.routes,
+    for (auto& [pool, queue] : this->state.queueing) {
+        std::erase_if(queue.times.routes,
                       [&names](const auto& each) { return names.count(each.first) == 0; });
     }
 }
--- a/src/proxy/request_shares.cpp
+++ b/src/proxy/request_shares.cpp
@@ -1,5 +1,6 @@
 #include "base/hash.h"
 #include "proxy/request_flow.h"
+#include "queueing/slot_times.h"
 
 #include <algorithm>
 #include <cmath>
@@ -60,12 +61,13 @@
 }
 
 milliseconds request_flow::expected_slot_time() const {
-    const auto& times = this->context.state.slot_times;
-    const auto learned = times.find(this->criteria.pool);
-    const double ms = learned == times.end()
-                          ? queueing::prior_slot_ms
-                          : queueing::route_slot_ms(learned->second, this->request.route->name,
-                                                    queueing::prior_slot_ms, this->context.now());
+    const auto& pools = this->context.state.queueing;
+    const auto learned = pools.find(this->criteria.pool);
+    const double ms =
+        learned == pools.end()
+            ? queueing::prior_slot_ms
+            : queueing::route_slot_ms(learned->second.times, this->request.route->name,
+                                      queueing::prior_slot_ms, this->context.now());
     return milliseconds(std::max<std::int64_t>(std::llround(ms), 1));
 }
 
--- a/src/proxy/request_shares_tests.cpp
+++ b/src/proxy/request_shares_tests.cpp
@@ -34,7 +34,7 @@
             shares::update_pool(this->state.shares, this->pool(), {}, this->entry().now(), {});
             this->move_clock(base::seconds(5));
             for (int each = 0; each < 2000; ++each) {
-                queueing::record_slot_time(this->state.slot_times[this->pool()], "safe", 10.0,
+                queueing::record_slot_time(this->state.queueing[this->pool()].times, "safe", 10.0,
                                            this->entry().now());
             }
             this->ask_for(80, "north");
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -144,7 +144,6 @@
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
     proxy::suspicion_exchange& suspicion_exchange() { return this->suspicions; }
-    settings::feature_settings& features() { return this->settings.features; }
     // The entries that this one is linked to.
     std::vector<entries::linked_entry> linked;
     // What the entry has told others.
