--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -140,7 +140,6 @@
     }
     proxy::request_buffers& buffers() { return this->buffered; }
     proxy::entry_context& entry() { return this->context; }
-    settings::feature_settings& features() { return this->settings.features; }
     proxy::crash_detector& crash_detector() { return this->crashes; }
     proxy::limit_exchange& limit_exchange() { return this->limits; }
     proxy::suspicion_exchange& suspicion_exchange() { return this->suspicions; }
