--- a/src/kvcache/recorded_placement_tests.cpp
+++ b/src/kvcache/recorded_placement_tests.cpp
@@ -29,6 +29,7 @@
 fleet::fleet draw_fleet(base::random_source& random) {
     fleet::fleet state;
     std::vector<ports::listed_upstream> listed;
+    listed.reserve(engine_count);
     for (int each = 0; each < engine_count; ++each) {
         listed.push_back({.id = {"e" + std::to_string(each)}, .pool = {"pool"}, .slots = 32});
     }
--- a/src/queueing/load_tests.cpp
+++ b/src/queueing/load_tests.cpp
@@ -324,8 +324,9 @@
             const fleet::entry_load load{
                 one.local_work, this->now + this->played.report_delay + report_lifetime, this->now};
             if (!lost) {
-                this->at(this->played.report_delay,
-                         [this, from, load, id] { this->receive(from, id, load); });
+                this->at(this->played.report_delay, [this, from, load, upstream = id] {
+                    this->receive(from, upstream, load);
+                });
             }
         }
         this->at(report_period, [this, from] { this->report(from); });
