--- a/src/queueing/load_tests.cpp
+++ b/src/queueing/load_tests.cpp
@@ -113,6 +113,7 @@
 struct world {
     explicit world(scenario played) : played(std::move(played)), entries(5) {
         std::vector<ports::listed_upstream> listed;
+        listed.reserve(engine_count);
         for (int each = 0; each < engine_count; ++each) {
             listed.push_back(
                 {.id = {std::to_string(each)}, .pool = {"pool"}, .slots = engine_slots});
