--- a/review/standins/wall.cpp
+++ b/review/standins/wall.cpp
@@ -6,8 +6,7 @@
 #include "entries.h"
 #include "store.h"
 
-#include <iostream>
-#include <set>
+#include <cstdlib>
 
 using namespace review;
 
@@ -206,5 +205,8 @@
         }
     }
     note(broken ? "WALL is broken: south used cache of north, which is isolated" : "WALL held");
-    return broken ? 1 : 0;
+    front_1.end();
+    front_2.end();
+    // Threads of the stand-ins still run; ends without destroying what they use.
+    std::_Exit(broken ? 1 : 0);
 }
