Log what an entry drops when it stops accepting requests

A stopping entry closes idle connections and drops what arrives on them. Nothing showed whether a dropped request had arrived before the close or crossed it.

accepting_stopped says how many idle connections had unread input, input_dropped when a connection dropped input and whether some waited at its close.

--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -154,6 +154,7 @@
     void refuse(int status, const http::fields& fields, const std::string& body) {
         this->reader = http::request_reader(this->limits.read);
         this->reading = false;
+        this->drop_is_known = true;
         this->write(
             http::write_response_head(status, fields, {http::framing::length, body.size()}, false));
         this->write(body);
@@ -169,7 +170,11 @@
             this->final_response_written = true;
             return;
         }
-        this->server->closing_count += std::exchange(this->final_response_written, true) ? 0 : 1;
+        if (!std::exchange(this->final_response_written, true)) {
+            ++this->server->closing_count;
+            this->closed_at = this->server->callbacks.now();
+            this->closed_with_input = this->has_unread();
+        }
         bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
         // A read timeout disables reading; it is enabled again until the client closes.
         bufferevent_enable(this->socket, EV_READ);
@@ -260,7 +265,7 @@
         }
         evbuffer* input = bufferevent_get_input(this->socket);
         if (this->final_response_written) {
-            evbuffer_drain(input, evbuffer_get_length(input));
+            this->drop(input);
             return;
         }
         this->skip_blank_lines(input);
@@ -284,6 +289,16 @@
         }
     }
 
+    void drop(evbuffer* input) {
+        const std::size_t bytes = evbuffer_get_length(input);
+        evbuffer_drain(input, bytes);
+        const auto& callbacks = this->server->callbacks;
+        if (callbacks.on_input_dropped && !std::exchange(this->drop_is_known, true)) {
+            callbacks.on_input_dropped(
+                {this->number, bytes, callbacks.now() - this->closed_at, this->closed_with_input});
+        }
+    }
+
     // Some clients send an empty line after a body; it belongs to no request.
     void skip_blank_lines(evbuffer* input) const {
         while (!this->reading && evbuffer_get_length(input) >= 2) {
@@ -329,6 +344,7 @@
 
     void refuse(int status) {
         this->server->callbacks.on_refused(status);
+        this->drop_is_known = true;
         this->write(http::write_response_head(status, {}, {http::framing::length, 0}, false));
         this->end_exchange(false);
     }
@@ -380,6 +396,11 @@
     bool keep_alive_after = true;
     // The final response on this connection has been written.
     bool final_response_written = false;
+    // When that was, and whether bytes waited to be read then.
+    base::instant closed_at{};
+    bool closed_with_input = false;
+    // Dropped input has been reported, or is the rest of a request that was refused.
+    bool drop_is_known = false;
 };
 
 client_exchange::client_exchange(std::weak_ptr<client_connection> connection,
@@ -565,7 +586,8 @@
     this->close_after_response = true;
 }
 
-void frontend_server::stop() {
+stop_summary frontend_server::stop() {
+    stop_summary found;
     this->close_after_response = true;
     this->stopped = true;
     if (this->listener != nullptr) {
@@ -573,10 +595,15 @@
     }
     const auto connections_copy = this->connections;
     for (const auto& [number, connection] : connections_copy) {
-        if (connection->idle()) {
-            connection->close_gracefully();
+        if (!connection->idle()) {
+            ++found.busy;
+            continue;
         }
+        ++found.idle;
+        found.idle_with_input += connection->has_unread() ? 1 : 0;
+        connection->close_gracefully();
     }
+    return found;
 }
 
 connection_buffers frontend_server::buffered(std::int64_t connection) const {
--- a/src/proxy/frontend_server.h
+++ b/src/proxy/frontend_server.h
@@ -67,6 +67,27 @@
     base::milliseconds idle_timeout{15000};
 };
 
+// Bytes that were received on a connection after the server had closed its side, and that were
+// dropped. They may be a request that crossed the close.
+struct dropped_input {
+    std::int64_t connection = 0;
+    std::size_t bytes = 0;
+    // Time since the server closed its side.
+    base::micros after_close{0};
+    // Bytes waited to be read when the server closed its side.
+    bool arrived_before_close = false;
+};
+
+// The connections found when the server stopped.
+struct stop_summary {
+    // Connections without a request, which were closed.
+    std::size_t idle = 0;
+    // Those of them on which bytes waited to be read.
+    std::size_t idle_with_input = 0;
+    // Connections with a request that was received in part or awaits its response.
+    std::size_t busy = 0;
+};
+
 // Callbacks into the owner of the server.
 struct frontend_callbacks {
     std::function<void(const exchange_ptr&)> on_request;
@@ -76,6 +97,8 @@
     std::function<void(int status)> on_refused;
     // More of a request was received; may be empty.
     std::function<void(std::int64_t connection)> on_received = {};
+    // May be empty.
+    std::function<void(const dropped_input&)> on_input_dropped = {};
 };
 
 // What a client's connection buffers, in bytes.
@@ -109,7 +132,7 @@
     // From now on each connection is closed after its next response.
     void close_after_responses();
     // Stops accepting connections, and closes each connection as soon as it is idle.
-    void stop();
+    stop_summary stop();
     // Bytes of responses that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsent() const;
     // What a connection buffers; nothing if it has ended.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -139,7 +139,8 @@
                 this->metrics.count("camphorrail_unreadable_requests_total",
                                     {{"status", std::to_string(status)}});
             },
-            [this](std::int64_t connection) { this->buffered.update({connection}); }});
+            [this](std::int64_t connection) { this->buffered.update({connection}); },
+            [this](const dropped_input& dropped) { this->log_dropped_input(dropped); }});
     this->buffered.connect(*this->frontend);
     this->serve_operators_and_balancer();
     const std::pair<const char*, bool> listened[] = {
@@ -527,6 +528,26 @@
     });
 }
 
+void proxy::stop_accepting() {
+    const auto found = this->frontend->stop();
+    this->log.line(importance::keep, "accepting_stopped")
+        .span("after_ms", this->context.now() - *this->shutdown.started_at)
+        .number("idle", static_cast<std::int64_t>(found.idle))
+        .number("idle_with_input", static_cast<std::int64_t>(found.idle_with_input))
+        .number("busy", static_cast<std::int64_t>(found.busy));
+}
+
+void proxy::log_dropped_input(const dropped_input& dropped) {
+    this->log.line(importance::keep, "input_dropped")
+        .number("connection", dropped.connection)
+        .number("bytes", static_cast<std::int64_t>(dropped.bytes))
+        .span("after_close_ms", dropped.after_close)
+        .flag("arrived_before_close", dropped.arrived_before_close);
+    this->metrics.count(
+        "camphorrail_dropped_inputs_total",
+        {{"arrived", dropped.arrived_before_close ? "before_close" : "after_close"}});
+}
+
 void proxy::continue_shutdown() {
     const shutdown_rules rules;
     while (true) {
@@ -535,7 +556,7 @@
             rules);
         switch (step) {
         case shutdown_step::stop_accepting:
-            this->frontend->stop();
+            this->stop_accepting();
             break;
         case shutdown_step::resign:
             // A leader keeps its leadership until this point, because in a rolling restart the next
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -89,6 +89,8 @@
     void reload(const char* why);
     void stop();
     void continue_shutdown();
+    void stop_accepting();
+    void log_dropped_input(const dropped_input& dropped);
     [[nodiscard]] bool has_config_and_upstreams() const;
     [[nodiscard]] bool ready() const;
     void check_awaited_records();
