Serve requests that have arrived when an entry stops

What callers saw: whole requests on kept connections to an entry that had been told to stop 2.8 s before got neither a response nor a refusal.

Cause: the server decided by what its event loop had read, not by what had arrived. stop() closed each connection without a parsed request as idle, and read and dropped what waited there. After a long turn of the loop that is every request of the last tenths of a second, and every connection that had been accepted in the same turn. The same on related paths: - connections in the listener's queue were reset with the listener; - a request behind a response that promised to keep the connection was dropped; - an idle timeout that expired within the turn won over the request that had arrived, since libevent then reports only the timeout; - the process could exit while a request was being received; - a request that crossed the close was read and dropped, so its client could not tell that it was never taken.

Fix: a connection is closed as idle only if nothing waits on it; waiting connections are accepted first; the exit waits for requests that are being received, as for those under way, within the grace period. A connection that is closed as idle is not read any more.

--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -27,8 +27,8 @@
 // Bytes of the next request that are read while a response is in progress. Reading continues so
 // that a client that disconnects is noticed.
 constexpr std::size_t read_ahead_bytes = 64U << 10U;
-// Time for which the connection is still read after its final response. Closing a socket with
-// unread bytes resets the connection, and the client could lose the response.
+// Time for which the connection is kept after its final response, and read unless it was idle.
+// Closing a socket with unread bytes resets the connection, and the client could lose the response.
 constexpr base::milliseconds linger_time{1000};
 // Keepalive settings for clients, whose links may be slow. A client that exceeds these limits is
 // considered gone.
@@ -67,7 +67,8 @@
     client_connection(frontend_server& server, std::int64_t number, int descriptor)
         : server(&server), number(number), limits(server.callbacks.limits()),
           reader(this->limits.read),
-          next_request_timer(server.base, [this] { this->read_request(); }) {
+          next_request_timer(server.base, [this] { this->read_request(); }),
+          linger_timer(server.base, [this] { this->close(); }) {
         adapters::watch_for_silence(descriptor, client_keepalive);
         this->socket = bufferevent_socket_new(server.base, descriptor, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(this->socket, on_read, on_write, on_event, this);
@@ -82,11 +83,12 @@
     [[nodiscard]] bool is_open() const {
         return this->socket != nullptr && !this->final_response_written;
     }
-    // Whether bytes wait in the buffer or in the kernel, such as a request that has just arrived.
-    [[nodiscard]] bool has_unread() const {
-        int waiting = 0;
-        ioctl(bufferevent_getfd(this->socket), FIONREAD, &waiting);
-        return waiting > 0 || evbuffer_get_length(bufferevent_get_input(this->socket)) > 0;
+    // Whether the connection can be closed without dropping a request that has arrived.
+    [[nodiscard]] bool may_close() const { return this->idle() && !this->has_unread(); }
+    // Whether a request has arrived, at least in part, that has not been handed over.
+    [[nodiscard]] bool has_pending_request() const {
+        return this->socket != nullptr && this->exchange == nullptr &&
+               !this->final_response_written && (this->reading || this->has_unread());
     }
     [[nodiscard]] base::instant idle_since() const { return this->idle_start; }
     [[nodiscard]] bool idle() const {
@@ -154,7 +156,7 @@
     void refuse(int status, const http::fields& fields, const std::string& body) {
         this->reader = http::request_reader(this->limits.read);
         this->reading = false;
-        this->drop_is_known = true;
+        this->late_input_is_known = true;
         this->write(
             http::write_response_head(status, fields, {http::framing::length, body.size()}, false));
         this->write(body);
@@ -183,6 +185,20 @@
         }
     }
 
+    // Closes a connection that carries no request. A request that crosses the close stays unread:
+    // its client learns that the connection was closed without taking it.
+    void close_idle() {
+        this->leaves_input_unread = true;
+        this->close_gracefully();
+        if (this->socket == nullptr) {
+            return;
+        }
+        bufferevent_disable(this->socket, EV_READ);
+        this->end_watch = event_new(this->server->base, bufferevent_getfd(this->socket), EV_READ,
+                                    on_readable_after_close, this);
+        event_add(this->end_watch, nullptr);
+    }
+
     [[nodiscard]] std::size_t unsent() const {
         return this->socket == nullptr ? 0
                                        : evbuffer_get_length(bufferevent_get_output(this->socket));
@@ -206,15 +222,48 @@
     }
     static void on_read(bufferevent* /*socket*/, void* raw) { self_of(raw)->read_request(); }
     static void on_write(bufferevent* /*socket*/, void* raw) { self_of(raw)->on_output_drained(); }
+    static void on_readable_after_close(evutil_socket_t /*socket*/, short /*what*/, void* raw) {
+        const auto self = self_of(raw);
+        const std::size_t waiting = self->input_in_kernel();
+        if (waiting == 0) {
+            self->close();
+        } else {
+            self->report_late_input(waiting, true);
+        }
+    }
     static void on_event(bufferevent* /*socket*/, short what, void* raw) {
         const auto self = self_of(raw);
-        if ((what & BEV_EVENT_TIMEOUT) != 0 && self->reading && !self->final_response_written) {
-            self->refuse(status_timeout);
+        if ((what & BEV_EVENT_TIMEOUT) != 0 && !self->final_response_written) {
+            self->on_read_timeout();
             return;
         }
         self->close();
     }
 
+    // After a long turn of the event loop, the time limit may have passed although the client has
+    // sent something. libevent reports only the timeout then, and disables reading.
+    void on_read_timeout() {
+        if (this->input_in_kernel() > 0) {
+            bufferevent_enable(this->socket, EV_READ);
+        } else if (this->reading) {
+            this->refuse(status_timeout);
+        } else {
+            this->close();
+        }
+    }
+
+    [[nodiscard]] std::size_t input_in_kernel() const {
+        int waiting = 0;
+        ioctl(bufferevent_getfd(this->socket), FIONREAD, &waiting);
+        return static_cast<std::size_t>(std::max(waiting, 0));
+    }
+
+    // Whether bytes wait in the buffer or in the kernel, such as a request that has just arrived.
+    [[nodiscard]] bool has_unread() const {
+        return this->input_in_kernel() > 0 ||
+               evbuffer_get_length(bufferevent_get_input(this->socket)) > 0;
+    }
+
     // Whether the connection ends by a reset, so that its client does not take the end of a
     // response without a length for its completion.
     void set_reset_on_close(bool reset) {
@@ -227,6 +276,10 @@
     void remove_from_idle() { this->server->idle.erase(std::exchange(this->idle_key, 0)); }
 
     void release() {
+        this->linger_timer.clear();
+        if (this->end_watch != nullptr) {
+            event_free(std::exchange(this->end_watch, nullptr));
+        }
         if (this->socket != nullptr) {
             bufferevent_free(std::exchange(this->socket, nullptr));
         }
@@ -265,11 +318,13 @@
         }
         evbuffer* input = bufferevent_get_input(this->socket);
         if (this->final_response_written) {
-            this->drop(input);
+            this->report_late_input(evbuffer_get_length(input), false);
+            evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
         this->skip_blank_lines(input);
         if (evbuffer_get_length(input) == 0) {
+            this->close_if_stopped();
             return;
         }
         this->begin_reading();
@@ -289,13 +344,11 @@
         }
     }
 
-    void drop(evbuffer* input) {
-        const std::size_t bytes = evbuffer_get_length(input);
-        evbuffer_drain(input, bytes);
+    void report_late_input(std::size_t bytes, bool left_unread) {
         const auto& callbacks = this->server->callbacks;
-        if (callbacks.on_input_dropped && !std::exchange(this->drop_is_known, true)) {
-            callbacks.on_input_dropped(
-                {this->number, bytes, callbacks.now() - this->closed_at, this->closed_with_input});
+        if (callbacks.on_late_input && !std::exchange(this->late_input_is_known, true)) {
+            callbacks.on_late_input({this->number, bytes, callbacks.now() - this->closed_at,
+                                     this->closed_with_input, left_unread});
         }
     }
 
@@ -344,7 +397,7 @@
 
     void refuse(int status) {
         this->server->callbacks.on_refused(status);
-        this->drop_is_known = true;
+        this->late_input_is_known = true;
         this->write(http::write_response_head(status, {}, {http::framing::length, 0}, false));
         this->end_exchange(false);
     }
@@ -354,16 +407,23 @@
         if (this->socket == nullptr) {
             return;
         }
-        // During shutdown connections are not kept alive: the client must not send another request
-        // on one that the end of the process will cut.
-        if (keep && !this->server->stopped) {
-            this->wait_for_request();
-            if (evbuffer_get_length(bufferevent_get_input(this->socket)) > 0) {
-                this->next_request_timer.set(base::micros(0));
-            }
+        if (!keep) {
+            this->close_gracefully();
             return;
         }
-        this->close_gracefully();
+        this->wait_for_request();
+        if (evbuffer_get_length(bufferevent_get_input(this->socket)) > 0) {
+            this->next_request_timer.set(base::micros(0));
+        }
+        this->close_if_stopped();
+    }
+
+    // During shutdown connections are not kept alive: the client must not send another request on
+    // one that the end of the process will cut. One that has arrived is still served.
+    void close_if_stopped() {
+        if (this->server->stopped && this->may_close()) {
+            this->close_idle();
+        }
     }
 
     void on_output_drained() {
@@ -374,6 +434,15 @@
         }
         if (this->final_response_written && this->socket != nullptr) {
             shutdown(bufferevent_getfd(this->socket), SHUT_WR);
+            this->linger();
+        }
+    }
+
+    // Waits for the client to close its side as well.
+    void linger() {
+        if (this->leaves_input_unread) {
+            this->linger_timer.set(linger_time);
+        } else {
             this->set_read_timeout(linger_time);
         }
     }
@@ -384,6 +453,10 @@
     client_limits limits;
     http::request_reader reader;
     adapters::timer next_request_timer;
+    // Ends a connection that is not read any more and that its client has not closed.
+    adapters::timer linger_timer;
+    // Waits for the client to close it.
+    event* end_watch = nullptr;
     exchange_ptr exchange;
     base::instant request_start{};
     base::instant idle_start{};
@@ -399,8 +472,9 @@
     // When that was, and whether bytes waited to be read then.
     base::instant closed_at{};
     bool closed_with_input = false;
-    // Dropped input has been reported, or is the rest of a request that was refused.
-    bool drop_is_known = false;
+    bool leaves_input_unread = false;
+    // Late input has been reported, or is the rest of a request that was refused.
+    bool late_input_is_known = false;
 };
 
 client_exchange::client_exchange(std::weak_ptr<client_connection> connection,
@@ -534,9 +608,9 @@
         if (now - oldest_idle->idle_since() < min_idle_time) {
             return;
         }
-        if (!oldest_idle->has_unread()) {
+        if (oldest_idle->may_close()) {
             ++this->idle_closed_count;
-            oldest_idle->close_gracefully();
+            oldest_idle->close_idle();
         }
     }
 }
@@ -586,9 +660,23 @@
     this->close_after_response = true;
 }
 
+// The listener's queue holds connections that their clients already use, and freeing the listener
+// would reset them.
+void frontend_server::accept_waiting() {
+    while (this->listener != nullptr && !this->is_paused) {
+        const int accepted = accept4(evconnlistener_get_fd(this->listener), nullptr, nullptr,
+                                     SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        this->accept(accepted);
+    }
+}
+
 stop_summary frontend_server::stop() {
     stop_summary found;
     this->close_after_response = true;
+    this->accept_waiting();
     this->stopped = true;
     if (this->listener != nullptr) {
         evconnlistener_free(std::exchange(this->listener, nullptr));
@@ -600,12 +688,21 @@
             continue;
         }
         ++found.idle;
-        found.idle_with_input += connection->has_unread() ? 1 : 0;
-        connection->close_gracefully();
+        if (connection->may_close()) {
+            connection->close_idle();
+        } else {
+            ++found.idle_with_input;
+        }
     }
     return found;
 }
 
+std::size_t frontend_server::pending_requests() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(),
+                      [](const auto& each) { return each.second->has_pending_request(); }));
+}
+
 connection_buffers frontend_server::buffered(std::int64_t connection) const {
     const auto found = this->connections.find(connection);
     return found == this->connections.end() ? connection_buffers{} : found->second->buffered();
--- a/src/proxy/frontend_server.h
+++ b/src/proxy/frontend_server.h
@@ -67,22 +67,25 @@
     base::milliseconds idle_timeout{15000};
 };
 
-// Bytes that were received on a connection after the server had closed its side, and that were
-// dropped. They may be a request that crossed the close.
-struct dropped_input {
+// Bytes that arrived on a connection after the server had closed its side. They may be a request
+// that crossed the close.
+struct late_input {
     std::int64_t connection = 0;
     std::size_t bytes = 0;
     // Time since the server closed its side.
     base::micros after_close{0};
     // Bytes waited to be read when the server closed its side.
     bool arrived_before_close = false;
+    // The bytes stay unread, so that the client can tell that no request was taken. Otherwise they
+    // are read and dropped.
+    bool left_unread = false;
 };
 
 // The connections found when the server stopped.
 struct stop_summary {
-    // Connections without a request, which were closed.
+    // Connections without a request.
     std::size_t idle = 0;
-    // Those of them on which bytes waited to be read.
+    // Those of them on which bytes wait to be read. The others were closed.
     std::size_t idle_with_input = 0;
     // Connections with a request that was received in part or awaits its response.
     std::size_t busy = 0;
@@ -98,7 +101,7 @@
     // More of a request was received; may be empty.
     std::function<void(std::int64_t connection)> on_received = {};
     // May be empty.
-    std::function<void(const dropped_input&)> on_input_dropped = {};
+    std::function<void(const late_input&)> on_late_input = {};
 };
 
 // What a client's connection buffers, in bytes.
@@ -131,8 +134,11 @@
     [[nodiscard]] std::uint16_t port() const;
     // From now on each connection is closed after its next response.
     void close_after_responses();
-    // Stops accepting connections, and closes each connection as soon as it is idle.
+    // Stops accepting connections, and closes each connection as soon as it is idle. A request that
+    // has arrived is still served, also on a connection that waits to be accepted.
     stop_summary stop();
+    // Connections on which a request has arrived, at least in part, that has not been handed over.
+    [[nodiscard]] std::size_t pending_requests() const;
     // Bytes of responses that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsent() const;
     // What a connection buffers; nothing if it has ended.
@@ -159,6 +165,7 @@
 
     void accept(int descriptor);
     void accept_failed();
+    void accept_waiting();
     void remove(std::int64_t number);
     void close_idle_connections();
     void retry_accepting();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -140,7 +140,7 @@
                                     {{"status", std::to_string(status)}});
             },
             [this](std::int64_t connection) { this->buffered.update({connection}); },
-            [this](const dropped_input& dropped) { this->log_dropped_input(dropped); }});
+            [this](const late_input& late) { this->log_late_input(late); }});
     this->buffered.connect(*this->frontend);
     this->serve_operators_and_balancer();
     const std::pair<const char*, bool> listened[] = {
@@ -537,23 +537,28 @@
         .number("busy", static_cast<std::int64_t>(found.busy));
 }
 
-void proxy::log_dropped_input(const dropped_input& dropped) {
-    this->log.line(importance::keep, "input_dropped")
-        .number("connection", dropped.connection)
-        .number("bytes", static_cast<std::int64_t>(dropped.bytes))
-        .span("after_close_ms", dropped.after_close)
-        .flag("arrived_before_close", dropped.arrived_before_close);
-    this->metrics.count(
-        "camphorrail_dropped_inputs_total",
-        {{"arrived", dropped.arrived_before_close ? "before_close" : "after_close"}});
+void proxy::log_late_input(const late_input& late) {
+    this->log.line(importance::keep, "late_input")
+        .number("connection", late.connection)
+        .number("bytes", static_cast<std::int64_t>(late.bytes))
+        .span("after_close_ms", late.after_close)
+        .flag("arrived_before_close", late.arrived_before_close)
+        .flag("left_unread", late.left_unread);
+    this->metrics.count("camphorrail_late_inputs_total",
+                        {{"arrived", late.arrived_before_close ? "before_close" : "after_close"}});
 }
 
 void proxy::continue_shutdown() {
+    if (!this->shutdown.started_at) {
+        return;
+    }
     const shutdown_rules rules;
     while (true) {
-        const auto step = advance_shutdown(
-            this->shutdown, {this->context.now(), this->flows.size(), this->frontend->unsent()},
-            rules);
+        const auto step = advance_shutdown(this->shutdown,
+                                           {this->context.now(),
+                                            this->flows.size() + this->frontend->pending_requests(),
+                                            this->frontend->unsent()},
+                                           rules);
         switch (step) {
         case shutdown_step::stop_accepting:
             this->stop_accepting();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -90,7 +90,7 @@
     void stop();
     void continue_shutdown();
     void stop_accepting();
-    void log_dropped_input(const dropped_input& dropped);
+    void log_late_input(const late_input& late);
     [[nodiscard]] bool has_config_and_upstreams() const;
     [[nodiscard]] bool ready() const;
     void check_awaited_records();
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -83,6 +83,9 @@
                 this->left.clear();
                 return;
             }
+            if (next.what == engine_step::kind::hold) {
+                return;
+            }
             if (next.what == engine_step::kind::crash) {
                 this->owner->crash();
                 return;
@@ -141,6 +144,15 @@
     }
 }
 
+void scripted_engine::go_on() {
+    for (const auto& each : this->open) {
+        if (!each->left.empty() && each->left.front().what == engine_step::kind::hold) {
+            each->left.erase(each->left.begin());
+            each->step();
+        }
+    }
+}
+
 void scripted_engine::crash() {
     this->stop_listening();
     for (const auto& each : this->open) {
@@ -246,8 +258,9 @@
                   };
                   flow->begin();
               },
-              [] { return proxy::client_limits{}; }, this->context.now, [](int) {},
-              [this](std::int64_t connection) { this->buffered.update({connection}); }}) {
+              [this] { return this->caller_limits; }, this->context.now, [](int) {},
+              [this](std::int64_t connection) { this->buffered.update({connection}); },
+              [this](const proxy::late_input& late) { this->late_inputs.push_back(late); }}) {
     this->context.buffers = &this->buffered;
     this->buffered.connect(this->server);
     this->crashes.broadcast = [this](const peering::message& message) {
@@ -354,10 +367,27 @@
 }
 
 caller_view proxy_world::call_until(const std::string& bytes, const std::function<bool()>& until) {
+    const auto made = this->add_caller(adapters::start_connecting(
+        this->loop.base(), "127.0.0.1:" + std::to_string(this->server.port())));
+    bufferevent_write(made->socket, bytes.data(), bytes.size());
+    this->run_until(until);
+    return made->seen;
+}
+
+void proxy_world::connect_at_once(const std::string& bytes) {
+    const auto address =
+        *adapters::parse_address("127.0.0.1:" + std::to_string(this->server.port()));
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    evutil_make_socket_nonblocking(descriptor);
+    this->add_caller(bufferevent_socket_new(this->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE));
+}
+
+std::shared_ptr<proxy_world::caller> proxy_world::add_caller(bufferevent* socket) {
     auto made = std::make_shared<caller>();
     this->callers.push_back(made);
-    made->socket = adapters::start_connecting(this->loop.base(),
-                                              "127.0.0.1:" + std::to_string(this->server.port()));
+    made->socket = socket;
     bufferevent_setcb(
         made->socket, [](bufferevent*, void* raw) { static_cast<caller*>(raw)->read(); }, nullptr,
         [](bufferevent*, short what, void* raw) {
@@ -367,9 +397,7 @@
         },
         made.get());
     bufferevent_enable(made->socket, EV_READ | EV_WRITE);
-    bufferevent_write(made->socket, bytes.data(), bytes.size());
-    this->run_until(until);
-    return made->seen;
+    return made;
 }
 
 const caller_view& proxy_world::last_seen() const {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -23,7 +23,8 @@
 
 // What a scripted engine does with one request, in order.
 struct engine_step {
-    enum class kind { send, close, reset, hang, crash };
+    // After `hold`, the rest waits until the test lets the engine go on.
+    enum class kind { send, close, reset, hang, hold, crash };
     kind what = kind::hang;
     std::string bytes;
 };
@@ -56,6 +57,8 @@
     void set_answer(std::function<engine_script(const engine_request&)> wanted) {
         this->answer = std::move(wanted);
     }
+    // Does the rest of the scripts that are held.
+    void go_on();
     // What it does with the next request, in place of what it is asked.
     void answer_next_with(engine_script script) { this->next_script = std::move(script); }
     [[nodiscard]] bool crashed() const { return this->listener == nullptr; }
@@ -116,6 +119,8 @@
     [[nodiscard]] const caller_view& seen_by(std::size_t caller) const;
     // Sends more on the connection of a caller that came before; it lies with the kernel on return.
     void send_at_once(std::size_t caller, const std::string& bytes);
+    // A caller connects and sends, and the entry has not even accepted it when this returns.
+    void connect_at_once(const std::string& bytes);
     // One caller closes its connection.
     void leave(std::size_t caller);
     // Requests that the entry has under way, and bytes of finished ones that have not left.
@@ -152,6 +157,11 @@
     std::map<std::string, proxy::origin_answer> origins_elsewhere;
     std::vector<std::string> asked_origins;
 
+    // What arrived on callers' connections after they were closed.
+    std::vector<proxy::late_input> late_inputs;
+    // The limits of callers' connections from their next request on.
+    proxy::client_limits caller_limits;
+
     routes::operators_config config;
     proxy::entry_state state;
     // What was logged since the last call; to be asked only after something was.
@@ -160,6 +170,8 @@
 private:
     struct caller;
 
+    std::shared_ptr<caller> add_caller(bufferevent* socket);
+
     adapters::event_loop loop;
     settings::proxy_settings settings;
     ports::platform_codec words;
