Leave large values out of replies to store queries, and space their reads

What callers saw: on entries with links of 10 Mbit/s, while a configuration of 1,400 routes (270 KB) changed every half second, responses, refusals and ends of connections arrived up to 0.8 s late.

Cause: broadcasts name values of over 4 KB in place of including them, because such values had filled these links before. Replies to store queries did not: each entry that asked what had changed was sent the configuration. Entries also read each announced version one after the other, up to three a second of 360 KB, 1.0 to 1.3 MB/s on links of 1.25 MB/s, though the first read had mostly returned the newest. Ruled out: load reports (130 KB/s) and KV store contents.

Fix: replies name large values; the entry that asks reads them from the store, and counts as verified once it has them. It asks for them to be included only while the store does not answer it. A read serves all changes that it contains, and reads are spaced by twice the time that the last one took, 0.6 s at most. Entries of the build before are sent values as before, are not asked while a value is being read, and ignore the new fields.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -55,7 +55,8 @@
 }
 
 json to_json(const store_query& message) {
-    return {"ask", message.query_id, message.revision.number, message.revision.era};
+    return {"ask", message.query_id, message.revision.number, message.revision.era,
+            message.needs_large_values};
 }
 
 json changes_to_json(const ports::changes& changes) {
@@ -110,7 +111,8 @@
             to_json(message.complete_age),
             message.complete,
             changes_to_json(message.changes),
-            targets};
+            targets,
+            message.omitted_keys};
 }
 
 json to_json(const store_changes& message) {
@@ -379,6 +381,10 @@
     return contents;
 }
 
+// Indexes of fields that older builds do not send.
+constexpr std::size_t needs_large_values_index = 4;
+constexpr std::size_t omitted_keys_index = 8;
+
 store_view read_store_view(const json& value) {
     store_view view;
     view.query_id = value.at(1).get<std::int64_t>();
@@ -390,6 +396,9 @@
     for (const auto& each : value.at(7)) {
         view.targets.push_back(read_target_weights(each));
     }
+    if (omitted_keys_index < value.size()) {
+        view.omitted_keys = value.at(omitted_keys_index).get<std::set<std::string>>();
+    }
     return view;
 }
 
@@ -496,8 +505,11 @@
         return read_load_report(value);
     }
     if (kind == "ask") {
+        const bool needs_large_values = needs_large_values_index < value.size() &&
+                                        value.at(needs_large_values_index).get<bool>();
         return store_query{value.at(1).get<std::int64_t>(),
-                           {read_era(value, 3), value.at(2).get<std::int64_t>()}};
+                           {read_era(value, 3), value.at(2).get<std::int64_t>()},
+                           needs_large_values};
     }
     if (kind == "view") {
         return read_store_view(value);
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -32,7 +32,9 @@
 inline constexpr std::int64_t rate_limit_protocol = 2;
 inline constexpr std::int64_t prompt_part_protocol = 3;
 inline constexpr std::int64_t shared_suspicion_protocol = 4;
-inline constexpr std::int64_t current_protocol = shared_suspicion_protocol;
+// Views of the store may name large values in place of including them.
+inline constexpr std::int64_t omitted_value_protocol = 5;
+inline constexpr std::int64_t current_protocol = omitted_value_protocol;
 
 // The first message on a link; identifies its sender.
 struct handshake {
@@ -138,6 +140,8 @@
 struct store_query {
     std::int64_t query_id = 0;
     base::revision revision;
+    // The sender can't read large values from the store itself.
+    bool needs_large_values = false;
 };
 
 // An entry's view of the store, and the time since the store confirmed it. Times are sent as ages,
@@ -154,6 +158,9 @@
     ports::changes changes;
     // Target versions of weights that engines may not have loaded yet.
     std::vector<target_weights> targets;
+    // Keys whose large values are missing from `changes`; the receiver reads them from the store.
+    // Empty if the contents are complete, or if the query asks for large values.
+    std::set<std::string> omitted_keys;
 };
 
 // Changes of the store, from an entry that watches it. They don't confirm that the view is current,
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -13,7 +13,8 @@
                                    base::micros(2500),
                                    true,
                                    {42, {{{"config", std::string("\xff\0x", 3), 9}, false}}},
-                                   {{{"desk-8b"}, 4, base::micros(70)}, {{"desk-8b"}, 5, {}}}};
+                                   {{{"desk-8b"}, 4, base::micros(70)}, {{"desk-8b"}, 5, {}}},
+                                   {"config"}};
     const auto decoded = peering::decode(peering::encode({view}));
     REQUIRE(decoded.has_value());
     const auto& got = std::get<peering::store_view>(decoded.value().payload);
@@ -30,6 +31,9 @@
     CHECK_FALSE(got.targets[1].age);
     REQUIRE(got.changes.items.size() == 1);
     CHECK(got.changes.items[0].item.value == view.changes.items[0].item.value);
+    CHECK(got.omitted_keys == view.omitted_keys);
+    const auto query = peering::decode(peering::encode({peering::store_query{8, 41, true}}));
+    CHECK(std::get<peering::store_query>(query.value().payload).needs_large_values);
 
     peering::entry_load sent_load;
     sent_load.from = {"entry-3"};
@@ -243,6 +247,19 @@
           peering::current_protocol);
 }
 
+TEST_CASE("store queries and views of older builds name no large values", "[proxy]") {
+    const auto read = [](const nlohmann::json& sent) {
+        const auto bytes = nlohmann::json::to_cbor(sent);
+        return peering::decode(std::string(bytes.begin(), bytes.end())).value().payload;
+    };
+    const nlohmann::json query = {5, {"ask", 8, 41, 0}};
+    CHECK_FALSE(std::get<peering::store_query>(read(query)).needs_large_values);
+    const nlohmann::json changes = {42, nlohmann::json::array(), 0};
+    const nlohmann::json view = {
+        5, {"view", 8, true, 1500, nullptr, false, changes, nlohmann::json::array()}};
+    CHECK(std::get<peering::store_view>(read(view)).omitted_keys.empty());
+}
+
 TEST_CASE("crash reports and cleared prompt parts are unchanged by encoding and decoding",
           "[proxy]") {
     const auto part = quarantine::identify_prompt_part({"m0"}, "5c1e07a2");
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -31,6 +31,11 @@
 // A peer that leaves a query unanswered for this long is itself cut off from the store, or its link
 // is dead; the link is dropped.
 constexpr base::milliseconds query_timeout{900};
+// How long an entry that could not read a large value asks the other entries for such values before
+// it tries the store again.
+constexpr base::milliseconds large_value_query_time{3000};
+// Messages from this size on are logged: a link of 10 Mbit/s takes 50 ms for one.
+constexpr std::size_t min_logged_view_bytes = 64U << 10U;
 // How long an entry that has just started waits for what the other entries know. Links open within
 // some tenths of a second; those that are listed but dead never do.
 constexpr base::milliseconds startup_wait{1000};
@@ -157,7 +162,7 @@
     const bool needs_verification = !age || *age > max_age;
     const bool needs_query =
         needs_verification || this->query_wanted || needs_target_dates(this->context);
-    if (now >= this->next_query && !this->is_reading_store() && needs_query) {
+    if (now >= this->next_query && needs_query) {
         this->query_wanted = false;
         this->query_store();
     }
@@ -349,7 +354,7 @@
         const auto found = std::find_if(this->links.begin(), this->links.end(), [&](auto& peer) {
             return peer.second.open && peer.second.id == *ahead;
         });
-        if (found != this->links.end() && found->second.query_id == 0) {
+        if (found != this->links.end() && this->may_query(found->second)) {
             this->send_query(found->second);
         }
     }
@@ -359,7 +364,7 @@
         next = next == this->links.end() ? this->links.begin() : next;
         auto& [key, peer] = *next;
         ++next;
-        if (peer.open && peer.query_id == 0) {
+        if (this->may_query(peer)) {
             this->last_queried = key;
             this->send_query(peer);
             return;
@@ -367,11 +372,24 @@
     }
 }
 
+// An entry of an older build includes large values in its reply. If one is being read already, the
+// reply would only add to what fills the links.
+bool peers::may_query(const peer_link& peer) const {
+    const bool may_omit_values = peer.protocol >= peering::omitted_value_protocol;
+    return peer.open && peer.query_id == 0 && (may_omit_values || !this->is_reading_store());
+}
+
+void peers::query_large_values() {
+    this->large_values_until = this->context.now() + large_value_query_time;
+    this->query_soon();
+}
+
 void peers::send_query(peer_link& peer) {
+    const base::instant now = this->context.now();
     peer.query_id = ++this->last_query_id;
-    peer.queried_at = this->context.now();
-    peer.link->send(this->encode_frame(
-        peering::store_query{peer.query_id, this->context.state.store.revision}));
+    peer.queried_at = now;
+    peer.link->send(this->encode_frame(peering::store_query{
+        peer.query_id, this->context.state.store.revision, now < this->large_values_until}));
 }
 
 void peers::drop_unresponsive() {
@@ -516,7 +534,7 @@
 }
 
 void peers::handle(link_key key, const peering::store_changes& message, base::instant /*written*/) {
-    if (this->store_changes_received(message)) {
+    if (this->store_changes_received(message, {})) {
         return;
     }
     // An earlier change was missed, so the sender, which has all of them, is queried.
@@ -545,7 +563,22 @@
     view.complete = !since;
     view.changes = since ? std::move(*since) : mirror::complete_contents(store);
     view.targets = target_weights_to_report(this->context);
-    this->links.at(key).link->send(this->encode_frame(view));
+    auto& peer = this->links.at(key);
+    const bool may_omit_values = !view.complete && !message.needs_large_values &&
+                                 peer.protocol >= peering::omitted_value_protocol;
+    if (may_omit_values) {
+        view.omitted_keys = omit_large_values(view.changes);
+    }
+    const std::string bytes = this->encode_frame(view);
+    if (bytes.size() >= min_logged_view_bytes) {
+        this->context.log.line(importance::keep, "large_store_view_sent")
+            .text("entry", peer.id.value)
+            .number("bytes", static_cast<std::int64_t>(bytes.size()))
+            .flag("complete", view.complete)
+            .flag("requested", message.needs_large_values)
+            .number("queued_bytes", static_cast<std::int64_t>(peer.link->queued_bytes()));
+    }
+    peer.link->send(bytes);
 }
 
 void peers::handle(link_key key, const peering::store_view& message, base::instant /*written*/) {
@@ -574,11 +607,13 @@
     if (view.complete) {
         changed =
             mirror::apply_snapshot(store, snapshot_of(view.changes), proved, this->context.now());
-    } else {
+    } else if (view.omitted_keys.empty()) {
         changed = mirror::apply_changes(store, view.changes);
         if (view.changes.revision.era == store.revision.era) {
             mirror::mark_verified(store, proved);
         }
+    } else {
+        this->store_changes_received({store.revision, view.omitted_keys, view.changes}, proved);
     }
     if (view.complete_age) {
         mirror::record_revision(store, view.changes.revision, peer.queried_at - *view.complete_age);
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -39,6 +39,8 @@
     // Queries a peer for the store's contents at the next tick, however recently the local copy was
     // verified.
     void query_soon() { this->query_wanted = true; }
+    // The same, and asks for large values as well for a while, since the store does not answer.
+    void query_large_values();
     // Removes this entry's registration from the store.
     void deregister();
     // The number of entries that are registered or linked, including this one. A restored store may
@@ -62,11 +64,13 @@
         target_weights_received;
     std::function<void(const base::entry_id& from, const peering::kv_store_contents&)>
         kv_store_contents_received;
-    // Handles store changes from an entry that watches the store; returns false if an earlier
-    // change was missed.
-    std::function<bool(const peering::store_changes&)> store_changes_received;
-    // Whether a value named in a store update is still being read. No peer is queried for the store
-    // meanwhile.
+    // Handles changes of the store that may name large values, from an entry that watches the store
+    // or from a store view; returns false if an earlier change was missed. `proved` is when a view
+    // was verified; empty otherwise.
+    std::function<bool(const peering::store_changes&, std::optional<base::instant> proved)>
+        store_changes_received;
+    // Whether a value named in a store update is still being read. Entries that would include it in
+    // their replies are not queried meanwhile.
     std::function<bool()> is_reading_store;
     // Whether this entry verifies the store's contents on behalf of all others, and so needs their
     // verifications only when its own calls fail.
@@ -142,6 +146,7 @@
     void record_startup_response(const base::entry_id& from, bool confirmed);
     void finish_startup_wait(const char* why);
     void query_store();
+    [[nodiscard]] bool may_query(const peer_link& peer) const;
     void send_query(peer_link& peer);
     void drop_unresponsive();
     void send_handshake(peer_link& peer);
@@ -182,6 +187,8 @@
     base::instant next_registration{};
     base::instant next_query{};
     bool query_wanted = false;
+    // Until then, queries ask for large values.
+    base::instant large_values_until{};
     // The entries that have responded while this one waits for their knowledge, and the time until
     // which it waits; empty before it does.
     std::set<base::entry_id> responded;
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -63,6 +63,25 @@
         this->other->send(peering::encode({std::move(payload), uptime}));
     }
 
+    // The peer identifies itself as an entry that understands a protocol.
+    void identify(std::int64_t protocol) {
+        bool identified = false;
+        this->others.entry_connected = [&](const base::entry_id&) { identified = true; };
+        this->send(peering::handshake{{"zz"}, {"a"}, 1, protocol});
+        REQUIRE(this->world.run_until([&] { return identified; }));
+    }
+
+    // The latest message of a type that the peer has received; null if there is none.
+    template <class Message>
+    const Message* last_received() const {
+        const Message* last = nullptr;
+        for (const auto& each : this->received_messages) {
+            const auto* found = std::get_if<Message>(&each);
+            last = found == nullptr ? last : found;
+        }
+        return last;
+    }
+
     // Advances the clock and runs ticks until a condition holds.
     bool tick_until(const std::function<bool()>& condition) {
         return this->world.run_until([&] {
@@ -463,3 +482,105 @@
     REQUIRE(sent != nullptr);
     CHECK(sent->protocol == peering::current_protocol);
 }
+
+// Guards against entries that fill their links by sending a large configuration to each entry that
+// asks for what has changed.
+TEST_CASE("a reply to a store query names large values in place of including them", "[proxy]") {
+    peer_world peer;
+    REQUIRE(peer.tick_until([&] { return peer.other && !peer.received_messages.empty(); }));
+    auto& store = peer.world.state.store;
+    const std::string large(100'000, 'x');
+    store.revision = 20;
+    store.items["config"] = {"config", large, 19};
+    store.items["small"] = {"small", "value", 20};
+    const auto ask = [&](std::int64_t protocol, bool needs_large_values) {
+        peer.identify(protocol);
+        peer.send(peering::store_query{7, 18, needs_large_values});
+        REQUIRE(peer.world.run_until(
+            [&] { return peer.last_received<peering::store_view>() != nullptr; }));
+        return *peer.last_received<peering::store_view>();
+    };
+    const auto value_of = [](const peering::store_view& view, const std::string& key) {
+        for (const auto& each : view.changes.items) {
+            if (each.item.key == key) {
+                return each.item.value;
+            }
+        }
+        return std::string("absent");
+    };
+
+    SECTION("by default") {
+        const auto view = ask(peering::current_protocol, false);
+        CHECK(view.omitted_keys == std::set<std::string>{"config"});
+        CHECK(value_of(view, "config").empty());
+        CHECK(value_of(view, "small") == "value");
+    }
+    SECTION("unless the store does not answer the other entry") {
+        const auto view = ask(peering::current_protocol, true);
+        CHECK(view.omitted_keys.empty());
+        CHECK(value_of(view, "config") == large);
+    }
+    SECTION("unless the other entry is of an older build") {
+        const auto view = ask(peering::shared_suspicion_protocol, false);
+        CHECK(view.omitted_keys.empty());
+        CHECK(value_of(view, "config") == large);
+    }
+}
+
+TEST_CASE("an entry reads the large values that a store view names", "[proxy]") {
+    peer_world peer;
+    peer.world.stop_clock();
+    REQUIRE(peer.tick_until([&] { return peer.last_received<peering::store_query>() != nullptr; }));
+    peer.identify(peering::current_protocol);
+    std::optional<peering::store_changes> named;
+    std::optional<base::instant> proved_at;
+    peer.others.store_changes_received = [&](const auto& changes, auto proved) {
+        named = changes;
+        proved_at = proved;
+        return true;
+    };
+    const auto verified_at = peer.world.state.store.verified_at;
+    peering::store_view view;
+    view.query_id = peer.last_received<peering::store_query>()->query_id;
+    view.confirmed = true;
+    view.changes = {12, {{{"config", "", 12}, false}}};
+    view.omitted_keys = {"config"};
+    peer.send(view);
+    REQUIRE(peer.world.run_until([&] { return named.has_value(); }));
+    CHECK(named->omitted_keys == view.omitted_keys);
+    CHECK(proved_at.has_value());
+    // The values are still missing.
+    CHECK(peer.world.state.store.verified_at == verified_at);
+    CHECK(peer.world.state.store.items.count("config") == 0);
+}
+
+// Guards against queries whose replies repeat the very value that is being read, and against an
+// entry that verifies nothing while operators change a large value again and again.
+TEST_CASE("while a large value is read, only entries that leave it out are queried", "[proxy]") {
+    peer_world peer;
+    REQUIRE(peer.tick_until([&] { return peer.last_received<peering::store_query>() != nullptr; }));
+    const bool understands = GENERATE(true, false);
+    peer.identify(understands ? peering::current_protocol : peering::shared_suspicion_protocol);
+    peering::store_view reply;
+    reply.query_id = peer.last_received<peering::store_query>()->query_id;
+    peer.send(reply);
+    peer.others.is_reading_store = [] { return true; };
+    peer.received_messages.clear();
+    const bool queried =
+        peer.tick_until([&] { return peer.last_received<peering::store_query>() != nullptr; });
+    CHECK(queried == understands);
+}
+
+TEST_CASE("an entry that could not read a large value asks other entries for it", "[proxy]") {
+    peer_world peer;
+    REQUIRE(peer.tick_until([&] { return peer.last_received<peering::store_query>() != nullptr; }));
+    CHECK_FALSE(peer.last_received<peering::store_query>()->needs_large_values);
+    peer.identify(peering::current_protocol);
+    peering::store_view reply;
+    reply.query_id = peer.last_received<peering::store_query>()->query_id;
+    peer.send(reply);
+    peer.received_messages.clear();
+    peer.others.query_large_values();
+    REQUIRE(peer.tick_until([&] { return peer.last_received<peering::store_query>() != nullptr; }));
+    CHECK(peer.last_received<peering::store_query>()->needs_large_values);
+}
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -221,11 +221,12 @@
     this->store.broadcast = [this](const peering::store_changes& message) {
         this->peer_entries.broadcast(message);
     };
-    this->peer_entries.store_changes_received = [this](const peering::store_changes& message) {
-        return this->updates.receive(message) != store_updates::outcome::gap;
+    this->peer_entries.store_changes_received = [this](const peering::store_changes& message,
+                                                       std::optional<base::instant> proved) {
+        return this->updates.receive(message, proved) != store_updates::outcome::gap;
     };
     this->peer_entries.is_reading_store = [this] { return this->updates.is_reading(); };
-    this->updates.read_failed = [this] { this->peer_entries.query_soon(); };
+    this->updates.read_failed = [this] { this->peer_entries.query_large_values(); };
     this->peer_entries.verifies_store = [this] { return this->store.is_verifier(); };
     const auto apply_changes_from = [this](const char* source) {
         return [this, source](const std::set<std::string>& keys) {
--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -10,7 +10,7 @@
 
 // The store limits a watch to 30 s.
 constexpr base::milliseconds watch_wait{20000};
-// Larger values are named but not included in a broadcast. A configuration of 70 teams takes 50 KB;
+// Larger values are named but not sent to other entries. A configuration of 70 teams takes 50 KB;
 // sent by three entries to nineteen each, three of them in a row filled 10 Mbit/s links for two
 // seconds.
 constexpr std::size_t max_inline_bytes = 4096;
@@ -23,6 +23,17 @@
 
 } // namespace
 
+std::set<std::string> omit_large_values(ports::changes& changes) {
+    std::set<std::string> keys;
+    for (auto& each : changes.items) {
+        if (each.item.value.size() > max_inline_bytes) {
+            keys.insert(each.item.key);
+            each.item.value.clear();
+        }
+    }
+    return keys;
+}
+
 std::optional<peering::store_changes>
 make_retained_documents_message(const mirror::store_mirror& store) {
     auto documents = mirror::retained_operators_documents(store);
@@ -111,12 +122,7 @@
         return;
     }
     peering::store_changes message{revision_before, {}, std::move(*since)};
-    for (auto& each : message.changes.items) {
-        if (each.item.value.size() > max_inline_bytes) {
-            message.omitted_keys.insert(each.item.key);
-            each.item.value.clear();
-        }
-    }
+    message.omitted_keys = omit_large_values(message.changes);
     this->broadcast(message);
 }
 
--- a/src/proxy/store_follower.h
+++ b/src/proxy/store_follower.h
@@ -15,6 +15,10 @@
 // Name of the duty that determines which entries follow the store; see entries/duty_ranking.h.
 inline const std::string store_duty_name = "store";
 
+// Removes the large values from changes that are sent to other entries and returns their keys. The
+// entries read these values from the store themselves.
+std::set<std::string> omit_large_values(ports::changes& changes);
+
 // The operators' documents that the store has lost or holds in an older version, for entries that
 // may not know them; nothing if there are none.
 std::optional<peering::store_changes>
--- a/src/proxy/store_updates.cpp
+++ b/src/proxy/store_updates.cpp
@@ -13,23 +13,31 @@
 // Broadcasts kept while a value is being read. Those beyond this limit are dropped, and the entry
 // recovers by querying a peer.
 constexpr std::size_t max_pending = 64;
+// The pause after a read, in multiples of the time that it took: on a link that large values fill,
+// reads take a third of the time.
+constexpr int pause_per_read_time = 2;
+// A change must be in force within two seconds, reading it included.
+constexpr base::milliseconds max_read_pause{600};
 
 } // namespace
 
 store_updates::store_updates(entry_context& context, ports::platform platform)
-    : context(context), platform(std::move(platform)) {}
+    : context(context), platform(std::move(platform)),
+      read_timer(context.loop.base(), [this] { this->read_next(); }) {}
 
-store_updates::outcome store_updates::receive(const peering::store_changes& message) {
+store_updates::outcome store_updates::receive(const peering::store_changes& message,
+                                              std::optional<base::instant> proved) {
     const auto& store = this->context.state.store;
     if (this->current) {
-        const bool known = message.changes.revision <= this->current->changes.revision;
+        const bool known =
+            !proved && message.changes.revision <= this->current->message.changes.revision;
         if (!known && this->pending.size() < max_pending) {
             this->apply_inline(message);
-            this->pending.push_back(message);
+            this->pending.push_back({message, proved});
         }
         return outcome::reading;
     }
-    if (message.changes.revision <= store.revision) {
+    if (message.changes.revision <= store.revision && !proved) {
         // It may still hold operators' documents that the store has lost.
         this->apply_inline(message);
         return outcome::applied;
@@ -38,13 +46,13 @@
         return outcome::gap;
     }
     if (message.omitted_keys.empty()) {
-        this->apply(message);
+        this->apply({message, proved});
         return outcome::applied;
     }
-    this->current = message;
     this->apply_inline(message);
+    this->current = received_changes{message, proved};
     this->read_next();
-    return outcome::reading;
+    return this->is_reading() ? outcome::reading : outcome::applied;
 }
 
 // Applies the included values without advancing the mirror's revision, since larger values are
@@ -59,25 +67,54 @@
             small.changes.items.push_back(each);
         }
     }
-    this->apply(small);
+    this->apply({small, {}});
 }
 
-void store_updates::apply(const peering::store_changes& message) {
-    const auto keys = mirror::apply_changes(this->context.state.store, message.changes);
+void store_updates::apply(const received_changes& received) {
+    auto& store = this->context.state.store;
+    const auto& changes = received.message.changes;
+    const auto keys = mirror::apply_changes(store, changes);
+    if (received.proved && changes.revision.era == store.revision.era) {
+        mirror::mark_verified(store, *received.proved);
+    }
     if (!keys.empty()) {
         this->changed(keys);
     }
 }
 
+// A read for earlier changes may have returned a value that is new enough for these.
+void store_updates::fill_in_known_values(peering::store_changes& message) const {
+    const auto& items = this->context.state.store.items;
+    for (auto& each : message.changes.items) {
+        const auto known = items.find(each.item.key);
+        if (message.omitted_keys.count(each.item.key) > 0 && known != items.end() &&
+            known->second.mod_revision >= each.item.mod_revision) {
+            each.item = known->second;
+            message.omitted_keys.erase(each.item.key);
+        }
+    }
+}
+
 void store_updates::read_next() {
-    if (!this->current->omitted_keys.empty()) {
-        this->read_value(*this->current->omitted_keys.begin(), 1);
+    if (!this->current) {
         return;
     }
-    const auto complete = std::move(*this->current);
-    this->current.reset();
-    this->apply(complete);
-    this->apply_pending();
+    auto& message = this->current->message;
+    this->fill_in_known_values(message);
+    if (message.omitted_keys.empty()) {
+        const auto complete = std::move(*this->current);
+        this->current.reset();
+        this->apply(complete);
+        this->apply_pending();
+        return;
+    }
+    const base::instant now = this->context.now();
+    if (now < this->next_read_at) {
+        this->read_timer.set(this->next_read_at - now);
+        return;
+    }
+    this->read_began_at = now;
+    this->read_value(*message.omitted_keys.begin(), 1);
 }
 
 void store_updates::read_value(const std::string& key, int attempt) {
@@ -90,14 +127,16 @@
 
 void store_updates::handle_value(const std::string& key, int attempt,
                                  const base::result<std::optional<ports::stored_value>>& read) {
-    auto& items = this->current->changes.items;
+    auto& message = this->current->message;
+    auto& items = message.changes.items;
     const auto named = std::find_if(items.begin(), items.end(),
                                     [&key](const auto& each) { return each.item.key == key; });
     const bool fresh = read.has_value() && read.value() && named != items.end() &&
                        read.value()->mod_revision >= named->item.mod_revision;
     if (fresh) {
+        this->log_read_value(*read.value());
         named->item = *read.value();
-        this->current->omitted_keys.erase(key);
+        message.omitted_keys.erase(key);
         this->read_next();
         return;
     }
@@ -109,17 +148,29 @@
     this->context.log.line(adapters::importance::keep, "store_value_unreadable")
         .text("key", key)
         .flag("answered", read.has_value())
-        .number("revision", this->current->changes.revision.number);
+        .number("revision", message.changes.revision.number);
     this->current.reset();
     this->pending.clear();
     this->read_failed();
 }
 
+// Also sets when the next read may begin, from the time that this one took.
+void store_updates::log_read_value(const ports::stored_value& value) {
+    const base::instant now = this->context.now();
+    const base::micros taken = now - this->read_began_at;
+    this->next_read_at = now + std::min<base::micros>(pause_per_read_time * taken, max_read_pause);
+    this->context.log.line(adapters::importance::keep, "store_value_read")
+        .text("key", value.key)
+        .number("bytes", static_cast<std::int64_t>(value.value.size()))
+        .number("revision", value.mod_revision.number)
+        .span("after_ms", taken);
+}
+
 void store_updates::apply_pending() {
-    const auto message = std::exchange(this->pending, {});
-    for (const auto& each : message) {
-        // A broadcast that needs a read of its own makes the rest wait again.
-        this->receive(each);
+    const auto all = std::exchange(this->pending, {});
+    for (const auto& each : all) {
+        // Changes that need a read of their own make the rest wait again.
+        this->receive(each.message, each.proved);
     }
 }
 
--- a/src/proxy/store_updates_tests.cpp
+++ b/src/proxy/store_updates_tests.cpp
@@ -135,3 +135,74 @@
         CHECK(world.world.state.store.revision == 10);
     }
 }
+
+// Guards against a link that is filled by reads of a large value that operators change several
+// times a second, so that requests wait behind them.
+TEST_CASE("one read of a large value serves all changes that it contains", "[proxy]") {
+    updates_world world;
+    world.updates.receive(omitted_change(10, "config"));
+    world.updates.receive(omitted_change(11, "config"));
+    world.updates.receive(omitted_change(12, "config"));
+    REQUIRE(world.pending_reads.size() == 1);
+    world.answer(std::optional(ports::stored_value{"config", "much", 13}));
+    CHECK(world.pending_reads.empty());
+    CHECK_FALSE(world.updates.is_reading());
+    CHECK(world.world.state.store.revision == 13);
+    CHECK(world.value_of("config") == "much");
+}
+
+TEST_CASE("reads of large values leave most of a slow link to requests", "[proxy]") {
+    updates_world world;
+    world.world.stop_clock();
+    world.updates.receive(omitted_change(10, "config"));
+    world.world.move_clock(base::milliseconds(100));
+    world.answer(std::optional(ports::stored_value{"config", "much", 11}));
+    world.updates.receive(omitted_change(11, "config"));
+
+    SECTION("the next read waits twice as long as the last one took") {
+        world.world.move_clock(base::milliseconds(199));
+        world.world.run_until([&] { return !world.pending_reads.empty(); });
+        CHECK(world.pending_reads.empty());
+        CHECK(world.updates.is_reading());
+        world.world.move_clock(base::milliseconds(1));
+        REQUIRE(world.world.run_until([&] { return !world.pending_reads.empty(); }));
+        world.answer(std::optional(ports::stored_value{"config", "more", 12}));
+        CHECK(world.value_of("config") == "more");
+    }
+    SECTION("no read takes place if the value arrives from another entry meanwhile") {
+        auto& item = world.world.state.store.items.at("config");
+        item = {"config", "more", 12};
+        world.world.move_clock(base::milliseconds(200));
+        REQUIRE(world.world.run_until([&] { return !world.updates.is_reading(); }));
+        CHECK(world.pending_reads.empty());
+        CHECK(world.world.state.store.revision == 12);
+    }
+}
+
+// Guards against an entry that counts as up to date, or as never verified, while large values that
+// a verified view names are still being read.
+TEST_CASE("a view that names a large value verifies the mirror once the value is there",
+          "[proxy]") {
+    updates_world world;
+    world.world.stop_clock();
+    auto& store = world.world.state.store;
+    const base::instant proved = world.world.entry().now() + base::seconds(1);
+    const base::instant before = *store.verified_at;
+    world.updates.receive(omitted_change(10, "config"), proved);
+    CHECK(store.verified_at == before);
+
+    SECTION("when it has been read") {
+        world.answer(std::optional(ports::stored_value{"config", "much", 11}));
+        CHECK(store.verified_at == proved);
+    }
+    SECTION("when it has been read for a later change") {
+        const base::instant later = proved + base::seconds(1);
+        world.updates.receive(omitted_change(11, "config"), later);
+        world.answer(std::optional(ports::stored_value{"config", "much", 12}));
+        CHECK(store.verified_at == later);
+    }
+    SECTION("not when it can't be read") {
+        world.answer(base::code::platform_unreachable);
+        CHECK(store.verified_at == before);
+    }
+}
