Keep cached parts of an isolated team from the requests of others, whenever it was isolated

Cause: the salt of all teams that are not isolated was one constant text. A team that became isolated changed its own salt, but what it had cached lay under the text that the others went on with, and stayed there as long as engines and KV cache stores had room. Nothing tied the shared text to who was allowed there. Ruled out: entries on the old configuration (both had the new one in force), the record of cached prompts and the stores' contents (they only choose sources; what is found is decided by the salt).

Fix: the shared salt is named after the teams that it excludes, and an excluded team never uses it. Each part there was thus made by a team that is not isolated now, whatever an entry knows of the past: no agreement is needed over restarts, pauses, entries of two versions or a restored store. A record in the store lets entries stay with the space when an isolation is lifted, so that only isolating another team makes caches cold. Without an isolated team nothing changes. Beliefs of what engines hold, fetches and saves go by the space as well, in a field of the entries' reports that older builds ignore. Attempts use the spaces in force when they are sent, not when the request was admitted.

--- a/src/kvcache/cache_index.cpp
+++ b/src/kvcache/cache_index.cpp
@@ -51,14 +51,15 @@
     routing::record_request(index.outer_level_popularity, prefill.levels.front().key, now);
     auto& cache = engine_cache_of(index, prefill.engine.id, capacity);
     for (const auto& level : prefill.levels) {
-        const auto key = key_for_weights(level.key, prefill.weights);
+        const auto key = cached_level_key(level.key, prefill.weights, prefill.shared_space);
         add_reader(find_or_add(index, key), prefill.engine.id, now);
         touch_part(cache, key, level.tokens);
     }
     add_unshared_tokens(cache, prefill.unshared_tokens);
     if (prefill.saved) {
-        find_or_add(index, key_for_weights(prefill.levels.back().key, prefill.weights)).saved_at =
-            now;
+        const auto key =
+            cached_level_key(prefill.levels.back().key, prefill.weights, prefill.shared_space);
+        find_or_add(index, key).saved_at = now;
     }
     evict_oldest(index);
 }
@@ -67,7 +68,8 @@
                  std::int64_t weights, std::int64_t capacity) {
     auto& cache = engine_cache_of(index, engine, capacity);
     for (const auto& level : chain.levels) {
-        touch_part(cache, key_for_weights(level.key, weights), level.part_tokens);
+        touch_part(cache, cached_level_key(level.key, weights, chain.shared_space),
+                   level.part_tokens);
     }
 }
 
--- a/src/kvcache/cache_index.h
+++ b/src/kvcache/cache_index.h
@@ -37,11 +37,12 @@
     // Time to the request's first event and the prefill work before it. `ms` is 0 if the request
     // does not allow such a measurement.
     latency::first_byte_sample first_byte;
+    // The shared space in which the levels are cached.
+    std::uint64_t shared_space = 0;
 };
 
 // Which engines have recently prefilled which prompt levels, according to this entry's requests and
-// the reports of other entries. A level is identified by its key combined with the version of the
-// weights.
+// the reports of other entries. A level is identified by its `cached_level_key`.
 struct cache_index {
     struct reader {
         base::upstream_id engine;
@@ -76,9 +77,8 @@
 void record_sent(cache_index& index, const base::upstream_id& engine, const prompt_chain& chain,
                  std::int64_t weights, std::int64_t capacity);
 
-// Whether an engine probably has a level in its cache. `level` is the key combined with the version
-// of the weights. The second function requires that the level was used so recently that eviction is
-// unlikely.
+// Whether an engine probably has a level in its cache; `level` is its `cached_level_key`. The
+// second function requires that the level was used so recently that eviction is unlikely.
 bool holds_level(const cache_index& index, const base::upstream_id& engine, std::uint64_t level);
 bool reliably_holds_level(const cache_index& index, const base::upstream_id& engine,
                           std::uint64_t level);
--- a/src/kvcache/cache_index_tests.cpp
+++ b/src/kvcache/cache_index_tests.cpp
@@ -20,13 +20,13 @@
     const auto here = kvcache::make_chain(shared, parts).levels.front();
     const auto there = kvcache::make_chain(isolated, parts).levels.front();
     CHECK(here.key != there.key);
-    CHECK(kvcache::key_for_weights(here.key, 1) != kvcache::key_for_weights(here.key, 2));
+    CHECK(kvcache::cached_level_key(here.key, 1, 0) != kvcache::cached_level_key(here.key, 2, 0));
 }
 
 TEST_CASE("the cache index is bounded and evicts the least recently used levels", "[kvcache]") {
     constexpr std::int64_t weights = 3;
     const auto readers = [](const kvcache::cache_index& index, std::uint64_t level) {
-        return kvcache::readers_of(index, kvcache::key_for_weights(level, weights));
+        return kvcache::readers_of(index, kvcache::cached_level_key(level, weights, 0));
     };
     constexpr std::int64_t capacity = 1'000'000;
     const auto read = [](std::uint64_t prompt, const std::string& by, bool saved) {
@@ -45,8 +45,8 @@
     CHECK(index.records.size() == 10);
     CHECK(readers(index, 99).front().engine.value == "e1");
     CHECK(readers(index, 1).empty());
-    CHECK(kvcache::last_save_time(index, kvcache::key_for_weights(98, weights)) == now);
-    CHECK_FALSE(kvcache::last_save_time(index, kvcache::key_for_weights(99, weights)));
+    CHECK(kvcache::last_save_time(index, kvcache::cached_level_key(98, weights, 0)) == now);
+    CHECK_FALSE(kvcache::last_save_time(index, kvcache::cached_level_key(99, weights, 0)));
 
     SECTION("the latest engine comes first and each engine is listed once") {
         kvcache::record_prefill(index, read(99, "e2", false), capacity, now);
@@ -64,14 +64,14 @@
         CHECK(readers(index, 1000).front().engine.value == "e2");
     }
     SECTION("records apply only to the weights that were used for the prefill") {
-        CHECK(kvcache::readers_of(index, kvcache::key_for_weights(99, weights + 1)).empty());
+        CHECK(kvcache::readers_of(index, kvcache::cached_level_key(99, weights + 1, 0)).empty());
     }
     // The engine has prefilled so many tokens since then that it must have evicted the prompt. If
     // it were still named as a source, the fetch would fail and the prompt would be prefilled
     // again.
     SECTION("a level is dropped once the engine must have evicted it") {
         kvcache::record_prefill(index, read(300, "e1", false), 2000, now);
-        CHECK(kvcache::holds_level(index, {"e1"}, kvcache::key_for_weights(300, weights)));
-        CHECK_FALSE(kvcache::holds_level(index, {"e1"}, kvcache::key_for_weights(97, weights)));
+        CHECK(kvcache::holds_level(index, {"e1"}, kvcache::cached_level_key(300, weights, 0)));
+        CHECK_FALSE(kvcache::holds_level(index, {"e1"}, kvcache::cached_level_key(97, weights, 0)));
     }
 }
--- a/src/kvcache/placement.cpp
+++ b/src/kvcache/placement.cpp
@@ -220,7 +220,8 @@
         return false;
     }
     const auto last_saved =
-        last_save_time(view.cache, key_for_weights(chain.levels.back().key, option.target.weights));
+        last_save_time(view.cache, cached_level_key(chain.levels.back().key, option.target.weights,
+                                                    chain.shared_space));
     if (!is_up_to_date(view.stored_prompts, store.address, view.now)) {
         return !last_saved || view.now - *last_saved > unknown_store_save_interval;
     }
--- a/src/kvcache/prompt_chain.h
+++ b/src/kvcache/prompt_chain.h
@@ -9,18 +9,20 @@
 
 namespace camphorrail::kvcache {
 
-// The scope within which prompts share cached parts: one model and, for a team with an isolated
-// cache, that team.
+// The scope within which prompts share cached parts: one model and either one team or the space
+// that several teams share; see `cache_spaces`.
 struct prompt_scope {
     base::model_id model;
     // Empty for all teams that share their cache.
-    base::team_id isolated_team;
+    base::team_id separate_team;
+    // The space that these teams share.
+    std::uint64_t shared_space = 0;
 };
 
 // One shared level of a prompt: the prefix up to the end of one of its parts.
 struct prompt_level {
-    // Hash of the scope and of all parts up to this one. Independent of the weights, so that a
-    // prompt's home does not move when weights change.
+    // Hash of the model, the separate team and all parts up to this one. Independent of the weights
+    // and of the shared space, so that a prompt's home does not move when these change.
     std::uint64_t key = 0;
     // Hash of the id of this level's own part, from which `part_key` derives the key in a store.
     std::uint64_t part_hash = 0;
@@ -34,6 +36,8 @@
 struct prompt_chain {
     std::vector<prompt_level> levels;
     std::int64_t unshared_tokens = 0;
+    // The space that the prompt's team shares with others; 0 for a separate team.
+    std::uint64_t shared_space = 0;
 
     [[nodiscard]] std::int64_t shared_tokens() const {
         return this->levels.empty() ? 0 : this->levels.back().prefix_tokens;
@@ -46,11 +50,12 @@
 prompt_chain make_chain(const prompt_scope& scope, const std::vector<ports::prompt_part>& parts);
 
 // Returns the cache salt for a prompt's parts. It includes the version of the weights, so that
-// cache entries of other weights are never found, and the team if its cache is isolated.
+// cache entries of other weights are never found, and the separate team or the shared space.
 std::string make_salt(const prompt_scope& scope, std::int64_t weights);
 
-// Combines a level's key with a version of the weights.
-std::uint64_t key_for_weights(std::uint64_t level_key, std::int64_t weights);
+// The key of a level as it is cached: under a version of the weights and in a shared space.
+std::uint64_t cached_level_key(std::uint64_t level_key, std::int64_t weights,
+                               std::uint64_t shared_space);
 
 // Key of a part in a KV cache store, derived from the salt and the part's id.
 std::uint64_t part_key(const std::string& salt, const std::string& part_id);
--- a/src/kvcache/prompt_sources.cpp
+++ b/src/kvcache/prompt_sources.cpp
@@ -46,7 +46,7 @@
 const fleet::member* latest_reader(const prompt_level& level, const candidate& target,
                                    const prompt_request& request, const placement_context& view,
                                    confidence required) {
-    const auto key = key_for_weights(level.key, target.weights);
+    const auto key = cached_level_key(level.key, target.weights, request.chain.shared_space);
     for (const auto& reading : readers_of(view.cache, key)) {
         const bool qualifies = required == confidence::holds
                                    ? reliably_holds_level(view.cache, reading.engine, key)
@@ -114,7 +114,7 @@
     const auto& levels = request.chain.levels;
     const auto innermost = std::find_if(levels.rbegin(), levels.rend(), [&](const auto& level) {
         return holds_level(view.cache, target.engine->listed.id,
-                           key_for_weights(level.key, target.weights));
+                           cached_level_key(level.key, target.weights, request.chain.shared_space));
     });
     return innermost == levels.rend() ? 0 : innermost->prefix_tokens;
 }
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -134,8 +134,12 @@
     for (const auto& level : read.levels) {
         levels.push_back({level.key, level.tokens});
     }
-    return {levels,     read.unshared_tokens,    read.weights, to_json(read.engine),
-            read.saved, to_json(read.first_byte)};
+    json fields = {levels,     read.unshared_tokens,    read.weights, to_json(read.engine),
+                   read.saved, to_json(read.first_byte)};
+    if (read.shared_space != 0) {
+        fields.push_back(read.shared_space);
+    }
+    return fields;
 }
 
 // Index of the queue by rank in an upstream's load, behind the fields that all builds send.
@@ -354,6 +358,10 @@
     return crash;
 }
 
+// Index of the shared space in a report of a prefilled prompt. Missing if the space is 0, as in
+// reports of older builds.
+constexpr std::size_t shared_space_index = 6;
+
 kvcache::prompt_prefill read_prompt_read(const json& value) {
     kvcache::prompt_prefill one;
     for (const auto& level : value.at(0)) {
@@ -367,6 +375,9 @@
     one.engine = read_instance(value.at(3));
     one.saved = value.at(4).get<bool>();
     one.first_byte = read_sample(value.at(5));
+    if (shared_space_index < value.size()) {
+        one.shared_space = value.at(shared_space_index).get<std::uint64_t>();
+    }
     return one;
 }
 
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -13,6 +13,25 @@
 void set_config(entry_state& state, std::shared_ptr<const routes::operators_config> config) {
     state.ranks = make_rank_table(*config);
     state.config = std::move(config);
+    update_cache_spaces(state);
+}
+
+std::set<base::team_id> isolated_teams(const entry_state& state) {
+    std::set<base::team_id> found;
+    if (state.config == nullptr) {
+        return found;
+    }
+    for (const auto& team : state.config->teams) {
+        if (team.isolated) {
+            found.insert(team.id);
+        }
+    }
+    return found;
+}
+
+void update_cache_spaces(entry_state& state) {
+    state.cache_spaces =
+        kvcache::choose_cache_spaces(isolated_teams(state), state.recorded_exclusions);
 }
 
 std::string registration_prefix(const entry_context& context) {
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -7,6 +7,7 @@
 #include "entries/entry_count.h"
 #include "fleet/fleet.h"
 #include "kvcache/cache_index.h"
+#include "kvcache/cache_spaces.h"
 #include "kvcache/lanes.h"
 #include "kvcache/size_fairness.h"
 #include "kvcache/store_index.h"
@@ -27,6 +28,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace camphorrail::proxy {
@@ -43,6 +45,10 @@
     fleet::fleet fleet;
     std::map<base::model_id, weights_history> weights;
     kvcache::cache_index cache;
+    // Which teams share cached prompt parts; set by `update_cache_spaces`.
+    kvcache::cache_spaces cache_spaces;
+    // The teams that the shared space excludes, as recorded in the platform's store.
+    std::set<base::team_id> recorded_exclusions;
     // Prompts whose KV cache the KV cache stores hold.
     kvcache::store_index stored_prompts;
     // First-byte latency of each pool's engines, learned from their requests.
@@ -140,6 +146,12 @@
 // Puts a configuration in force.
 void set_config(entry_state& state, std::shared_ptr<const routes::operators_config> config);
 
+// The teams that the configuration in force isolates.
+std::set<base::team_id> isolated_teams(const entry_state& state);
+
+// Chooses the cache spaces anew. Must be called after a change of the recorded exclusions.
+void update_cache_spaces(entry_state& state);
+
 // The prefix of the keys under which entries register in the store.
 std::string registration_prefix(const entry_context& context);
 
--- a/src/proxy/context_tests.cpp
+++ b/src/proxy/context_tests.cpp
@@ -24,7 +24,7 @@
     };
     const auto holds = [&](std::int64_t weights) {
         return kvcache::holds_level(world.state.cache, {"engine"},
-                                    kvcache::key_for_weights(prompt, weights));
+                                    kvcache::cached_level_key(prompt, weights, 0));
     };
     cache_prompt(1);
     REQUIRE(holds(1));
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -189,7 +189,7 @@
     };
     const auto readings = [&] {
         return kvcache::readers_of(peer.world.state.cache,
-                                   kvcache::key_for_weights(prompt, weights))
+                                   kvcache::cached_level_key(prompt, weights, 0))
             .size();
     };
     report(100);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -108,6 +108,8 @@
       origins(this->context), limits(this->context), suspicions(this->context),
       retries_at_start(this->context, this->store_calls),
       software(this->context, this->store_calls),
+      cache_spaces(this->context, this->store_calls,
+                   [this] { return this->leader.fencing_token() != 0; }),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }),
       buffered(this->context) {
     this->context.buffers = &this->buffered;
@@ -447,6 +449,7 @@
     this->limits.tick();
     this->suspicions.tick();
     this->software.tick();
+    this->cache_spaces.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
     this->retries_at_start.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -6,6 +6,7 @@
 #include "adapters/metrics.h"
 #include "adapters/platform_budget.h"
 #include "adapters/timeline.h"
+#include "proxy/cache_space_record.h"
 #include "proxy/context.h"
 #include "proxy/crash_detector.h"
 #include "proxy/descriptors.h"
@@ -127,6 +128,7 @@
     suspicion_exchange suspicions;
     startup_slot retries_at_start;
     software_records software;
+    cache_space_record cache_spaces;
     kv_store_follower kv_stores;
     request_buffers buffered;
     std::unique_ptr<frontend_server> frontend;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -26,6 +26,7 @@
     if (keys.count(this->platform.codec.operators_config_key) > 0) {
         this->apply_config();
     }
+    this->cache_spaces.apply(keys);
     if (read_target_weights(this->context, source)) {
         this->renew_begin_deadlines();
     }
@@ -72,6 +73,7 @@
         .number("teams", static_cast<std::int64_t>(read.value().teams.size()));
     set_config(this->state,
                std::make_shared<const routes::operators_config>(std::move(read.value())));
+    this->cache_spaces.log_spaces();
     this->update_retry_budgets();
     quota::set_limits(this->state.quotas, this->state.config->teams, this->context.now(),
                       quota_rules_of(this->settings));
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -102,8 +102,9 @@
     }
     this->criteria.begins_stream = this->may_be_resumed();
     this->criteria.prompt = route.prompt_affinity ? &this->metadata : nullptr;
-    if (this->request.team != nullptr && this->request.team->isolated) {
-        this->criteria.isolated_team = this->request.team->id;
+    if (this->request.team != nullptr) {
+        this->criteria.team = this->request.team->id;
+        this->criteria.is_isolated = this->request.team->isolated;
     }
     admission::record_request(this->context.state.retries[this->criteria.pool],
                               this->context.now());
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -196,6 +196,7 @@
     }
     read.unshared_tokens = chain.unshared_tokens;
     read.weights = choice.weights;
+    read.shared_space = chain.shared_space;
     read.engine = instance_of(choice);
     read.saved = !choice.save_to.empty();
     read.first_byte = this->first_byte_sample();
--- a/src/proxy/upstream_choice.cpp
+++ b/src/proxy/upstream_choice.cpp
@@ -198,6 +198,14 @@
     }
 }
 
+// The configuration may have changed since the request was admitted, for instance before a retry.
+kvcache::prompt_scope prompt_scope_of(const kvcache::cache_spaces& spaces,
+                                      const selection_criteria& criteria) {
+    const bool separate = criteria.is_isolated || spaces.excluded.count(criteria.team) > 0;
+    return separate ? kvcache::prompt_scope{criteria.prompt->model, criteria.team}
+                    : kvcache::prompt_scope{criteria.prompt->model, {}, spaces.shared_space};
+}
+
 std::optional<upstream_choice> choose_for_prompt(const entry_context& context,
                                                  const selection_criteria& criteria,
                                                  const std::vector<fleet::member*>& available) {
@@ -215,12 +223,12 @@
     }
     const base::instant now = context.now();
     const auto rules = fleet_rules_of(context.settings);
-    const kvcache::prompt_scope space{criteria.prompt->model, criteria.isolated_team};
-    auto chain = kvcache::make_chain(space, criteria.prompt->prompt_parts);
+    const auto scope = prompt_scope_of(context.state.cache_spaces, criteria);
+    auto chain = kvcache::make_chain(scope, criteria.prompt->prompt_parts);
     const auto members = pool_members(context.state.fleet, criteria.pool);
     const auto costs = placement_costs_of(context, criteria);
     auto placement = kvcache::place(
-        candidates, {space, chain, pool->second, members, criteria.target, criteria.rank},
+        candidates, {scope, chain, pool->second, members, criteria.target, criteria.rank},
         {context.state.cache, context.state.stored_prompts, config.kv_stores, now, rules,
          latency_model_of(context.state, criteria.pool), costs});
     const auto& target = *placement.target.engine;
--- a/src/proxy/upstream_choice.h
+++ b/src/proxy/upstream_choice.h
@@ -13,7 +13,9 @@
     base::pool_id pool;
     // Null if requests of the route do not state the parts of their prompts.
     const ports::client_request* prompt = nullptr;
-    base::team_id isolated_team;
+    base::team_id team;
+    // The team was isolated by the configuration under which the request was admitted.
+    bool is_isolated = false;
     std::uint64_t hash = 0;
     base::milliseconds target{0};
     // Empty if the entry does not expect upstreams to admit by rank.
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -6,6 +6,8 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <map>
+#include <sstream>
 
 namespace camphorrail::standins {
 
@@ -71,6 +73,7 @@
         const bool is_fatal =
             exchange->body().find("fatal") != std::string::npos ||
             exchange->header("Prompt-Prefix").find(fatal_part) != std::string::npos;
+        this->cache_prompt(*exchange);
         if (is_fatal) {
             std::cout << "ran " << exchange->header("Request-Id") << std::endl;
             this->loop->after(crash_after, [] { std::_Exit(1); });
@@ -93,6 +96,24 @@
         }
     }
 
+    // Prints whose requests made the parts of the prompt that are found in the cache, and caches
+    // the others. A part is found only behind the same parts and under the same text.
+    void cache_prompt(const adapters::http_exchange& exchange) {
+        std::istringstream parts(exchange.header("Prompt-Prefix"));
+        const std::string team = exchange.header("Tenant-Id");
+        std::string place = exchange.header("Cache-Salt");
+        bool found = true;
+        for (std::string part; std::getline(parts, part, ',');) {
+            place += "|" + part;
+            const auto [cached, is_new] = this->makers.try_emplace(place, team);
+            found = found && !is_new;
+            if (found) {
+                std::cout << "prompt " << exchange.header("Request-Id") << " of " << team
+                          << " found " << part << " of " << cached->second << std::endl;
+            }
+        }
+    }
+
     void answer(adapters::http_exchange& exchange) const {
         const std::string body = R"({"done":true})";
         const auto all = this->fields(exchange, "application/json");
@@ -242,6 +263,8 @@
     std::string limit;
     std::int64_t version = 1;
     std::int64_t orders = 0;
+    // The team whose request made each cached part, by the part's place.
+    std::map<std::string, std::string> makers;
 };
 
 } // namespace
