Verify the store after a pause before requests are served

What callers saw: an entry that stood still while operators isolated a team served the requests that were there when it went on by the configuration before, so that a team's request used cached parts of the isolated one, 2.5 s after the change had been acknowledged. The same holds for any change: a key, a route.

Cause: how old the last verification of the store may be (4.6 s) was the only check. After a pause of up to that length, requests that wait in the sockets are handled in the same turn of the event loop as the other entries' news of the change; a configuration of over 4 KB then still has to be read from the store.

Fix: the process notices that it stood still for a second or more. Requests then wait until the store has been verified as of the last second before the pause ended, which takes a round trip to another entry; after half a second they are admitted by the age of the verification as before. Those whose client has left meanwhile are dropped.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -150,7 +150,7 @@
 }
 
 # start_proxy ID NUMBER: callers' port +0, operators' port +1, the balancer's +2 and the links' +3.
-# PROXY_BOUNDS, if set, holds further bounds.
+# PROXY_BOUNDS, if set, holds further bounds; REVOKE_MS replaces the usual one.
 start_proxy() {
     base=$((PORT_BASE + 20 + 4 * $2))
     cat >"$OUT/$1.yaml" <<YAML
@@ -165,7 +165,7 @@
   endpoint: $STORE
   timeout_ms: 800
 bounds:
-  revoke_ms: 2500
+  revoke_ms: ${REVOKE_MS:-2500}
   grace_s: 5
 ${PROXY_BOUNDS:-}
 YAML
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -23,6 +23,8 @@
 constexpr int status_unavailable = 503;
 // Also the longest time for which log lines are buffered.
 constexpr base::milliseconds tick_period{100};
+// While requests wait for a verification after a pause, its arrival is looked for this often.
+constexpr base::milliseconds verification_check_period{10};
 // Part of the grace period reserved for the process to exit.
 constexpr base::milliseconds exit_margin{700};
 // An entry is ready after this time even if the store takes no records of software versions: it can
@@ -420,7 +422,51 @@
         this->flows.erase(number);
         this->continue_shutdown();
     };
-    flow->begin();
+    this->record_activity();
+    if (!this->awaits_verification()) {
+        flow->begin();
+        return;
+    }
+    this->held_requests.emplace_back(number, exchange);
+    if (this->held_requests.size() == 1) {
+        this->loop.after(verification_check_period, [this] { this->begin_held_requests(); });
+    }
+}
+
+void proxy::record_activity() {
+    const auto paused_for =
+        ::camphorrail::proxy::record_activity(this->pause, this->context.now(), {});
+    if (paused_for) {
+        this->log.line(importance::keep, "resumed_after_pause")
+            .span("paused_ms", *paused_for)
+            .span("config_age_ms", logged_config_age(this->context));
+        this->peer_entries.query_soon();
+    }
+}
+
+bool proxy::awaits_verification() const {
+    return ::camphorrail::proxy::awaits_verification(this->pause, this->state.store.verified_at,
+                                                     this->context.now(), {});
+}
+
+void proxy::begin_held_requests() {
+    if (this->awaits_verification()) {
+        this->loop.after(verification_check_period, [this] { this->begin_held_requests(); });
+        return;
+    }
+    const auto held = std::exchange(this->held_requests, {});
+    this->log.line(importance::keep, "held_requests_begun")
+        .number("requests", static_cast<std::int64_t>(held.size()))
+        .span("after_ms", this->context.now() - *this->pause.resumed_at)
+        .span("config_age_ms", logged_config_age(this->context));
+    for (const auto& [number, exchange] : held) {
+        const auto flow = this->flows.at(number);
+        if (exchange->is_open()) {
+            flow->begin();
+        } else {
+            flow->on_end();
+        }
+    }
 }
 
 void proxy::log_readiness() {
@@ -437,6 +483,7 @@
 }
 
 void proxy::tick() {
+    this->record_activity();
     this->log_readiness();
     log_accept_pauses(this->accepting, this->current_accept_status(), this->context.now(),
                       this->log);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "proxy/leadership.h"
 #include "proxy/limit_exchange.h"
 #include "proxy/origin_exchange.h"
+#include "proxy/pause_detection.h"
 #include "proxy/peers.h"
 #include "proxy/quarantine_records.h"
 #include "proxy/request_buffers.h"
@@ -66,6 +67,9 @@
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void log_deferred_call(adapters::platform_call kind, base::micros wait);
     void on_request(const exchange_ptr& exchange);
+    void record_activity();
+    [[nodiscard]] bool awaits_verification() const;
+    void begin_held_requests();
     // `source` is logged as the origin of the change.
     void on_store_change(const std::set<std::string>& keys, const char* source);
     // Updates deadlines that depend on when target weights were set.
@@ -137,6 +141,9 @@
     // Keyed by increasing numbers, so that requests are iterated in the order of their arrival.
     std::map<std::int64_t, std::shared_ptr<request_flow>> flows;
     std::int64_t last_flow = 0;
+    pause_state pause;
+    // Requests that wait for the verification after a pause, by their numbers in `flows`.
+    std::vector<std::pair<std::int64_t, exchange_ptr>> held_requests;
     shutdown_state shutdown;
     bool was_ready = false;
     bool was_partitioned = false;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -112,7 +112,7 @@
         this->refuse_if_beyond_share()) {
         return;
     }
-    this->timeout_timer.set(this->time_left());
+    this->timeout_timer.set(std::max(this->time_left(), milliseconds(0)));
     if (this->resumes_earlier_request()) {
         this->resume_earlier_request();
     } else {
--- a/tests/process/isolated_teams.sh
+++ b/tests/process/isolated_teams.sh
@@ -2,9 +2,16 @@
 # Operators isolate teams in turn, back and forth and two at once, while entries are restarted, killed and
 # paused. No isolated team finds what another one has cached, nor the other way round; and lifting an
 # isolation costs no team what it has cached.
+REVOKE_MS=5000
 . "$(dirname "$0")/lib.sh"
 
 version=0
+# Further routes, so that entries read the configuration from the store and are not told it by others.
+routes=""
+for number in $(seq 40); do
+    routes="$routes,{\"name\":\"r$number\",\"host\":\"other.example\",\"prefix\":\"/r$number/\",\"kind\":\"safe\",\
+\"timeoutMs\":1000,\"targetLatencyMs\":300,\"gapTargetMs\":250,\"attempts\":1,\"resumable\":false,\"service\":\"pool\"}"
+done
 # isolate TEAM...: a configuration that isolates just these teams, in force at all entries.
 isolate() {
     version=$((version + 1))
@@ -16,7 +23,7 @@
     done
     put_item op/config "{\"version\":$version,\"routes\":[{\"name\":\"chat\",\"host\":\"desk.example\",\
 \"prefix\":\"/stream/\",\"kind\":\"stream\",\"timeoutMs\":8000,\"targetLatencyMs\":300,\"gapTargetMs\":250,\
-\"attempts\":2,\"sticky\":true,\"resumable\":false,\"service\":\"pool\"}],\
+\"attempts\":2,\"sticky\":true,\"resumable\":false,\"service\":\"pool\"}$routes],\
 \"services\":[{\"name\":\"pool\",\"engine\":{\"kvCapacityTokens\":100000,\"kvTokenBytes\":192512.0,\
 \"linkMbps\":350000.0}}],\"limits\":{},\"tenants\":[$tenants]}"
 }
@@ -100,3 +107,25 @@
 expect_found north south west
 isolate_and_wait west
 expect_apart west
+
+# An entry that stood still over a change serves nothing by the configuration before it.
+ask_everywhere
+kill -STOP "$PID_proxy_entry_2"
+isolate north
+wait_for in_force 0
+sleep 2.2
+for team in south north; do
+    TEAM_KEY="key-$team" send 1 /stream/x "paused-$team" -H "Model-Name: m0" -H "Token-Count: 4300,20" \
+        -H "Prompt-Prefix: 5c1e07a2:4000,paused-$team:300" >"$OUT/paused-$team" &
+    eval "sent_$team=\$!"
+done
+sleep 0.3
+kill -CONT "$PID_proxy_entry_2"
+wait "$sent_south"
+wait "$sent_north"
+for team in south north; do
+    expect_equal "status of paused-$team" 200 "$(tail -n 1 "$OUT/paused-$team")"
+    FOUND=$(grep "^prompt paused-$team " "$OUT/engine_pool-1.log" | sed 's/.* of //' || true)
+    [ "$team" = north ] || expect_equal "whose part $team found" "" "$(echo "$FOUND" | grep north || true)"
+    [ "$team" = south ] || expect_equal "whose part $team found" "" "$(echo "$FOUND" | grep -v north || true)"
+done
