Give up responses that begin with empty lines or interim heads without end

Cause: two empty lines count as a whole head, and the parser behind it answers that it needs more bytes, since it skips them. That was not told from a head that is incomplete, so nothing was used up or refused and the input grew, searched and copied as a whole at each read. Interim heads were used up, but not counted. They were read by recursion as well: 100,000 of them in one piece overflow the stack.

Fix: a head that is whole and yet needs more is malformed. All interim heads of a response together are bounded as its own head is, and are read in a loop.

--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -99,6 +99,10 @@
     beast::error_code error;
     const auto used = reader.put(boost::asio::const_buffer(bytes.data(), length), error);
     fault = to_fault(error);
+    if (fault == read_fault::none && !reader.is_header_done()) {
+        // Empty lines alone: the parser waits for a start line behind them, without end.
+        fault = read_fault::malformed;
+    }
     return used;
 }
 
@@ -191,6 +195,8 @@
     read_fault fault = read_fault::none;
     bool head_taken = false;
     response_head head;
+    // The size of the interim heads before this response.
+    std::size_t interim_bytes = 0;
 };
 
 response_reader::response_reader(read_limits bounds)
@@ -200,15 +206,27 @@
 response_reader& response_reader::operator=(response_reader&&) noexcept = default;
 
 std::size_t response_reader::feed(std::string_view bytes) {
-    std::size_t used = feed_any(this->held->reader, bytes, this->limits, this->held->fault);
-    state& now = *this->held;
-    if (!now.reader.is_header_done() || now.head_taken || now.fault != read_fault::none) {
-        return used;
-    }
-    if (now.reader.status < first_final_status) {
+    std::size_t used = 0;
+    while (true) {
+        const std::size_t step =
+            feed_any(this->held->reader, bytes.substr(used), this->limits, this->held->fault);
+        used += step;
+        state& now = *this->held;
+        if (!now.reader.is_header_done() || now.head_taken || now.fault != read_fault::none) {
+            return used;
+        }
+        if (now.reader.status >= first_final_status) {
+            break;
+        }
+        const std::size_t interim_bytes = now.interim_bytes + step;
         this->held = std::make_unique<state>(this->limits);
-        return used + this->feed(bytes.substr(used));
+        this->held->interim_bytes = interim_bytes;
+        if (interim_bytes > this->limits.head_bytes) {
+            this->held->fault = read_fault::head_too_large;
+            return used;
+        }
     }
+    state& now = *this->held;
     now.head_taken = true;
     now.head.status = now.reader.status;
     now.head.all = std::move(now.reader.all);
--- a/src/http/readers.h
+++ b/src/http/readers.h
@@ -41,7 +41,8 @@
     std::unique_ptr<state> held;
 };
 
-// Reads one answer, interim answers (1xx) left out.
+// Reads one answer, interim answers (1xx) left out. All their heads together are bounded as the
+// head of the answer is.
 class response_reader {
 public:
     explicit response_reader(read_limits limits);
--- a/src/http/readers_tests.cpp
+++ b/src/http/readers_tests.cpp
@@ -110,4 +110,27 @@
         reader.feed("garbage\r\n\r\n");
         CHECK(reader.fault() == http::read_fault::malformed);
     }
+    SECTION("so are empty lines") {
+        CHECK(reader.feed("\r\n") == 0);
+        CHECK(reader.fault() == http::read_fault::none);
+        reader.feed("\r\n\r\n");
+        CHECK(reader.fault() == http::read_fault::malformed);
+    }
+    SECTION("interim answers without end are a fault") {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        std::size_t read = 0;
+        while (reader.fault() == http::read_fault::none && read < (1U << 20U)) {
+            read += reader.feed(interim);
+        }
+        CHECK(reader.fault() == http::read_fault::head_too_large);
+        CHECK(read <= http::read_limits{}.head_bytes + interim.size());
+    }
+    SECTION("also where they arrive in one piece") {
+        std::string all;
+        for (int each = 0; each < 100'000; ++each) {
+            all += "HTTP/1.1 100 C\r\n\r\n";
+        }
+        reader.feed(all);
+        CHECK(reader.fault() == http::read_fault::head_too_large);
+    }
 }
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -1,6 +1,7 @@
 #include "proxy_world.h"
 
 #include "adapters/sockets.h"
+#include "adapters/timer.h"
 #include "http/writers.h"
 #include "own_address.h"
 #include "proxy/retry_shares.h"
@@ -45,15 +46,22 @@
     bufferevent* socket = nullptr;
     http::request_reader reader{{}};
     engine_script left;
+    std::unique_ptr<adapters::timer> trickle_timer;
+    bool is_repeating = false;
 
     ~connection() { this->release(); }
 
     void release() {
         if (this->socket != nullptr) {
             bufferevent_free(std::exchange(this->socket, nullptr));
+            this->owner->repeating -= std::exchange(this->is_repeating, false) ? 1 : 0;
         }
     }
 
+    void begin_repeating() {
+        this->owner->repeating += std::exchange(this->is_repeating, true) ? 0 : 1;
+    }
+
     void read() {
         evbuffer* input = bufferevent_get_input(this->socket);
         while (this->socket != nullptr && evbuffer_get_length(input) > 0) {
@@ -70,6 +78,31 @@
         }
     }
 
+    // Called again once the bytes have left, as for each step.
+    void repeat(const std::string& bytes) {
+        this->begin_repeating();
+        constexpr std::size_t block_bytes = 64U << 10U;
+        std::string block;
+        while (block.size() < block_bytes) {
+            block += bytes;
+        }
+        this->owner->repeated_bytes += block.size();
+        bufferevent_write(this->socket, block.data(), block.size());
+    }
+
+    void trickle(const std::string& bytes, std::size_t next) {
+        constexpr base::milliseconds pause{5};
+        if (this->socket == nullptr) {
+            return;
+        }
+        this->begin_repeating();
+        ++this->owner->repeated_bytes;
+        bufferevent_write(this->socket, &bytes[next % bytes.size()], 1);
+        this->trickle_timer = std::make_unique<adapters::timer>(
+            this->owner->base, [this, bytes, next] { this->trickle(bytes, next + 1); });
+        this->trickle_timer->set(pause);
+    }
+
     // Sends go out before a close or reset: the rest of the script waits until they have left.
     void step() {
         while (this->socket != nullptr && !this->left.empty()) {
@@ -90,6 +123,14 @@
                 this->owner->crash();
                 return;
             }
+            if (next.what == engine_step::kind::repeat) {
+                this->repeat(next.bytes);
+                return;
+            }
+            if (next.what == engine_step::kind::trickle) {
+                this->trickle(next.bytes, 0);
+                return;
+            }
             if (next.what == engine_step::kind::reset) {
                 reset_on_close(this->socket);
             }
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -23,8 +23,9 @@
 
 // What a scripted engine does with one request, in order.
 struct engine_step {
-    // After `hold`, the rest waits until the test lets the engine go on.
-    enum class kind { send, close, reset, hang, hold, crash };
+    // After `hold`, the rest waits until the test lets the engine go on. `repeat` sends the bytes
+    // again and again until the connection is closed, `trickle` does so a byte at a time.
+    enum class kind { send, close, reset, hang, hold, crash, repeat, trickle };
     kind what = kind::hang;
     std::string bytes;
 };
@@ -66,6 +67,9 @@
     std::vector<engine_request> requests;
     int connections = 0;
     int closed_by_peer = 0;
+    // Open connections on which bytes are repeated, and how many bytes were on all of them.
+    int repeating = 0;
+    std::size_t repeated_bytes = 0;
 
 private:
     struct connection;
