Break streams whose event does not end

What callers saw: one event without an end, in sound chunks, took an entry 91 MB with 24 callers, of 110 MB that it may use; the requests ended at their deadline.

Cause: the splitter notices an event of over 1 MB, but the relay of proxies did not ask it; only the limit on whole responses (64 MB) held. What waits for the end of an event was not reported to the memory budget either, which measures a request when it forwards something. Each piece was searched from the event's beginning.

Fix: an event over the limit ends the attempt as a malformed response does: the stream goes on at another upstream where it may be resumed, and is visibly cut otherwise. The incomplete event counts against the budget, and only new bytes are searched.

--- a/src/proxy/endless_response_tests.cpp
+++ b/src/proxy/endless_response_tests.cpp
@@ -136,3 +136,52 @@
     CHECK((seen.heads[0].status == 504 || seen.heads[0].status == 502));
     CHECK(world.run_until([&] { return engine.repeating == 0; }));
 }
+
+// Guards against memory that an event without end takes at each request of an upstream.
+TEST_CASE("an event without end breaks its stream", "[proxy][endless]") {
+    tests::proxy_world world;
+    const bool after_first = GENERATE(false, true);
+    CAPTURE(after_first);
+    auto& engine = world.add_engine("i-1", [&](const engine_request&) {
+        const std::string begin = after_first ? tests::chunk(tests::event(1)) : "";
+        return engine_script{
+            {step::kind::send, tests::stream_head("r1") + begin + tests::chunk("data: ")},
+            {step::kind::repeat, tests::chunk(letters)}};
+    });
+
+    SECTION("which is visibly incomplete for its client") {
+        const auto seen = world.call(tests::request("stream", "r1"));
+        CHECK(seen.ended == after_first);
+        CHECK(seen.whole == !after_first);
+        REQUIRE(seen.heads.size() == 1);
+        CHECK(seen.heads[0].status == (after_first ? 200 : 502));
+        REQUIRE(world.run_until([&] { return engine.repeating == 0; }));
+        CHECK(engine.repeated_bytes <= socket_buffers);
+    }
+    SECTION("and goes on at another upstream where it may be resumed") {
+        world.add_engine("i-2", [](const engine_request& got) {
+            return engine_script{{step::kind::send, tests::stream_head(got.field("Request-Id")) +
+                                                        tests::chunk(tests::event(2)) +
+                                                        "0\r\n\r\n"}};
+        });
+        for (int each = 0; each < 4; ++each) {
+            const auto seen = world.call(tests::request("resume", "r1"));
+            REQUIRE(seen.heads.size() == 1);
+            CHECK(seen.heads[0].status == 200);
+            CHECK(seen.whole);
+        }
+    }
+}
+
+TEST_CASE("what an event without end takes counts against the memory budget", "[proxy][endless]") {
+    tests::proxy_world world;
+    world.set_memory_budget(32);
+    world.add_engine("i-1", [&](const engine_request&) {
+        return engine_script{
+            {step::kind::send, tests::stream_head("r1") + tests::chunk("data: " + letters)},
+            {step::kind::hang, {}}};
+    });
+    world.call_until(tests::request("stream", "r1"),
+                     [&] { return world.buffers().held().held.responses > 0; });
+    CHECK(world.buffers().held().held.responses >= static_cast<std::int64_t>(letters.size()));
+}
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -148,6 +148,7 @@
     void on_resume_failed();
     void on_full_response();
     void forward_events(const std::string& bytes);
+    void send_events(const std::string& complete_events);
     void check_for_stall();
     void on_weights_expired();
     void on_timeout();
--- a/src/proxy/request_responses.cpp
+++ b/src/proxy/request_responses.cpp
@@ -116,8 +116,16 @@
 void request_flow::forward_events(const std::string& bytes) {
     const std::string complete_events = relay_events(this->relay, bytes);
     if (complete_events.empty()) {
-        return;
+        this->update_buffers();
+    } else {
+        this->send_events(complete_events);
+    }
+    if (this->relay.splitter.oversize) {
+        this->on_attempt_failed(call_failure::malformed);
     }
+}
+
+void request_flow::send_events(const std::string& complete_events) {
     this->record_first_byte();
     this->check_survival();
     this->record_pause();
--- a/src/stream/event_splitter.cpp
+++ b/src/stream/event_splitter.cpp
@@ -15,9 +15,9 @@
 };
 
 // A blank line ends an event; lines may end in LF or CRLF.
-boundary find_boundary(const std::string& text) {
-    const auto plain = text.find("\n\n");
-    const auto carriage = text.find("\n\r\n");
+boundary find_boundary(const std::string& text, std::size_t from) {
+    const auto plain = text.find("\n\n", from);
+    const auto carriage = text.find("\n\r\n", from);
     if (plain == std::string::npos && carriage == std::string::npos) {
         return {};
     }
@@ -29,13 +29,15 @@
 std::vector<std::string> split(event_splitter& state, const std::string& bytes) {
     std::vector<std::string> events;
     state.rest += bytes;
-    for (auto found = find_boundary(state.rest); found.at != std::string::npos;
-         found = find_boundary(state.rest)) {
+    for (auto found = find_boundary(state.rest, state.searched); found.at != std::string::npos;
+         found = find_boundary(state.rest, 0)) {
         std::string event = state.rest.substr(0, found.at + found.length);
         state.rest.erase(0, found.at + found.length);
         state.done = state.done || data_of(event) == end_mark;
         events.push_back(std::move(event));
     }
+    // A boundary may have begun in the last two bytes.
+    state.searched = state.rest.size() < 2 ? 0 : state.rest.size() - 2;
     state.oversize = state.oversize || state.rest.size() > max_event_bytes;
     return events;
 }
--- a/src/stream/event_splitter.h
+++ b/src/stream/event_splitter.h
@@ -8,6 +8,9 @@
 // Cuts a server-sent event stream into whole events, whatever pieces it arrives in.
 struct event_splitter {
     std::string rest;
+    // Bytes of `rest` that were searched for the end of an event, so that a large event is not
+    // searched again with each piece of it.
+    std::size_t searched = 0;
     // The stream's own end mark has been seen.
     bool done = false;
     // An event was larger than allowed.
--- a/src/stream/event_splitter_tests.cpp
+++ b/src/stream/event_splitter_tests.cpp
@@ -43,6 +43,22 @@
         CHECK(is_cut("data: one\n\nd"));
     }
 
+    SECTION("are found wherever their pieces end") {
+        const std::string text = "data: one\n\ndata: two\r\n\r\ndata: three\n\r\n";
+        for (std::size_t size = 1; size < text.size(); ++size) {
+            CAPTURE(size);
+            stream::event_splitter state;
+            std::vector<std::string> events;
+            for (std::size_t at = 0; at < text.size(); at += size) {
+                for (auto& event : stream::split(state, text.substr(at, size))) {
+                    events.push_back(std::move(event));
+                }
+            }
+            CHECK(events == std::vector<std::string>{"data: one\n\n", "data: two\r\n\r\n",
+                                                     "data: three\n\r\n"});
+        }
+    }
+
     SECTION("of no bounded size are noticed") {
         stream::event_splitter state;
         stream::split(state, std::string(stream::max_event_bytes + 1, 'x'));
