Bound answers to the entry's own calls, in bytes and in time

What callers would see: a store, a KV cache store or an engine that is asked for its state, in trouble, answers with bytes without end. The call then never ended (a byte now and then was enough), and what it sent was kept: an entry that waits for the store serves nobody, and one beyond its memory is killed.

Cause: evhttp bounds only the silence between two reads, and by default neither heads nor bodies; it has no bound at all for the size of a chunk and its extensions. Bodies were counted only once a chunk was complete.

Fix: heads and bodies get bounds, all that arrives and what waits for its chunk to be complete are counted, and an answer of bounded size must arrive within the call's timeout and the time that its bytes take at 250 KB/s. A call that failed while evhttp was about to end it as well was finished twice; it no longer is.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,6 +1,8 @@
 #include "adapters/http_client.h"
 
+#include "adapters/event_loop.h"
 #include "adapters/sockets.h"
+#include "adapters/timer.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,12 +13,22 @@
 
 #include <memory>
 #include <netinet/in.h>
+#include <utility>
 
 namespace camphorrail::adapters {
 
 namespace {
 
 constexpr base::milliseconds connect_timeout{2000};
+// An answer's head.
+constexpr std::size_t max_head_bytes = 64U << 10U;
+// Bytes that arrived and are part of no complete chunk yet, such as the size of a chunk that never
+// ends. evhttp keeps them without a bound of its own.
+constexpr std::size_t max_unread_bytes = 16U << 20U;
+// What chunks may add to an answer, as a part of its body.
+constexpr std::size_t framing_divisor = 4;
+// A fifth of the slowest links, which carry other traffic as well.
+constexpr std::int64_t slow_link_bytes_per_ms = 250;
 
 evhttp_cmd_type to_command(const std::string& method) {
     if (method == "GET") {
@@ -51,7 +63,8 @@
     running_call(event_base* base, std::string address, ports::upstream_call call,
                  ports::response_handler handler, http_call_options options)
         : base(base), address(std::move(address)), call(std::move(call)),
-          handler(std::move(handler)), options(options) {}
+          handler(std::move(handler)), options(options),
+          end_timer(base, [this] { this->on_end_timer(); }), began_at(boot_now()) {}
 
     ~running_call() { this->release(); }
 
@@ -60,6 +73,9 @@
 
     void start() {
         this->self = this->shared_from_this();
+        if (this->options.max_body_bytes > 0) {
+            this->end_timer.set(this->options.timeout);
+        }
         if (this->options.probe_first) {
             this->probe();
         } else {
@@ -119,6 +135,19 @@
         evhttp_connection_set_retries(this->connection, 0);
         const timeval limit = to_timeval(this->options.timeout);
         evhttp_connection_set_timeout_tv(this->connection, &limit);
+        evhttp_connection_set_max_headers_size(this->connection,
+                                               static_cast<ev_ssize_t>(max_head_bytes));
+        if (this->options.max_body_bytes > 0) {
+            evhttp_connection_set_max_body_size(
+                this->connection, static_cast<ev_ssize_t>(this->options.max_body_bytes));
+        }
+        evbuffer_add_cb(
+            bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)),
+            [](evbuffer* input, const evbuffer_cb_info* change, void* raw) {
+                static_cast<running_call*>(raw)->on_input(evbuffer_get_length(input),
+                                                          change->n_added);
+            },
+            this);
         evhttp_request* request = evhttp_request_new(on_done, this);
         evhttp_request_set_header_cb(request, on_header);
         evhttp_request_set_chunked_cb(request, on_piece);
@@ -184,6 +213,27 @@
         }
     }
 
+    void on_input(std::size_t unread, std::size_t added) {
+        this->received += added;
+        const std::size_t body = this->options.max_body_bytes;
+        const bool too_much =
+            body > 0 && this->received > body + body / framing_divisor + max_head_bytes;
+        if ((too_much || unread > max_unread_bytes) && !std::exchange(this->is_given_up, true)) {
+            this->end_timer.set(base::micros(0));
+        }
+    }
+
+    void on_end_timer() {
+        const auto held = this->shared_from_this();
+        const auto left =
+            allowed_time(this->options.timeout, this->received) - (boot_now() - this->began_at);
+        if (this->is_given_up || left <= base::micros(0)) {
+            this->fail(base::code::upstream_failed);
+        } else {
+            this->end_timer.set(std::chrono::duration_cast<base::micros>(left));
+        }
+    }
+
     void fail(base::code number) {
         const auto failed = this->handler.failed;
         this->handler = {};
@@ -195,6 +245,9 @@
 
     // evhttp still uses the connection while one of its callbacks runs.
     void finish_later() {
+        if (std::exchange(this->is_finishing, true)) {
+            return;
+        }
         const timeval now{0, 0};
         event_base_once(
             this->base, -1, EV_TIMEOUT,
@@ -203,6 +256,7 @@
     }
 
     void finish() {
+        this->end_timer.clear();
         const auto held = std::move(this->self);
         this->release();
     }
@@ -227,11 +281,22 @@
     bufferevent* probe_socket = nullptr;
     evhttp_connection* connection = nullptr;
     bool errored = false;
+    // Ends a call whose answer does not, and one that was given up.
+    timer end_timer;
+    base::instant began_at;
+    std::size_t received = 0;
+    bool is_given_up = false;
+    bool is_finishing = false;
     std::shared_ptr<running_call> self;
 };
 
 } // namespace
 
+base::milliseconds allowed_time(base::milliseconds timeout, std::size_t received_bytes) {
+    return timeout +
+           base::milliseconds(static_cast<std::int64_t>(received_bytes) / slow_link_bytes_per_ms);
+}
+
 ports::call_handle http_call(event_base* base, const std::string& address,
                              const ports::upstream_call& call, ports::response_handler handler,
                              http_call_options options) {
@@ -272,6 +337,7 @@
         bool over = false;
     };
     const auto held = std::make_shared<state>();
+    options.max_body_bytes = max_bytes;
     const auto fail = [held, done](base::code number) {
         if (!held->over) {
             held->over = true;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -11,11 +11,19 @@
 
 // What a call may take, and whether "never left" must be known for certain.
 struct http_call_options {
+    // How long nothing may arrive.
     base::milliseconds timeout{60000};
     // Tries the address first, so that a refused connection is told from one that broke later.
     bool probe_first = false;
+    // Bytes of the answer's body, of any size if 0. The whole answer must then arrive within the
+    // time that `allowed_time` gives, so that one that never ends is given up.
+    std::size_t max_body_bytes = 0;
 };
 
+// How long an answer of bounded size may take of which so many bytes have arrived: the timeout, and
+// the time that a slow link needs for the bytes.
+base::milliseconds allowed_time(base::milliseconds timeout, std::size_t received_bytes);
+
 // Sends one request on a connection of its own to "IP:PORT". evhttp never sends it again: a fresh
 // connection can't be one that the other end had already closed, and its retries are set to none.
 ports::call_handle http_call(event_base* base, const std::string& address,
