Bound what probes and questions of an upstream's state read

A listener that sends over 64 KB to a probe counts as there. A statement of over 64 KB ends the attempt; the stream was not sent.

--- a/src/adapters/address_probe.cpp
+++ b/src/adapters/address_probe.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/sockets.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/util.h>
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr std::size_t max_input_bytes = 64U << 10U;
+
 // What a bufferevent's event says of the address that it was connecting to; to be asked within its
 // callback, where the socket's error is still known.
 address_state state_of(short what) {
@@ -40,7 +43,8 @@
     }
     this->limit.set(this->limits.connect);
     bufferevent_setcb(
-        this->socket, nullptr, nullptr,
+        this->socket, [](bufferevent*, void* raw) { static_cast<address_probe*>(raw)->on_input(); },
+        nullptr,
         [](bufferevent*, short what, void* raw) {
             static_cast<address_probe*>(raw)->on_event(what);
         },
@@ -65,6 +69,13 @@
     this->connect();
 }
 
+// Nothing is expected to arrive, and what does would be kept while the connection is watched.
+void address_probe::on_input() {
+    if (evbuffer_get_length(bufferevent_get_input(this->socket)) > max_input_bytes) {
+        this->conclude(address_state::open);
+    }
+}
+
 void address_probe::on_timer() {
     this->conclude(this->stands ? address_state::open : address_state::unknown);
 }
--- a/src/adapters/address_probe.h
+++ b/src/adapters/address_probe.h
@@ -42,6 +42,7 @@
 private:
     void connect();
     void on_event(short what);
+    void on_input();
     void on_timer();
     void conclude(address_state state);
     void release();
--- a/src/adapters/address_probe_tests.cpp
+++ b/src/adapters/address_probe_tests.cpp
@@ -5,11 +5,13 @@
 #include "own_address.h"
 
 #include <catch2/catch.hpp>
+#include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 using namespace camphorrail;
 using adapters::address_state;
@@ -59,6 +61,51 @@
     int accepted = 0;
 };
 
+// Accepts connections and sends on each without end.
+struct flooding_server {
+    flooding_server(event_base* base, const std::string& address) : base(base) {
+        auto bound = adapters::parse_address(address);
+        this->listener = evconnlistener_new_bind(
+            base,
+            [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* raw) {
+                static_cast<flooding_server*>(raw)->flood(descriptor);
+            },
+            this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+            reinterpret_cast<sockaddr*>(&*bound), sizeof *bound);
+    }
+    ~flooding_server() {
+        evconnlistener_free(this->listener);
+        for (auto* socket : this->sockets) {
+            bufferevent_free(socket);
+        }
+    }
+    flooding_server(const flooding_server&) = delete;
+    flooding_server& operator=(const flooding_server&) = delete;
+
+    void flood(evutil_socket_t descriptor) {
+        auto* socket = bufferevent_socket_new(this->base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+        this->sockets.push_back(socket);
+        bufferevent_setcb(
+            socket, nullptr,
+            [](bufferevent* drained, void* raw) {
+                static_cast<flooding_server*>(raw)->send_block(drained);
+            },
+            nullptr, this);
+        this->send_block(socket);
+    }
+
+    void send_block(bufferevent* socket) {
+        const std::string block(64U << 10U, 'x');
+        this->sent += block.size();
+        bufferevent_write(socket, block.data(), block.size());
+    }
+
+    event_base* base;
+    evconnlistener* listener = nullptr;
+    std::vector<bufferevent*> sockets;
+    std::size_t sent = 0;
+};
+
 } // namespace
 
 TEST_CASE("a probe tells a process that has ended from one that listens", "[adapters]") {
@@ -92,3 +139,14 @@
         CHECK(probe(loop, address, stand) == address_state::open);
     }
 }
+
+// Guards against keeping what a listener sends without end while its connection is watched.
+TEST_CASE("a probe reads little of what arrives", "[adapters][endless]") {
+    adapters::event_loop loop;
+    const std::string address = tests::own_address(18997);
+    const flooding_server server(loop.base(), address);
+    CHECK(probe(loop, address, base::milliseconds(1500)) == address_state::open);
+    // What the kernel holds on both sides comes on top.
+    constexpr std::size_t socket_buffers = 12U << 20U;
+    CHECK(server.sent <= socket_buffers);
+}
--- a/src/proxy/request_resumption.cpp
+++ b/src/proxy/request_resumption.cpp
@@ -19,6 +19,8 @@
 // suspended.
 constexpr milliseconds max_view_wait{600};
 constexpr milliseconds view_check_period{50};
+// An upstream's statement of its state is a few hundred bytes.
+constexpr std::size_t max_state_bytes = 64U << 10U;
 // For how long a client is expected to wait that sets no deadline.
 constexpr base::minutes default_client_patience{1};
 
@@ -206,7 +208,13 @@
     };
     this->current->connection->call(std::move(asked),
                                     {[](const http::response_head&) { return true; },
-                                     [answer](const std::string& bytes) { *answer += bytes; },
+                                     [weak, answer](const std::string& bytes) {
+                                         *answer += bytes;
+                                         const auto self = weak.lock();
+                                         if (self != nullptr && answer->size() > max_state_bytes) {
+                                             self->on_attempt_failed(call_failure::never_sent);
+                                         }
+                                     },
                                      [weak, answer, bytes = std::move(request_bytes)] {
                                          if (const auto self = weak.lock()) {
                                              self->on_incarnation_stated(*answer, bytes);
--- a/src/proxy/request_resumption_tests.cpp
+++ b/src/proxy/request_resumption_tests.cpp
@@ -290,6 +290,20 @@
         CHECK(asked == 2);
         CHECK(pool.versions_of("a").empty());
     }
+    SECTION("and does not get it if its statement does not end") {
+        for (auto* engine : pool.engines) {
+            engine->set_answer([](const engine_request&) {
+                return engine_script{send("HTTP/1.1 200 OK\r\n\r\n"),
+                                     {tests::engine_step::kind::repeat, std::string(1000, 'x')}};
+            });
+        }
+        const auto seen = pool.world.call(resuming("a", "r0", 2));
+        CHECK(seen.heads.at(0).status == 503);
+        for (const auto* engine : pool.engines) {
+            // What the kernel holds on both sides comes on top.
+            CHECK(engine->repeated_bytes <= (12U << 20U));
+        }
+    }
     SECTION("and new streams are sent without a question") {
         pool.world.call(tests::request("stream", "a"));
         CHECK(asked == 0);
