Bound what clients send before, in and after a request, in time as well

What an entry bore: a client that sends empty lines without end kept its connection and counted as idle, since each byte restarted the idle timeout. A body in chunks that arrives a byte at a time was received without a limit of time. After a refusal an entry read and dropped what its client went on sending, for as long as it did. Besides, an empty line in front of a request that arrived in two pieces was taken for the request's beginning, and the request refused with 400.

Cause: bytes and silence were bounded, but not the time over all bytes, and empty lines not at all.

Fix: four empty lines are skipped, in whatever pieces; more are refused with 400. A request must be complete 60 s after its first byte (408). After the final response 5 s or 8 MB are read and dropped, then the connection is reset.

--- a/src/proxy/frontend_server.cpp
+++ b/src/proxy/frontend_server.cpp
@@ -30,6 +30,12 @@
 // Time for which the connection is kept after its final response, and read unless it was idle.
 // Closing a socket with unread bytes resets the connection, and the client could lose the response.
 constexpr base::milliseconds linger_time{1000};
+// Bounds on what is read and dropped after the final response, such as the rest of a large body
+// that was refused.
+constexpr base::milliseconds max_drain_time{5000};
+constexpr std::size_t max_drained_bytes = 8U << 20U;
+// Empty lines that are accepted in front of a request, in bytes.
+constexpr std::size_t max_blank_bytes = 8;
 // Keepalive settings for clients, whose links may be slow. A client that exceeds these limits is
 // considered gone.
 constexpr adapters::silence_limits client_keepalive{base::milliseconds(8000), base::seconds(3), 3};
@@ -308,6 +314,7 @@
         this->server->idle.emplace(this->idle_key, this);
         this->limits = this->server->callbacks.limits();
         this->reader = http::request_reader(this->limits.read);
+        this->blank_bytes = 0;
         this->set_read_timeout(this->limits.idle_timeout);
         bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
     }
@@ -318,26 +325,29 @@
         }
         evbuffer* input = bufferevent_get_input(this->socket);
         if (this->final_response_written) {
-            this->report_late_input(evbuffer_get_length(input), false);
-            evbuffer_drain(input, evbuffer_get_length(input));
+            this->drop_late_input(input);
+            return;
+        }
+        if (!this->skip_blank_lines(input)) {
+            this->refuse(status_bad_request);
             return;
         }
-        this->skip_blank_lines(input);
         if (evbuffer_get_length(input) == 0) {
             this->close_if_stopped();
             return;
         }
         this->begin_reading();
         evbuffer_drain(input, this->reader.feed(contents(input)));
+        const base::micros taken = this->server->callbacks.now() - this->request_start;
         if (this->reader.fault() != http::read_fault::none) {
             this->refuse(status_of(this->reader.fault()));
         } else if (this->reader.complete()) {
             this->begin_exchange();
+        } else if (taken > this->limits.receive_timeout ||
+                   (!this->reader.has_head() && taken > this->limits.head_timeout)) {
+            this->refuse(status_timeout);
         } else if (this->reader.has_head()) {
             this->send_continue();
-        } else if (this->server->callbacks.now() - this->request_start >
-                   this->limits.head_timeout) {
-            this->refuse(status_timeout);
         }
         if (this->reading && this->server->callbacks.on_received) {
             this->server->callbacks.on_received(this->number);
@@ -352,15 +362,34 @@
         }
     }
 
-    // Some clients send an empty line after a body; it belongs to no request.
-    void skip_blank_lines(evbuffer* input) const {
-        while (!this->reading && evbuffer_get_length(input) >= 2) {
-            std::string_view begin = contents(input);
-            if (!begin.starts_with("\r\n")) {
-                return;
+    void drop_late_input(evbuffer* input) {
+        const std::size_t bytes = evbuffer_get_length(input);
+        evbuffer_drain(input, bytes);
+        this->report_late_input(bytes, false);
+        this->drained_bytes += bytes;
+        const base::micros since = this->server->callbacks.now() - this->closed_at;
+        if (this->unsent() == 0 &&
+            (this->drained_bytes > max_drained_bytes || since > max_drain_time)) {
+            this->close();
+        }
+    }
+
+    // Some clients send an empty line after a body; it belongs to no request. Returns false if
+    // there are too many of them, or if one is incomplete.
+    bool skip_blank_lines(evbuffer* input) {
+        while (!this->reading && evbuffer_get_length(input) > 0) {
+            char next = 0;
+            evbuffer_copyout(input, &next, 1);
+            if (next != (this->in_blank_line ? '\n' : '\r')) {
+                return !this->in_blank_line;
+            }
+            evbuffer_drain(input, 1);
+            this->in_blank_line = !this->in_blank_line;
+            if (++this->blank_bytes > max_blank_bytes) {
+                return false;
             }
-            evbuffer_drain(input, 2);
         }
+        return true;
     }
 
     void begin_reading() {
@@ -462,6 +491,11 @@
     base::instant idle_start{};
     // Key in the server's idle list; 0 if the connection is not idle.
     std::int64_t idle_key = 0;
+    // Bytes of empty lines in front of the next request.
+    std::size_t blank_bytes = 0;
+    // Only the first half of an empty line has arrived.
+    bool in_blank_line = false;
+    std::size_t drained_bytes = 0;
     // A request has been received in part.
     bool reading = false;
     bool continue_checked = false;
--- a/src/proxy/frontend_server.h
+++ b/src/proxy/frontend_server.h
@@ -65,6 +65,8 @@
     http::read_limits read;
     base::milliseconds head_timeout{3000};
     base::milliseconds idle_timeout{15000};
+    // From the first byte of a request to its last.
+    base::milliseconds receive_timeout{60000};
 };
 
 // Bytes that arrived on a connection after the server had closed its side. They may be a request
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -459,9 +459,13 @@
     return this->callers.at(caller)->seen;
 }
 
-void proxy_world::send_at_once(std::size_t caller, const std::string& bytes) {
-    const int descriptor = bufferevent_getfd(this->callers.at(caller)->socket);
-    ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+std::size_t proxy_world::send_at_once(std::size_t caller, const std::string& bytes) {
+    auto* socket = this->callers.at(caller)->socket;
+    if (socket == nullptr) {
+        return 0;
+    }
+    const auto sent = ::send(bufferevent_getfd(socket), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
 }
 
 void proxy_world::let_callers_read(bool may_read) {
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -121,8 +121,11 @@
     proxy::connection_pool& engine_connections() { return this->connections; }
     // What the caller that came as the given one has got so far; the first is 0.
     [[nodiscard]] const caller_view& seen_by(std::size_t caller) const;
+    // The number of callers so far.
+    [[nodiscard]] std::size_t call_count() const { return this->callers.size(); }
     // Sends more on the connection of a caller that came before; it lies with the kernel on return.
-    void send_at_once(std::size_t caller, const std::string& bytes);
+    // Returns how many bytes do.
+    std::size_t send_at_once(std::size_t caller, const std::string& bytes);
     // A caller connects and sends, and the entry has not even accepted it when this returns.
     void connect_at_once(const std::string& bytes);
     // One caller closes its connection.
