Close links whose other end does not complete the handshake

The body of a handshake was kept up to 32 MB.

A link must be open within 3 s. websocketpp can't time that here, since its transport is ours, so the link has a timer.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <type_traits>
+#include <utility>
 
 namespace camphorrail::adapters {
 
@@ -24,6 +25,8 @@
 using client_endpoint = websocketpp::client<websocketpp::config::core_client>;
 
 constexpr std::size_t read_piece = 16384;
+// A handshake has no body; websocketpp would keep one of 32 MB.
+constexpr std::size_t max_handshake_body = 4096;
 
 struct socket_address {
     sockaddr_storage storage{};
@@ -45,16 +48,19 @@
 template <class Endpoint>
 class socket_link : public link, public std::enable_shared_from_this<socket_link<Endpoint>> {
 public:
-    socket_link(Endpoint& endpoint, bufferevent* socket) : endpoint(&endpoint), socket(socket) {}
+    socket_link(Endpoint& endpoint, bufferevent* socket)
+        : endpoint(&endpoint), socket(socket),
+          handshake_timer(evtimer_new(bufferevent_get_base(socket), on_handshake_timeout, this)) {}
 
     ~socket_link() override { this->release(); }
 
     socket_link(const socket_link&) = delete;
     socket_link& operator=(const socket_link&) = delete;
 
-    void attach(typename Endpoint::connection_ptr made, std::size_t max_message_bytes) {
+    void attach(typename Endpoint::connection_ptr made, const link_limits& limits) {
         this->connection = made;
-        made->set_max_message_size(max_message_bytes);
+        made->set_max_message_size(limits.max_message_bytes);
+        made->set_max_http_body_size(max_handshake_body);
         made->set_write_handler(
             [this](websocketpp::connection_hdl, char const* bytes, std::size_t count) {
                 if (this->socket != nullptr) {
@@ -62,7 +68,10 @@
                 }
                 return std::error_code();
             });
-        made->set_open_handler([this](websocketpp::connection_hdl) { this->opened.emit(); });
+        made->set_open_handler([this](websocketpp::connection_hdl) {
+            event_del(this->handshake_timer);
+            this->opened.emit();
+        });
         made->set_message_handler(
             [this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
                 this->received.emit(message->get_payload());
@@ -71,6 +80,11 @@
         made->set_close_handler([this](websocketpp::connection_hdl) { this->broken = true; });
         bufferevent_setcb(this->socket, on_read, nullptr, on_event, this);
         bufferevent_enable(this->socket, EV_READ | EV_WRITE);
+        const auto seconds =
+            std::chrono::duration_cast<std::chrono::seconds>(limits.handshake_time);
+        const std::chrono::microseconds rest = limits.handshake_time - seconds;
+        const timeval wait{seconds.count(), rest.count()};
+        evtimer_add(this->handshake_timer, &wait);
     }
 
     void send(std::string_view bytes) override {
@@ -119,6 +133,12 @@
         }
     }
 
+    // The other end may answer a byte at a time, or not at all, which no other limit ends.
+    static void on_handshake_timeout(evutil_socket_t /*socket*/, short /*what*/, void* self) {
+        const auto held = static_cast<socket_link*>(self)->shared_from_this();
+        held->fail();
+    }
+
     void start() {
         if constexpr (std::is_same_v<Endpoint, client_endpoint>) {
             this->endpoint->connect(this->connection);
@@ -135,6 +155,9 @@
     }
 
     void release() {
+        if (this->handshake_timer != nullptr) {
+            event_free(std::exchange(this->handshake_timer, nullptr));
+        }
         if (this->socket != nullptr) {
             bufferevent_free(this->socket);
             this->socket = nullptr;
@@ -143,6 +166,7 @@
 
     Endpoint* endpoint;
     bufferevent* socket;
+    event* handshake_timer;
     typename Endpoint::connection_ptr connection;
     bool broken = false;
     bool finished = false;
@@ -202,7 +226,7 @@
                                                        BEV_OPT_CLOSE_ON_FREE);
         auto made = std::make_shared<socket_link<server_endpoint>>(owner->endpoint, buffered);
         auto connection = owner->endpoint.get_connection();
-        made->attach(connection, owner->limits.max_message_bytes);
+        made->attach(connection, owner->limits);
         owner->accepted(made);
         connection->start();
     }
@@ -222,7 +246,7 @@
     auto made = std::make_shared<socket_link<client_endpoint>>(shared_client(), buffered);
     std::error_code failed;
     auto connection = shared_client().get_connection("ws://" + address + "/", failed);
-    made->attach(connection, limits.max_message_bytes);
+    made->attach(connection, limits);
     bufferevent_socket_connect(buffered, parsed.get(), parsed.length);
     return made;
 }
--- a/src/adapters/link.h
+++ b/src/adapters/link.h
@@ -2,6 +2,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -36,6 +37,8 @@
 // Bounds of a link.
 struct link_limits {
     std::size_t max_message_bytes = 0;
+    // Time from the start of a connection until the link is open.
+    std::chrono::milliseconds handshake_time{3000};
 };
 
 // Starts to connect to "IP:PORT"; `opened` or `closed` follows.
--- a/src/adapters/link_tests.cpp
+++ b/src/adapters/link_tests.cpp
@@ -1,10 +1,16 @@
 #include "adapters/event_loop.h"
 #include "adapters/link.h"
+#include "adapters/sockets.h"
 #include "own_address.h"
+#include "proxy_world.h"
 
 #include <catch2/catch.hpp>
+#include <event2/bufferevent.h>
+#include <event2/util.h>
 
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace camphorrail;
@@ -13,6 +19,16 @@
 
 const std::string address = tests::own_address(18991);
 constexpr adapters::link_limits limits{1 << 16};
+constexpr adapters::link_limits short_handshake{1 << 16, std::chrono::milliseconds(100)};
+
+// What the other end of a link sends in place of the protocol, without end.
+struct endless_bytes {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+};
+
+const std::string letters(1000, 'x');
 
 } // namespace
 
@@ -69,3 +85,83 @@
         CHECK(closed);
     }
 }
+
+namespace {
+
+std::vector<endless_bytes> endless_handshakes(const std::string& start_line) {
+    return {{"letters", "", letters},
+            {"empty lines", "", "\r\n"},
+            {"one field", start_line + "A: ", letters},
+            {"many fields", start_line, "A: b\r\n"},
+            {"a body", start_line + "Content-Length: 30000000\r\n\r\n", letters},
+            {"chunks", start_line + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n"}};
+}
+
+} // namespace
+
+// Guards against a link that is never given up, so that its entry is not connected to again, or
+// that fills the memory, since its other end sends without end.
+TEST_CASE("a link whose other end does not complete the handshake is closed",
+          "[adapters][endless]") {
+    using step = tests::engine_step;
+    adapters::event_loop loop;
+    const auto bytes = GENERATE(from_range(endless_handshakes("HTTP/1.1 200 OK\r\n")));
+    const auto how = GENERATE(step::kind::repeat, step::kind::trickle);
+    CAPTURE(bytes.name, how == step::kind::trickle);
+    tests::scripted_engine server(loop.base(), [&](const tests::engine_request&) {
+        return tests::engine_script{{step::kind::send, bytes.begin + bytes.repeated},
+                                    {how, bytes.repeated}};
+    });
+    auto link = adapters::connect_link(loop.base(), server.address(), short_handshake);
+    bool closed = false;
+    link->closed.connect([&] { closed = true; });
+    loop.after(base::seconds(10), [&] { loop.stop(); });
+    loop.every(base::milliseconds(5), [&] {
+        if (closed && server.repeating == 0) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    CHECK(closed);
+    CHECK(server.repeating == 0);
+    // What the kernel holds on both sides comes on top.
+    CHECK(server.repeated_bytes <= (12U << 20U));
+}
+
+TEST_CASE("a connection that does not become a link is closed", "[adapters][endless]") {
+    adapters::event_loop loop;
+    const auto bytes = GENERATE(from_range(endless_handshakes("GET / HTTP/1.1\r\n")));
+    const bool byte_by_byte = GENERATE(false, true);
+    CAPTURE(bytes.name, byte_by_byte);
+    const std::string address = tests::own_address(18991);
+    adapters::link_ptr accepted;
+    bool closed = false;
+    const auto listener = adapters::listen_for_links(
+        loop.base(), address, short_handshake, [&](const adapters::link_ptr& made) {
+            accepted = made;
+            made->closed.connect([&] { closed = true; });
+        });
+    REQUIRE(listener);
+    const auto to = *adapters::parse_address(address);
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    connect(client, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    evutil_make_socket_nonblocking(client);
+    send(client, bytes.begin.data(), bytes.begin.size(), MSG_NOSIGNAL);
+    std::size_t sent = 0;
+    std::size_t next = 0;
+    loop.after(base::seconds(10), [&] { loop.stop(); });
+    loop.every(base::milliseconds(1), [&] {
+        const std::string piece = byte_by_byte
+                                      ? bytes.repeated.substr(next++ % bytes.repeated.size(), 1)
+                                      : bytes.repeated;
+        const auto count = send(client, piece.data(), piece.size(), MSG_NOSIGNAL);
+        sent += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        if (closed) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    CHECK(closed);
+    CHECK(sent <= (12U << 20U));
+    close(client);
+}
