Bound what the balancer's and the operators' ports receive of a request

A connection ends once what waits of an incomplete request exceeds the largest head and body. Not bounded: the time that a request takes whose bytes arrive one by one, which evhttp restarts with each.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -177,7 +177,10 @@
 
 http_server::http_server(event_base* base, http_limits limits,
                          std::function<void(exchange_ptr)> handler)
-    : handle(evhttp_new(base)), handler(std::move(handler)) {
+    : handle(evhttp_new(base)), max_input_bytes(static_cast<std::size_t>(
+                                    limits.max_header_bytes + 2 * limits.max_body_bytes)),
+      handler(std::move(handler)) {
+    evhttp_set_bevcb(this->handle, make_socket, this);
     evhttp_set_max_headers_size(this->handle, limits.max_header_bytes);
     // Bodies a little above the limit still reach us, so that they get our numbered answer; far
     // larger ones are refused by evhttp before they take up memory.
@@ -210,6 +213,25 @@
     }
 }
 
+// Closes a connection whose request grows beyond the limit. evhttp does not bound some of what it
+// keeps, such as the size of a chunk that never ends.
+bufferevent* http_server::make_socket(event_base* base, void* self) {
+    bufferevent* made = bufferevent_socket_new(base, -1, 0);
+    bufferevent_setwatermark(made, EV_READ, 0, static_cast<http_server*>(self)->max_input_bytes);
+    evbuffer_add_cb(
+        bufferevent_get_input(made),
+        [](evbuffer* input, const evbuffer_cb_info* /*change*/, void* raw) {
+            auto* socket = static_cast<bufferevent*>(raw);
+            std::size_t limit = 0;
+            bufferevent_getwatermark(socket, EV_READ, nullptr, &limit);
+            if (evbuffer_get_length(input) >= limit) {
+                bufferevent_trigger_event(socket, BEV_EVENT_ERROR, BEV_OPT_DEFER_CALLBACKS);
+            }
+        },
+        made);
+    return made;
+}
+
 void http_server::on_request(evhttp_request* request, void* self) {
     auto* owner = static_cast<http_server*>(self);
     disable_delay(request);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+struct bufferevent;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -95,8 +96,11 @@
 private:
     friend class http_exchange;
     static void on_request(evhttp_request* request, void* self);
+    static bufferevent* make_socket(event_base* base, void* self);
 
     evhttp* handle;
+    // The most that a connection may receive of a request that is not complete.
+    std::size_t max_input_bytes;
     evhttp_bound_socket* bound = nullptr;
     std::function<void(exchange_ptr)> handler;
     std::unordered_map<http_exchange*, exchange_ptr> exchanges;
