--- a/src/adapters/link_tests.cpp
+++ b/src/adapters/link_tests.cpp
@@ -1,15 +1,13 @@
 #include "adapters/event_loop.h"
 #include "adapters/link.h"
-#include "adapters/sockets.h"
 #include "own_address.h"
 #include "proxy_world.h"
+#include "raw_client.h"
 
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
-#include <event2/util.h>
 
 #include <string>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -142,11 +140,9 @@
             made->closed.connect([&] { closed = true; });
         });
     REQUIRE(listener);
-    const auto to = *adapters::parse_address(address);
-    const int client = socket(AF_INET, SOCK_STREAM, 0);
-    connect(client, reinterpret_cast<const sockaddr*>(&to), sizeof to);
-    evutil_make_socket_nonblocking(client);
-    send(client, bytes.begin.data(), bytes.begin.size(), MSG_NOSIGNAL);
+    const int client = tests::connect_client(address);
+    REQUIRE(client >= 0);
+    REQUIRE(tests::send_some(client, bytes.begin) == bytes.begin.size());
     std::size_t sent = 0;
     std::size_t next = 0;
     loop.after(base::seconds(10), [&] { loop.stop(); });
@@ -154,8 +150,7 @@
         const std::string piece = byte_by_byte
                                       ? bytes.repeated.substr(next++ % bytes.repeated.size(), 1)
                                       : bytes.repeated;
-        const auto count = send(client, piece.data(), piece.size(), MSG_NOSIGNAL);
-        sent += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        sent += tests::send_some(client, piece).value_or(0);
         if (closed) {
             loop.stop();
         }
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -5,6 +5,7 @@
 #include "http/writers.h"
 #include "own_address.h"
 #include "proxy/retry_shares.h"
+#include "raw_client.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -416,12 +417,8 @@
 }
 
 void proxy_world::connect_at_once(const std::string& bytes) {
-    const auto address =
-        *adapters::parse_address("127.0.0.1:" + std::to_string(this->server.port()));
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    evutil_make_socket_nonblocking(descriptor);
+    const int descriptor = connect_client("127.0.0.1:" + std::to_string(this->server.port()));
+    send_some(descriptor, bytes);
     this->add_caller(bufferevent_socket_new(this->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE));
 }
 
@@ -464,8 +461,7 @@
     if (socket == nullptr) {
         return 0;
     }
-    const auto sent = ::send(bufferevent_getfd(socket), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    return static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    return send_some(bufferevent_getfd(socket), bytes).value_or(0);
 }
 
 void proxy_world::let_callers_read(bool may_read) {
--- /dev/null
+++ b/tests/raw_client.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace camphorrail::tests {
+
+// Connects to "IP:PORT" before it returns. The descriptor does not block; it is -1 if nothing
+// listens there.
+int connect_client(const std::string& address);
+
+// Sends what the kernel takes of the bytes, and returns how many those are; empty if the connection
+// has ended.
+std::optional<std::size_t> send_some(int descriptor, const std::string& bytes);
+
+} // namespace camphorrail::tests
