Keep bytes that arrive before an answer from ending the process

What callers of an entry with agents could see: all their requests broke at once, since the process had ended, when one client sent its next request, or any byte, before its answer began. The balancer's and the operators' ports use the same server; they answer within the handler, where it does not happen.

Cause: the server goes on reading after a request, so that it notices a client that leaves. libevent's read callback for requests was still set then, and ends the process with 'evhttp_read_cb: illegal connection state 7' if anything arrives before the answer is begun.

Fix: the read callback is removed for that time, as libevent does itself once an answer has begun; the end of a connection is still noticed, and what waits is read when the answer is complete. What a client sends meanwhile counts against the limit.

Evidence: the test program ended with this message, exit code 1, on the code before, in 'a client may send its next request before a long answer ends'; 'bytes without end behind a request that is not answered yet are given up' plays the same without end.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -48,6 +48,14 @@
     return target.substr(0, target.find('?'));
 }
 
+void remove_read_callback(bufferevent* socket) {
+    bufferevent_data_cb on_write = nullptr;
+    bufferevent_event_cb on_event = nullptr;
+    void* argument = nullptr;
+    bufferevent_getcb(socket, nullptr, &on_write, &on_event, &argument);
+    bufferevent_setcb(socket, nullptr, on_write, on_event, argument);
+}
+
 void disable_delay(evhttp_request* request) {
     bufferevent* socket = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
     int on = 1;
@@ -69,8 +77,11 @@
     evhttp_connection* connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, on_closed, this);
     // evhttp stops reading once the request is there, and would then not notice its caller leave
-    // before the answer begins; the work would go on for nobody.
-    bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+    // before the answer begins; the work would go on for nobody. Its read callback ends the process
+    // if anything arrives before that, such as the next request.
+    bufferevent* socket = evhttp_connection_get_bufferevent(connection);
+    remove_read_callback(socket);
+    bufferevent_enable(socket, EV_READ);
 }
 
 std::string http_exchange::header(const std::string& name) const {
--- a/src/adapters/http_server_tests.cpp
+++ b/src/adapters/http_server_tests.cpp
@@ -1,14 +1,13 @@
 #include "adapters/event_loop.h"
 #include "adapters/http_server.h"
-#include "adapters/sockets.h"
 #include "own_address.h"
+#include "raw_client.h"
 
 #include <catch2/catch.hpp>
-#include <event2/util.h>
 
-#include <algorithm>
+#include <functional>
+#include <optional>
 #include <string>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -36,42 +35,109 @@
             {"a body in chunks", chunked, "5\r\nxxxxx\r\n"}};
 }
 
-} // namespace
+using handler = std::function<void(const adapters::exchange_ptr&)>;
 
-// Guards against a client that fills the memory through the balancer's or the operators' port.
-TEST_CASE("a request without end is given up by the server", "[adapters][endless]") {
-    const auto request = GENERATE(from_range(endless_requests()));
-    CAPTURE(request.name);
+void answer_at_once(const adapters::exchange_ptr& exchange) {
+    exchange->reply(200, {}, "");
+}
+
+std::string repeat(const std::string& bytes, std::size_t at_least) {
+    std::string all;
+    while (all.size() < at_least) {
+        all += bytes;
+    }
+    return all;
+}
+
+constexpr std::size_t block_bytes = 64U << 10U;
+const auto largest_request = static_cast<std::size_t>(2 * adapters::http_limits{}.max_body_bytes);
+// What the kernel holds on both sides of a connection.
+constexpr std::size_t socket_buffers = 12U << 20U;
+
+// Serves until the connection of a client that sends such pieces ends; returns what it has sent,
+// or nothing if the connection did not end.
+template <class Next>
+std::optional<std::size_t> send_until_closed(const adapters::http_limits& limits,
+                                             const std::string& begin, const Next& next_piece,
+                                             const handler& handle = answer_at_once) {
     adapters::event_loop loop;
-    adapters::http_server server(loop.base(), {}, [](const adapters::exchange_ptr& exchange) {
-        exchange->reply(200, {}, "");
-    });
+    adapters::http_server server(loop.base(), limits, handle);
     const std::string address = tests::own_address(18995);
     REQUIRE(server.listen(address));
-    const auto to = *adapters::parse_address(address);
-    const int client = socket(AF_INET, SOCK_STREAM, 0);
-    REQUIRE(connect(client, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
-    evutil_make_socket_nonblocking(client);
-    send(client, request.begin.data(), request.begin.size(), MSG_NOSIGNAL);
-    std::string block;
-    while (block.size() < (64U << 10U)) {
-        block += request.repeated;
-    }
+    const int client = tests::connect_client(address);
+    REQUIRE(client >= 0);
+    REQUIRE(tests::send_some(client, begin) == begin.size());
     std::size_t sent = 0;
     bool closed = false;
     loop.after(base::seconds(20), [&] { loop.stop(); });
     loop.every(base::milliseconds(1), [&] {
-        const auto count = send(client, block.data(), block.size(), MSG_NOSIGNAL);
-        sent += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
-        closed = count < 0 && errno != EAGAIN;
+        const auto count = tests::send_some(client, next_piece());
+        sent += count.value_or(0);
+        closed = !count;
         if (closed) {
             loop.stop();
         }
     });
     loop.run();
-    CHECK(closed);
-    // What the kernel holds on both sides comes on top.
-    const auto largest = static_cast<std::size_t>(2 * adapters::http_limits{}.max_body_bytes);
-    CHECK(sent <= largest + (12U << 20U));
+    close(client);
+    return closed ? std::optional(sent) : std::nullopt;
+}
+
+} // namespace
+
+// Guards against a client that fills the memory through the balancer's or the operators' port.
+TEST_CASE("a request without end is given up by the server", "[adapters][endless]") {
+    const auto request = GENERATE(from_range(endless_requests()));
+    CAPTURE(request.name);
+    const std::string block = repeat(request.repeated, block_bytes);
+    const auto sent = send_until_closed({}, request.begin, [&] { return block; });
+    REQUIRE(sent);
+    CHECK(*sent <= largest_request + socket_buffers);
+}
+
+// Guards against a client that ends the process, or fills its memory, by bytes that arrive before
+// its request is answered.
+TEST_CASE("bytes without end behind a request that is not answered yet are given up",
+          "[adapters][endless]") {
+    bool gone = false;
+    adapters::exchange_ptr held;
+    const std::string block = repeat(letters, block_bytes);
+    const auto sent = send_until_closed(
+        {}, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", [&] { return block; },
+        [&](const adapters::exchange_ptr& exchange) {
+            held = exchange;
+            exchange->gone.connect([&] { gone = true; });
+        });
+    REQUIRE(sent);
+    CHECK(*sent <= largest_request + socket_buffers);
+    CHECK(gone);
+}
+
+// Guards against a next request that ends the process since it arrives early.
+TEST_CASE("a client may send its next request before a long answer ends", "[adapters][endless]") {
+    adapters::event_loop loop;
+    adapters::http_limits limits;
+    int answered = 0;
+    adapters::http_server server(loop.base(), limits, [&](const adapters::exchange_ptr& exchange) {
+        loop.after(base::milliseconds(answered == 0 ? 300 : 0), [&, exchange] {
+            exchange->reply(200, {}, "");
+            ++answered;
+        });
+    });
+    const std::string address = tests::own_address(18996);
+    REQUIRE(server.listen(address));
+    const int client = tests::connect_client(address);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(tests::send_some(client, request) == request.size());
+    loop.after(base::milliseconds(50), [&] { tests::send_some(client, request.substr(0, 8)); });
+    loop.after(base::milliseconds(200), [&] { tests::send_some(client, request.substr(8)); });
+    loop.after(base::seconds(10), [&] { loop.stop(); });
+    loop.every(base::milliseconds(5), [&] {
+        if (answered == 2) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    CHECK(answered == 2);
     close(client);
 }
