Bound the time in which the balancer's and the operators' ports receive a request

A request must be complete 60 s after its first byte; the time in which an answer is awaited does not count. Arrivals are what is checked, since a silent client meets evhttp's own timeout.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_server.h"
 
+#include "adapters/event_loop.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -48,6 +50,10 @@
     return target.substr(0, target.find('?'));
 }
 
+bufferevent* socket_of(evhttp_request* request) {
+    return evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+}
+
 void remove_read_callback(bufferevent* socket) {
     bufferevent_data_cb on_write = nullptr;
     bufferevent_event_cb on_event = nullptr;
@@ -56,8 +62,7 @@
     bufferevent_setcb(socket, nullptr, on_write, on_event, argument);
 }
 
-void disable_delay(evhttp_request* request) {
-    bufferevent* socket = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+void disable_delay(bufferevent* socket) {
     int on = 1;
     setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
@@ -65,7 +70,7 @@
 } // namespace
 
 http_exchange::http_exchange(http_server& server, evhttp_request* request)
-    : server(&server), request(request),
+    : server(&server), request(request), socket(socket_of(request)),
       request_method(name_of(evhttp_request_get_command(request))),
       request_target(evhttp_request_get_uri(request)), request_path(path_of(this->request_target)),
       request_body(take_body(request)) {
@@ -79,9 +84,8 @@
     // evhttp stops reading once the request is there, and would then not notice its caller leave
     // before the answer begins; the work would go on for nobody. Its read callback ends the process
     // if anything arrives before that, such as the next request.
-    bufferevent* socket = evhttp_connection_get_bufferevent(connection);
-    remove_read_callback(socket);
-    bufferevent_enable(socket, EV_READ);
+    remove_read_callback(this->socket);
+    bufferevent_enable(this->socket, EV_READ);
 }
 
 std::string http_exchange::header(const std::string& name) const {
@@ -156,9 +160,7 @@
     if (this->request == nullptr) {
         return 0;
     }
-    bufferevent* socket =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(this->request));
-    return evbuffer_get_length(bufferevent_get_output(socket));
+    return evbuffer_get_length(bufferevent_get_output(this->socket));
 }
 
 void http_exchange::on_closed(evhttp_connection* /*connection*/, void* self) {
@@ -183,6 +185,7 @@
 void http_exchange::finish() {
     const exchange_ptr held = this->shared_from_this();
     this->request = nullptr;
+    this->server->sockets[this->socket] = {this->server};
     this->server->exchanges.erase(this);
 }
 
@@ -190,7 +193,7 @@
                          std::function<void(exchange_ptr)> handler)
     : handle(evhttp_new(base)), max_input_bytes(static_cast<std::size_t>(
                                     limits.max_header_bytes + 2 * limits.max_body_bytes)),
-      handler(std::move(handler)) {
+      receive_timeout(limits.receive_timeout), handler(std::move(handler)) {
     evhttp_set_bevcb(this->handle, make_socket, this);
     evhttp_set_max_headers_size(this->handle, limits.max_header_bytes);
     // Bodies a little above the limit still reach us, so that they get our numbered answer; far
@@ -224,28 +227,45 @@
     }
 }
 
-// Closes a connection whose request grows beyond the limit. evhttp does not bound some of what it
-// keeps, such as the size of a chunk that never ends.
 bufferevent* http_server::make_socket(event_base* base, void* self) {
+    auto* owner = static_cast<http_server*>(self);
     bufferevent* made = bufferevent_socket_new(base, -1, 0);
-    bufferevent_setwatermark(made, EV_READ, 0, static_cast<http_server*>(self)->max_input_bytes);
-    evbuffer_add_cb(
-        bufferevent_get_input(made),
-        [](evbuffer* input, const evbuffer_cb_info* /*change*/, void* raw) {
-            auto* socket = static_cast<bufferevent*>(raw);
-            std::size_t limit = 0;
-            bufferevent_getwatermark(socket, EV_READ, nullptr, &limit);
-            if (evbuffer_get_length(input) >= limit) {
-                bufferevent_trigger_event(socket, BEV_EVENT_ERROR, BEV_OPT_DEFER_CALLBACKS);
-            }
-        },
-        made);
+    owner->sockets[made] = {owner};
+    bufferevent_setwatermark(made, EV_READ, 0, owner->max_input_bytes);
+    evbuffer_add_cb(bufferevent_get_input(made), on_input, &*owner->sockets.find(made));
     return made;
 }
 
+// evhttp does not bound some of what it keeps, such as the size of a chunk that never ends, nor the
+// time of a request whose bytes arrive one by one.
+void http_server::on_input(evbuffer* input, const evbuffer_cb_info* change,
+                           void* socket_reception) {
+    auto& [socket, receiving] = *static_cast<receptions::value_type*>(socket_reception);
+    if (change->n_added > 0 &&
+        receiving.server->is_beyond_limits(receiving, evbuffer_get_length(input))) {
+        bufferevent_trigger_event(socket, BEV_EVENT_ERROR, BEV_OPT_DEFER_CALLBACKS);
+    }
+}
+
+bool http_server::is_beyond_limits(reception& receiving, std::size_t unread_bytes) const {
+    if (unread_bytes >= this->max_input_bytes) {
+        return true;
+    }
+    if (receiving.in_exchange) {
+        return false;
+    }
+    const base::instant now = boot_now();
+    if (!receiving.began_at) {
+        receiving.began_at = now;
+    }
+    return now - *receiving.began_at > this->receive_timeout;
+}
+
 void http_server::on_request(evhttp_request* request, void* self) {
     auto* owner = static_cast<http_server*>(self);
-    disable_delay(request);
+    bufferevent* socket = socket_of(request);
+    disable_delay(socket);
+    owner->sockets[socket] = {owner, true};
     auto made = std::make_shared<http_exchange>(*owner, request);
     owner->exchanges[made.get()] = made;
     owner->handler(made);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/units.h"
 #include "ports/upstream.h"
 
 #include <sigc++/sigc++.h>
@@ -7,10 +8,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -64,6 +68,7 @@
 
     http_server* server;
     evhttp_request* request;
+    bufferevent* socket;
     std::string request_method;
     std::string request_target;
     std::string request_path;
@@ -77,6 +82,8 @@
     std::int64_t max_header_bytes = 16 << 10;
     std::int64_t max_body_bytes = 4 << 20;
     int idle_timeout_s = 75;
+    // From the first byte of a request to its last.
+    base::milliseconds receive_timeout{60000};
 };
 
 // HTTP towards callers or operators.
@@ -95,12 +102,28 @@
 
 private:
     friend class http_exchange;
+    // What a connection receives.
+    struct reception {
+        http_server* server = nullptr;
+        // The request that was received awaits the end of its answer.
+        bool in_exchange = false;
+        // When the first byte of a request arrived that is not complete.
+        std::optional<base::instant> began_at;
+    };
+    using receptions = std::unordered_map<bufferevent*, reception>;
+
     static void on_request(evhttp_request* request, void* self);
     static bufferevent* make_socket(event_base* base, void* self);
+    static void on_input(evbuffer* input, const evbuffer_cb_info* change, void* socket_reception);
+    [[nodiscard]] bool is_beyond_limits(reception& receiving, std::size_t unread_bytes) const;
 
     evhttp* handle;
     // The most that a connection may receive of a request that is not complete.
     std::size_t max_input_bytes;
+    base::milliseconds receive_timeout;
+    // By the connections' sockets. The entry of a connection that has ended is replaced when its
+    // memory serves another one.
+    receptions sockets;
     evhttp_bound_socket* bound = nullptr;
     std::function<void(exchange_ptr)> handler;
     std::unordered_map<http_exchange*, exchange_ptr> exchanges;
--- a/src/adapters/http_server_tests.cpp
+++ b/src/adapters/http_server_tests.cpp
@@ -113,10 +113,26 @@
     CHECK(gone);
 }
 
-// Guards against a next request that ends the process since it arrives early.
+// Guards against connections that are held for good by a byte now and then.
+TEST_CASE("a request that arrives a byte at a time is given up by the server",
+          "[adapters][endless]") {
+    const auto request = GENERATE(from_range(endless_requests()));
+    CAPTURE(request.name);
+    adapters::http_limits limits;
+    limits.receive_timeout = base::milliseconds(100);
+    std::size_t next = 0;
+    const auto sent = send_until_closed(limits, request.begin, [&] {
+        return request.repeated.substr(next++ % request.repeated.size(), 1);
+    });
+    CHECK(sent);
+}
+
+// Guards against a next request that ends the process since it arrives early, and against counting
+// a long answer as time that it takes to arrive.
 TEST_CASE("a client may send its next request before a long answer ends", "[adapters][endless]") {
     adapters::event_loop loop;
     adapters::http_limits limits;
+    limits.receive_timeout = base::milliseconds(100);
     int answered = 0;
     adapters::http_server server(loop.base(), limits, [&](const adapters::exchange_ptr& exchange) {
         loop.after(base::milliseconds(answered == 0 ? 300 : 0), [&, exchange] {
