Try sound prompt parts again that were lost with a fatal request

A part that is shared by other prompts was there at two of them, under different requests, and was quarantined at 8.155 s, a second one at 9.656 s; the fatal request only at 10.157 s. No request with either part was sent any more.

Cause: copies that were in flight at several engines at once count as one crash, since a host may have been lost; a part under different requests has two by then. A part that was lost with another quarantined part was tried again, but not one that was lost with a request, and the counted crashes were compared, not what was in flight.

Fix: a quarantined part may be tried, one request at a time, if a quarantined part or request that the tried one lacks was in flight at each of its crashes. A response that survives lifts the quarantine at all entries, as ever; a crash keeps it.

'a part that was always lost with a request that is quarantined is tried' fails on the code before (quarantined in place of trial).

--- a/src/quarantine/prompt_part_tests.cpp
+++ b/src/quarantine/prompt_part_tests.cpp
@@ -173,6 +173,37 @@
     }
 }
 
+// Guards against refusing all requests with a sound part for the whole quarantine, since several
+// copies of a fatal request crashed upstreams at once while different requests with it were there.
+TEST_CASE("a part that was always lost with a request that is quarantined is tried",
+          "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"fatal", {}}, {"r1", {"sound"}}});
+    node.crash("i-2", 130, {{"fatal", {}}, {"r2", {}}});
+    node.crash("i-3", 165, {{"fatal", {}}, {"r3", {"sound"}}});
+    CHECK(node.decide(320) == 1);
+    CHECK(node.judge({"sound"}, 330) == verdict::quarantined);
+    node.crash("i-4", 1600, {{"fatal", {}}});
+    node.crash("i-5", 1700, {{"fatal", {}}});
+    CHECK(node.decide(1860) == 1);
+    CHECK(node.judge({"sound"}, 1870) == verdict::trial);
+
+    SECTION("until an upstream survives it") {
+        node.survive("sound", 2000);
+        CHECK(node.judge({"sound"}, 2010) == verdict::allowed);
+    }
+    SECTION("or crashes under it") {
+        node.crash("i-6", 2000, {{"r4", {"sound"}}});
+        CHECK(node.judge({"sound"}, 2010) == verdict::quarantined);
+    }
+    SECTION("but not by the request itself") {
+        const quarantine::request_suspects repeated{
+            quarantine::identify({"/desk", "north", "fatal"}).digest, {part("sound").digest}};
+        CHECK(quarantine::evaluate(node.state, repeated, at(1870), rules).what ==
+              verdict::quarantined);
+    }
+}
+
 // Guards against two fatal parts that hide each other, since upstreams crash under one all the time
 // while the other is looked at.
 TEST_CASE("two parts that crash upstreams at the same time are both quarantined", "[quarantine]") {
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -175,14 +175,20 @@
     return evidence;
 }
 
-// Whether a prompt part was in flight at each crash of a request, so that it accounts for them all.
+// Whether a suspect was in flight at each crash of another one, so that it accounts for them all.
+// Its own counted crashes do not tell: copies that were in flight at several upstreams at once
+// count as one crash.
+bool accounts_for(const quarantine& state, const suspect& cause, const suspect& other) {
+    return std::all_of(other.crashes.begin(), other.crashes.end(), [&](const auto& each) {
+        const auto known = state.crashes.find(each.upstream);
+        return known != state.crashes.end() &&
+               known->second.in_flight.count(cause.request.digest) > 0;
+    });
+}
+
 bool accounts_for_request(const quarantine& state, const suspect& part, const suspect& request) {
     return is_prompt_part(part.request.digest) && !is_prompt_part(request.request.digest) &&
-           std::all_of(request.crashes.begin(), request.crashes.end(), [&](const auto& each) {
-               const auto known = state.crashes.find(each.upstream);
-               return known != state.crashes.end() &&
-                      known->second.in_flight.count(part.request.digest) > 0;
-           });
+           accounts_for(state, part, request);
 }
 
 // Whether another suspect was in flight at the same last crash and has at least as much evidence
@@ -227,14 +233,8 @@
     return std::find(all.begin(), all.end(), one) != all.end();
 }
 
-// Whether another suspect was in flight at each crash of the first one.
-bool shares_all_crashes(const suspect& first, const suspect& other) {
-    return std::all_of(first.crashes.begin(), first.crashes.end(),
-                       [&other](const auto& each) { return has_crash_on(other, each.upstream); });
-}
-
-// Whether a quarantined part was in flight only together with another quarantined part, which the
-// request lacks.
+// Whether another quarantined suspect, which the request lacks, accounts for all crashes of a
+// quarantined part.
 bool lacks_companion(const quarantine& state, const suspect& part, const request_suspects& request,
                      base::instant now) {
     if (part.crashes.empty()) {
@@ -244,9 +244,12 @@
     if (crash == state.crashes.end()) {
         return false;
     }
-    return is_due_to_part(state, crash->second, part, [&](const suspect& other) {
-        return is_quarantined(other, now) && shares_all_crashes(part, other) &&
-               !contains(request.parts, other.request.digest);
+    const auto& in_flight = crash->second.in_flight;
+    return std::any_of(in_flight.begin(), in_flight.end(), [&](const auto& digest) {
+        const auto found = state.suspects.find(digest);
+        return digest != part.request.digest && digest != request.request &&
+               !contains(request.parts, digest) && found != state.suspects.end() &&
+               is_quarantined(found->second, now) && accounts_for(state, found->second, part);
     });
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -184,8 +184,8 @@
                     const quarantine_rules& rules);
 
 // Evaluates a request together with the parts of its prompt; the strictest verdict counts. Where
-// several parts were quarantined because they were in flight together at all of their crashes, a
-// request that lacks one of them may run as a trial: it shows which of them is to blame.
+// another quarantined part or request was in flight at all crashes of a quarantined part, a request
+// that lacks it may run as a trial: it shows whether the part is to blame.
 evaluation evaluate(const quarantine& state, const request_suspects& request, base::instant now,
                     const quarantine_rules& rules);
 
