--- a/src/adapters/http_server_tests.cpp
+++ b/src/adapters/http_server_tests.cpp
@@ -41,14 +41,6 @@
     exchange->reply(200, {}, "");
 }
 
-std::string repeat(const std::string& bytes, std::size_t at_least) {
-    std::string all;
-    while (all.size() < at_least) {
-        all += bytes;
-    }
-    return all;
-}
-
 constexpr std::size_t block_bytes = 64U << 10U;
 const auto largest_request = static_cast<std::size_t>(2 * adapters::http_limits{}.max_body_bytes);
 // What the kernel holds on both sides of a connection.
@@ -89,7 +81,7 @@
 TEST_CASE("a request without end is given up by the server", "[adapters][endless]") {
     const auto request = GENERATE(from_range(endless_requests()));
     CAPTURE(request.name);
-    const std::string block = repeat(request.repeated, block_bytes);
+    std::string block = tests::repeat(request.repeated, block_bytes);
     const auto sent = send_until_closed({}, request.begin, [&] { return block; });
     REQUIRE(sent);
     CHECK(*sent <= largest_request + socket_buffers);
@@ -101,7 +93,7 @@
           "[adapters][endless]") {
     bool gone = false;
     adapters::exchange_ptr held;
-    const std::string block = repeat(letters, block_bytes);
+    std::string block = tests::repeat(letters, block_bytes);
     const auto sent = send_until_closed(
         {}, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", [&] { return block; },
         [&](const adapters::exchange_ptr& exchange) {
--- a/src/proxy/endless_request_tests.cpp
+++ b/src/proxy/endless_request_tests.cpp
@@ -1,4 +1,5 @@
 #include "proxy_world.h"
+#include "raw_client.h"
 
 #include <catch2/catch.hpp>
 
@@ -32,14 +33,6 @@
             {"a body in chunks", chunked, "5\r\nxxxxx\r\n", 413}};
 }
 
-std::string repeat(const std::string& bytes, std::size_t at_least) {
-    std::string all;
-    while (all.size() < at_least) {
-        all += bytes;
-    }
-    return all;
-}
-
 // A client that goes on sending until its connection ends.
 struct endless_client {
     tests::proxy_world world;
@@ -63,7 +56,7 @@
     const auto request = GENERATE(from_range(endless_requests()));
     CAPTURE(request.name);
     endless_client client;
-    client.send(request.begin, repeat(request.repeated, 64U << 10U));
+    client.send(request.begin, tests::repeat(request.repeated, 64U << 10U));
     const auto& seen = client.world.seen_by(0);
     CHECK(client.world.callers_port().open_connections() == 0);
     REQUIRE(seen.heads.size() == 1);
@@ -95,12 +88,12 @@
 
 TEST_CASE("a client that goes on sending after its refusal is cut off", "[proxy][endless]") {
     endless_client client;
-    client.world.connect_at_once(repeat(letters, 64U << 10U));
+    client.world.connect_at_once(tests::repeat(letters, 64U << 10U));
     client.world.let_callers_read(false);
     REQUIRE(client.world.run_until(
         [&] { return client.world.callers_port().open_connections() == 1; }));
     client.world.run_until([&] {
-        client.sent += client.world.send_at_once(0, repeat(letters, 64U << 10U));
+        client.sent += client.world.send_at_once(0, tests::repeat(letters, 64U << 10U));
         return client.world.callers_port().open_connections() == 0;
     });
     CHECK(client.world.callers_port().open_connections() == 0);
@@ -112,7 +105,7 @@
         return tests::engine_script{
             {tests::engine_step::kind::send, tests::answer(got.field("Request-Id"), "done")}};
     });
-    client.send(tests::request("once", "r1"), repeat(letters, 64U << 10U));
+    client.send(tests::request("once", "r1"), tests::repeat(letters, 64U << 10U));
     const auto& seen = client.world.seen_by(0);
     CHECK(client.world.callers_port().open_connections() == 0);
     REQUIRE(seen.heads.size() == 2);
--- a/tests/raw_client.cpp
+++ b/tests/raw_client.cpp
@@ -29,4 +29,12 @@
     return errno == EAGAIN ? std::optional<std::size_t>(0) : std::nullopt;
 }
 
+std::string repeat(const std::string& bytes, std::size_t at_least) {
+    std::string all;
+    while (all.size() < at_least) {
+        all += bytes;
+    }
+    return all;
+}
+
 } // namespace camphorrail::tests
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -14,4 +14,7 @@
 // has ended.
 std::optional<std::size_t> send_some(int descriptor, const std::string& bytes);
 
+// The bytes one after the other, until there are at least so many.
+std::string repeat(const std::string& bytes, std::size_t at_least);
+
 } // namespace camphorrail::tests
