Test clients that send more than a process can hold, at each listener

Callers saw nothing of it at first: clients that send many large bodies at once, most of them stopping just short of the end, made a process use more memory than its machine has, and the platform ended it.

The tests start real processes on loopback and put a crowd of clients at one listener: bodies of legal length whole and by pieces, in large and tiny chunks, far over the limit announced and sent, heads of many fields, pipelined requests whose responses are not read, nested JSON, and messages on links that do not end. They check that the process lives, that its memory together with what the kernel holds unread stays within 88 MB, that descriptors stay under a bound and come back, that an ordinary request is answered, and that a single body of 4 MiB is served afterwards. The crowds (96 clients; 480 for heads, 8 for JSON) and the bounds are fixed here, on the code before any change. 88 MB is the smallest machine of an entry; for the agent beside an upstream 192 MB holds while its entry is crowded.

--- /dev/null
+++ b/tests/crowd/load_kinds.cpp
@@ -0,0 +1,140 @@
+#include "crowd/load_kinds.h"
+
+#include <functional>
+#include <map>
+
+namespace camphorrail::crowd {
+
+namespace {
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t megabyte = 1024 * kilobyte;
+// The largest body that clients may send.
+constexpr std::size_t legal_body = 4 * megabyte;
+constexpr std::size_t piece = 16 * kilobyte;
+constexpr std::size_t burst = megabyte;
+
+std::string post(const request_target& target, const std::string& framing) {
+    return "POST " + target.path + " HTTP/1.1\r\n" + target.fields + framing + "\r\n";
+}
+
+std::string with_length(const request_target& target, const std::string& length) {
+    return post(target, "Content-Length: " + length + "\r\n");
+}
+
+std::string in_chunks(const request_target& target) {
+    return post(target, "Transfer-Encoding: chunked\r\n");
+}
+
+const std::string letters(piece, 'x');
+const std::string large_chunk = "10000\r\n" + std::string(64 * kilobyte, 'x') + "\r\n";
+const std::string last_chunk = "0\r\n\r\n";
+
+client_load legal_length(const request_target& target, std::size_t turn_bytes) {
+    return {with_length(target, std::to_string(legal_body)), letters, legal_body / letters.size(),
+            "", turn_bytes};
+}
+
+client_load whole_bodies(const request_target& target) {
+    auto load = legal_length(target, burst);
+    load.completing = 1;
+    return load;
+}
+
+client_load large_chunks(const request_target& target) {
+    return {in_chunks(target), large_chunk, legal_body / (64 * kilobyte), last_chunk, burst};
+}
+
+client_load tiny_chunks(const request_target& target) {
+    std::string block;
+    while (block.size() < piece) {
+        block += "1\r\nx\r\n";
+    }
+    return {in_chunks(target), block, without_end, "", burst};
+}
+
+client_load announced_length(const request_target& target) {
+    return {with_length(target, std::to_string(40 * kilobyte * megabyte)), letters, without_end, "",
+            burst};
+}
+
+client_load announced_chunk(const request_target& target) {
+    return {in_chunks(target) + "40000000\r\n", letters, without_end, "", burst};
+}
+
+client_load endless_chunks(const request_target& target) {
+    return {in_chunks(target), large_chunk, without_end, "", burst};
+}
+
+// A head of nearly 16 KB, and a body that does not come.
+client_load many_fields(const request_target& target) {
+    std::string fields;
+    while (fields.size() < 15 * kilobyte) {
+        fields += "a:b\r\n";
+    }
+    auto load = with_length({target.path, target.fields + fields}, "100");
+    return {load, letters.substr(0, 100), 1, "", burst};
+}
+
+// Requests that are refused, one behind the other, whose responses nobody reads.
+client_load unread_responses(const request_target& /*target*/) {
+    std::string block;
+    while (block.size() < piece) {
+        block += "GET /nowhere HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    }
+    return {"", block, without_end, "", 4 * piece, 1, false};
+}
+
+// Requests with a legal body of JSON in which objects hold one another.
+client_load nested_json(const request_target& target) {
+    const std::string begin = R"({"model":"desk-8b","prompt":"x","a":)";
+    const std::string open = R"({"a":)";
+    const std::size_t depth = legal_body / (open.size() + 1) - piece;
+    std::string body = begin;
+    for (std::size_t level = 0; level < depth; ++level) {
+        body += open;
+    }
+    body += "1" + std::string(depth, '}') + "}";
+    return {with_length(target, std::to_string(body.size())), body, 1, "", burst, 1};
+}
+
+// A message of 8,000,000 bytes on a link between two of our processes, which does not end.
+client_load link_messages(const request_target& /*target*/) {
+    const std::string handshake =
+        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    // The head of a binary frame with a length of eight bytes, masked with zeros.
+    const std::string frame("\x82\xff\x00\x00\x00\x00\x00\x7a\x12\x00\x00\x00\x00\x00", 14);
+    return {handshake + frame, letters, 7 * megabyte / letters.size(), "", burst};
+}
+
+using make_load = std::function<client_load(const request_target&)>;
+
+const std::map<std::string, make_load>& all_loads() {
+    static const std::map<std::string, make_load> loads{
+        {"length_burst", [](const auto& target) { return legal_length(target, burst); }},
+        {"length_pieces", [](const auto& target) { return legal_length(target, piece); }},
+        {"whole_bodies", whole_bodies},
+        {"large_chunks", large_chunks},
+        {"tiny_chunks", tiny_chunks},
+        {"announced_length", announced_length},
+        {"announced_chunk", announced_chunk},
+        {"endless_chunks", endless_chunks},
+        {"many_fields", many_fields},
+        {"unread_responses", unread_responses},
+        {"nested_json", nested_json},
+        {"link_messages", link_messages}};
+    return loads;
+}
+
+} // namespace
+
+std::optional<client_load> find_load(const std::string& name, const request_target& target) {
+    const auto found = all_loads().find(name);
+    if (found == all_loads().end()) {
+        return std::nullopt;
+    }
+    return found->second(target);
+}
+
+} // namespace camphorrail::crowd
--- /dev/null
+++ b/tests/process/crowd.sh
@@ -0,0 +1,108 @@
+#!/bin/sh
+# Guards against clients that make a process use more memory than its machine has, or keep its descriptors:
+#   crowd.sh BIN ROLE LISTENER LOAD
+. "$(dirname "$0")/lib.sh"
+ROLE=$2
+LISTENER=$3
+LOAD=$4
+
+# The smallest machine that entries run on.
+MEMORY_MB=88
+case "$LOAD" in
+many_fields) CLIENTS=480 ;;
+nested_json) CLIENTS=8 ;;
+*) CLIENTS=96 ;;
+esac
+# The smallest machine that upstreams, and agents beside them, run on.
+UPSTREAM_MEMORY_MB=192
+# For connections to other processes, and for those that the kernel has not told of yet.
+OTHER_DESCRIPTORS=64
+LARGE_BODY=$OUT/large_body
+
+start_proxy_with_engines() {
+    PROXY_BOUNDS="limits:
+  memory_mb: $MEMORY_MB"
+    start_store
+    put_config 3
+    start_platform_engine slots-1 1 slots
+    start_platform_engine pool-1 2 pool --events=3
+    start_proxy entry-1 0
+    wait_for ready "$(proxy_operators_of 0)"
+    PID=$PID_proxy_entry_1
+    base=$((PORT_BASE + 20))
+    case "$LISTENER" in
+    clients) ADDRESS=127.0.0.1:$base ;;
+    operators) ADDRESS=127.0.0.1:$((base + 1)) ;;
+    balancer) ADDRESS=127.0.0.1:$((base + 2)) ;;
+    entries) ADDRESS=127.0.0.1:$((base + 3)) ;;
+    esac
+    REQUEST_PATH=/status/x
+}
+
+start_entry_with_agent() {
+    start_kv
+    start_service slots-1 1
+    start_agent slots-1 1
+    start_entry entry-1 0
+    add_team
+    add_slots 1
+    wait_for confirmed 0
+    case "$ROLE-$LISTENER" in
+    entry-clients) ADDRESS=$(entry_of 0) ;;
+    entry-operators) ADDRESS=$(entry_operators_of 0) ;;
+    agent-entries) ADDRESS=$(link_of 1) ;;
+    agent-operators) ADDRESS=$(agent_operators_of 1) ;;
+    esac
+    PID=$PID_entry_entry_1
+    [ "$ROLE" = agent ] && PID=$PID_agent_slots_1
+    REQUEST_PATH=/services/slots/confirm
+    [ "$LOAD" = nested_json ] && REQUEST_PATH=/v1/completions
+    return 0
+}
+
+# status_of REQUEST-ID BODY: the status that an ordinary client gets from the process, or through it.
+status_of() {
+    if [ "$ROLE" = proxy ]; then
+        curl -s -m 20 -o /dev/null -w '%{http_code}' "http://$(proxy_of 0)/status/x" -H "Host: desk.example" \
+            -H "Authorization: Bearer $TEAM_KEY" -H "Request-Id: $1" -H "Expect:" --data-binary "$2" || true
+    else
+        curl -s -m 20 -o /dev/null -w '%{http_code}' "http://$(entry_of 0)/services/slots/confirm" \
+            -H "Authorization: Bearer $TEAM_KEY" -H "Idempotency-Key: $1" -H "Expect:" --data-binary "$2" || true
+    fi
+}
+# answered BODY: whether an ordinary request with this body is answered now.
+answered() {
+    answered_tries=$((${answered_tries:-0} + 1))
+    [ "$(status_of "ordinary-$answered_tries-$$" "$1")" = 200 ]
+}
+operators_answer() { http_get "$1/healthz" | grep -q ok; }
+
+descriptors() { find "/proc/$PID/fd" -mindepth 1 | wc -l; }
+few_descriptors() { [ "$(descriptors)" -le $((before + OTHER_DESCRIPTORS)) ]; }
+
+if [ "$ROLE" = proxy ]; then start_proxy_with_engines; else start_entry_with_agent; fi
+head -c 4194304 /dev/zero | tr '\0' 'x' >"$LARGE_BODY"
+wait_for answered '{"slot":17}'
+before=$(descriptors)
+
+"$BIN/camphorrail_crowd" "--address=$ADDRESS" "--pid=$PID" "--load=$LOAD" "--clients=$CLIENTS" \
+    "--path=$REQUEST_PATH" "--field=Host: desk.example" "--field=Authorization: Bearer $TEAM_KEY" \
+    "--field=Request-Id: crowd-{number}" "--field=Idempotency-Key: crowd-{number}" >"$OUT/crowd.txt"
+cat "$OUT/crowd.txt"
+value_of() { grep -o "$1=[0-9]*" "$OUT/crowd.txt" | cut -d= -f2; }
+
+kill -0 "$PID" 2>/dev/null || fail "the process has ended"
+[ "$(value_of memory_kb)" -le $((1024 * MEMORY_MB)) ] ||
+    fail "the process has used $(value_of memory_kb) KB of $MEMORY_MB MB"
+if [ "$ROLE" = entry ]; then
+    agent_kb=$(grep VmHWM "/proc/$PID_agent_slots_1/status" | grep -o '[0-9]*')
+    [ "$agent_kb" -le $((1024 * UPSTREAM_MEMORY_MB)) ] ||
+        fail "the agent has used $agent_kb KB of $UPSTREAM_MEMORY_MB MB"
+fi
+[ "$(value_of descriptors)" -le $((before + CLIENTS + OTHER_DESCRIPTORS)) ] ||
+    fail "$(value_of descriptors) descriptors were open, $before before"
+wait_for answered '{"slot":17}' || fail "an ordinary request is not answered"
+wait_for operators_answer "$([ "$ROLE" = proxy ] && proxy_operators_of 0 || entry_operators_of 0)"
+wait_for few_descriptors || fail "$(descriptors) descriptors are still open, $before before"
+wait_for answered "@$LARGE_BODY" || fail "a single large body is not served"
+kill -0 "$PID" 2>/dev/null || fail "the process has ended"
