--- a/src/proxy/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -1,7 +1,8 @@
-#include "proxy/frontend_server.h"
+#include "adapters/frontend_server.h"
 
 #include "adapters/sockets.h"
 #include "adapters/timer.h"
+#include "buffers/memory_plan.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -15,7 +16,7 @@
 #include <sys/socket.h>
 #include <utility>
 
-namespace camphorrail::proxy {
+namespace camphorrail::adapters {
 
 namespace {
 
@@ -23,10 +24,12 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
-constexpr int listen_backlog = 1024;
-// Bytes of the next request that are read while a response is in progress. Reading continues so
-// that a client that disconnects is noticed.
-constexpr std::size_t read_ahead_bytes = 64U << 10U;
+// Bytes that are read beyond a head of the largest size, such as the line of a chunk. As many of
+// the next request are read while a response is in progress, so that a client that disconnects is
+// noticed.
+constexpr std::size_t read_ahead_bytes = 8U << 10U;
+// A client that leaves more than this of its responses unread has its next request read later.
+constexpr std::size_t max_unread_responses = 64U << 10U;
 // Time for which the connection is kept after its final response, and read unless it was idle.
 // Closing a socket with unread bytes resets the connection, and the client could lose the response.
 constexpr base::milliseconds linger_time{1000};
@@ -34,15 +37,21 @@
 // that was refused.
 constexpr base::milliseconds max_drain_time{5000};
 constexpr std::size_t max_drained_bytes = 8U << 20U;
+// Connections whose request was refused before it was complete are kept for their refusal to be
+// read, but only so many: their clients may send on, and connect again.
+constexpr std::size_t max_refused_connections = 16;
 // Empty lines that are accepted in front of a request, in bytes.
 constexpr std::size_t max_blank_bytes = 8;
 // Keepalive settings for clients, whose links may be slow. A client that exceeds these limits is
 // considered gone.
-constexpr adapters::silence_limits client_keepalive{base::milliseconds(8000), base::seconds(3), 3};
+constexpr silence_limits client_keepalive{base::milliseconds(8000), base::seconds(3), 3};
 
 // A connection that was accepted or answered more recently than this is not closed as idle, since
 // the client is likely to use it.
 constexpr base::milliseconds min_idle_time{200};
+// Connections accepted before the others are served again. Otherwise clients that connect anew as
+// soon as they are refused use up the descriptors faster than ended connections are closed.
+constexpr std::size_t max_accepts_per_turn = 16;
 // While accepting is paused, idle connections are searched for at this interval.
 constexpr base::milliseconds accept_retry_period{20};
 // One in this many connections is kept free for new clients.
@@ -75,7 +84,7 @@
           reader(this->limits.read),
           next_request_timer(server.base, [this] { this->read_request(); }),
           linger_timer(server.base, [this] { this->close(); }) {
-        adapters::watch_for_silence(descriptor, client_keepalive);
+        watch_for_silence(descriptor, client_keepalive);
         this->socket = bufferevent_socket_new(server.base, descriptor, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(this->socket, on_read, on_write, on_event, this);
         this->wait_for_request();
@@ -109,10 +118,10 @@
         this->end_exchange(keep);
     }
 
-    void start(int status, const http::fields& fields) {
-        this->chunked = this->exchange->head.chunks_allowed;
+    void start(int status, const http::fields& fields, response_end end) {
+        this->chunked = this->exchange->head.chunks_allowed && end == response_end::marked;
         this->keep_alive_after = this->keep_alive() && this->chunked;
-        if (!this->chunked) {
+        if (!this->chunked && end == response_end::marked) {
             // The response ends with its connection, which the kernel would end in an orderly way
             // if this process were killed before the response is complete.
             this->set_reset_on_close(true);
@@ -154,8 +163,19 @@
         const std::size_t input =
             this->socket == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(this->socket));
         const bool has_head = this->reading && this->reader.has_head();
-        return {this->reader.body_size() + input, this->unsent(), this->reading,
-                has_head ? &this->reader.head() : nullptr};
+        connection_buffers now;
+        now.received = this->reader.memory() + input;
+        now.unsent = this->unsent();
+        now.is_receiving = this->reading;
+        if (has_head) {
+            now.announced = this->reader.announced_bytes();
+            now.head = &this->reader.head();
+        }
+        now.silent = this->server->callbacks.now() - this->last_received;
+        return now;
+    }
+    [[nodiscard]] bool stalled(base::instant now) const {
+        return this->reading && now - this->last_received >= buffers::stall_time;
     }
 
     // Refuses a request that is still being received. What follows of it is read and dropped.
@@ -167,6 +187,7 @@
             http::write_response_head(status, fields, {http::framing::length, body.size()}, false));
         this->write(body);
         this->end_exchange(false);
+        this->server->keep_refused(this->number);
     }
 
     // Stops reading requests and closes the connection once all output is sent: a response may be
@@ -210,6 +231,13 @@
                                        : evbuffer_get_length(bufferevent_get_output(this->socket));
     }
 
+    void refuse(int status) {
+        const auto& callbacks = this->server->callbacks;
+        callbacks.on_refused(status);
+        const auto text = callbacks.make_refusal ? callbacks.make_refusal(status) : refusal{};
+        this->refuse(status, text.fields, text.body);
+    }
+
     void close() {
         const auto self = this->shared_from_this();
         this->server->closing_count -=
@@ -302,10 +330,14 @@
     }
 
     void set_read_timeout(base::milliseconds limit) {
-        const timeval wait = adapters::to_timeval(limit);
+        const timeval wait = to_timeval(limit);
         bufferevent_set_timeouts(this->socket, limit.count() == 0 ? nullptr : &wait, nullptr);
     }
 
+    [[nodiscard]] std::size_t max_input_bytes() const {
+        return this->limits.read.head_bytes + read_ahead_bytes;
+    }
+
     void wait_for_request() {
         this->reading = false;
         this->remove_from_idle();
@@ -316,11 +348,16 @@
         this->reader = http::request_reader(this->limits.read);
         this->blank_bytes = 0;
         this->set_read_timeout(this->limits.idle_timeout);
-        bufferevent_setwatermark(this->socket, EV_READ, 0, 0);
+        bufferevent_setwatermark(this->socket, EV_READ, 0, this->max_input_bytes());
     }
 
     void read_request() {
-        if (this->socket == nullptr || this->exchange != nullptr) {
+        if (this->socket == nullptr) {
+            return;
+        }
+        this->last_received = this->server->callbacks.now();
+        if (this->exchange != nullptr) {
+            this->report_received();
             return;
         }
         evbuffer* input = bufferevent_get_input(this->socket);
@@ -328,6 +365,9 @@
             this->drop_late_input(input);
             return;
         }
+        if (!this->reading && this->unsent() > max_unread_responses) {
+            return;
+        }
         if (!this->skip_blank_lines(input)) {
             this->refuse(status_bad_request);
             return;
@@ -338,7 +378,7 @@
         }
         this->begin_reading();
         evbuffer_drain(input, this->reader.feed(contents(input)));
-        const base::micros taken = this->server->callbacks.now() - this->request_start;
+        const base::micros taken = this->last_received - this->request_start;
         if (this->reader.fault() != http::read_fault::none) {
             this->refuse(status_of(this->reader.fault()));
         } else if (this->reader.complete()) {
@@ -347,9 +387,15 @@
                    (!this->reader.has_head() && taken > this->limits.head_timeout)) {
             this->refuse(status_timeout);
         } else if (this->reader.has_head()) {
-            this->send_continue();
+            this->on_head_received();
         }
-        if (this->reading && this->server->callbacks.on_received) {
+        if (this->reading) {
+            this->report_received();
+        }
+    }
+
+    void report_received() {
+        if (this->server->callbacks.on_received) {
             this->server->callbacks.on_received(this->number);
         }
     }
@@ -398,39 +444,36 @@
         }
         this->remove_from_idle();
         this->reading = true;
-        this->continue_checked = false;
-        this->request_start = this->server->callbacks.now();
+        this->head_reported = false;
+        this->request_start = this->last_received;
         this->set_read_timeout(this->limits.head_timeout);
     }
 
-    void send_continue() {
-        if (this->continue_checked) {
+    void on_head_received() {
+        if (std::exchange(this->head_reported, true)) {
             return;
         }
-        this->continue_checked = true;
-        if (http::same_name(http::value_of(this->reader.head().all, "Expect"), "100-continue")) {
+        if (this->server->callbacks.on_head) {
+            this->server->callbacks.on_head(this->number);
+        }
+        if (this->reading &&
+            http::same_name(http::value_of(this->reader.head().all, "Expect"), "100-continue")) {
             this->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
 
     void begin_exchange() {
         this->set_read_timeout(base::milliseconds(0));
-        bufferevent_setwatermark(this->socket, EV_READ, 0, read_ahead_bytes);
         this->reading = false;
+        const std::size_t head_memory = this->reader.head_memory();
         this->exchange = std::make_shared<client_exchange>(
             this->weak_from_this(), this->number, std::move(this->reader.head()),
             this->reader.take_body(), this->request_start);
+        this->exchange->head_memory = head_memory;
         const auto held = this->exchange;
         this->server->callbacks.on_request(held);
     }
 
-    void refuse(int status) {
-        this->server->callbacks.on_refused(status);
-        this->late_input_is_known = true;
-        this->write(http::write_response_head(status, {}, {http::framing::length, 0}, false));
-        this->end_exchange(false);
-    }
-
     void end_exchange(bool keep) {
         this->exchange.reset();
         if (this->socket == nullptr) {
@@ -461,6 +504,11 @@
             held->drained.emit();
             return;
         }
+        if (!this->final_response_written && this->socket != nullptr &&
+            evbuffer_get_length(bufferevent_get_input(this->socket)) > 0) {
+            // The next request may have waited for this.
+            this->next_request_timer.set(base::micros(0));
+        }
         if (this->final_response_written && this->socket != nullptr) {
             shutdown(bufferevent_getfd(this->socket), SHUT_WR);
             this->linger();
@@ -481,13 +529,14 @@
     bufferevent* socket = nullptr;
     client_limits limits;
     http::request_reader reader;
-    adapters::timer next_request_timer;
+    timer next_request_timer;
     // Ends a connection that is not read any more and that its client has not closed.
-    adapters::timer linger_timer;
+    timer linger_timer;
     // Waits for the client to close it.
     event* end_watch = nullptr;
-    exchange_ptr exchange;
+    client_exchange_ptr exchange;
     base::instant request_start{};
+    base::instant last_received{};
     base::instant idle_start{};
     // Key in the server's idle list; 0 if the connection is not idle.
     std::int64_t idle_key = 0;
@@ -498,7 +547,7 @@
     std::size_t drained_bytes = 0;
     // A request has been received in part.
     bool reading = false;
-    bool continue_checked = false;
+    bool head_reported = false;
     bool chunked = true;
     bool keep_alive_after = true;
     // The final response on this connection has been written.
@@ -528,9 +577,9 @@
     }
 }
 
-void client_exchange::start(int status, const http::fields& fields) {
+void client_exchange::start(int status, const http::fields& fields, response_end end) {
     if (const auto held = this->connection.lock(); held != nullptr && held->is_open()) {
-        held->start(status, fields);
+        held->start(status, fields, end);
     }
 }
 
@@ -558,6 +607,12 @@
     }
 }
 
+void client_exchange::close() {
+    if (const auto held = this->connection.lock()) {
+        held->close();
+    }
+}
+
 std::size_t client_exchange::unsent() const {
     const auto held = this->connection.lock();
     return held == nullptr ? 0 : held->unsent();
@@ -565,7 +620,8 @@
 
 frontend_server::frontend_server(event_base* base, frontend_callbacks callbacks)
     : base(base), callbacks(std::move(callbacks)),
-      accept_retry_timer(base, [this] { this->retry_accepting(); }) {}
+      accept_retry_timer(base, [this] { this->retry_accepting(); }),
+      accept_turn_timer(base, [this] { this->continue_accepting(); }) {}
 
 frontend_server::~frontend_server() {
     if (this->listener != nullptr) {
@@ -574,7 +630,7 @@
 }
 
 bool frontend_server::listen(const std::string& address) {
-    auto parsed = adapters::parse_address(address);
+    auto parsed = parse_address(address);
     if (!parsed) {
         return false;
     }
@@ -583,11 +639,14 @@
         [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* raw) {
             static_cast<frontend_server*>(raw)->accept(descriptor);
         },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, buffers::listen_backlog,
         reinterpret_cast<sockaddr*>(&*parsed), sizeof *parsed);
     if (this->listener == nullptr) {
         return false;
     }
+    const int receive_buffer = buffers::receive_buffer_bytes;
+    setsockopt(evconnlistener_get_fd(this->listener), SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof receive_buffer);
     evconnlistener_set_error_cb(this->listener, [](evconnlistener*, void* raw) {
         static_cast<frontend_server*>(raw)->accept_failed();
     });
@@ -606,6 +665,16 @@
     this->close_idle_connections();
     if (this->connections.size() >= this->connection_limit) {
         this->pause_accepting();
+    } else if (++this->accepts_this_turn >= max_accepts_per_turn && this->listener != nullptr) {
+        evconnlistener_disable(this->listener);
+        this->accept_turn_timer.set(base::micros(0));
+    }
+}
+
+void frontend_server::continue_accepting() {
+    this->accepts_this_turn = 0;
+    if (!this->is_paused && this->listener != nullptr) {
+        evconnlistener_enable(this->listener);
     }
 }
 
@@ -625,11 +694,22 @@
 
 void frontend_server::remove(std::int64_t number) {
     this->connections.erase(number);
+    this->refused.erase(number);
     if (this->is_paused && this->connections.size() < this->connection_limit) {
         this->resume_accepting();
     }
 }
 
+void frontend_server::keep_refused(std::int64_t number) {
+    if (this->connections.count(number) == 0) {
+        return;
+    }
+    this->refused.insert(number);
+    if (this->refused.size() > max_refused_connections) {
+        this->reset(*this->refused.begin());
+    }
+}
+
 void frontend_server::close_idle_connections() {
     const base::instant now = this->callbacks.now();
     const std::size_t spare =
@@ -649,11 +729,22 @@
     }
 }
 
+void frontend_server::refuse_stalled_requests() {
+    const base::instant now = this->callbacks.now();
+    const auto connections_copy = this->connections;
+    for (const auto& [number, connection] : connections_copy) {
+        if (connection->stalled(now)) {
+            connection->refuse(status_timeout);
+        }
+    }
+}
+
 void frontend_server::retry_accepting() {
     if (!this->is_paused) {
         return;
     }
     this->close_idle_connections();
+    this->refuse_stalled_requests();
     if (this->connections.size() < this->connection_limit) {
         this->resume_accepting();
         return;
@@ -767,4 +858,4 @@
     return bytes;
 }
 
-} // namespace camphorrail::proxy
+} // namespace camphorrail::adapters
--- a/src/proxy/frontend_server.h
+++ b/src/adapters/frontend_server.h
@@ -11,15 +11,20 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 struct event_base;
 struct evconnlistener;
 
-namespace camphorrail::proxy {
+namespace camphorrail::adapters {
 
 class client_connection;
 
+// How the client of a response that is sent in pieces learns that it is complete: by its last chunk
+// if the client takes chunks, or by the end of its connection.
+enum class response_end { marked, close };
+
 // One client request and its response. The object may outlive the client's connection; whatever is
 // sent after the client has disconnected is dropped.
 class client_exchange {
@@ -32,12 +37,14 @@
     base::instant arrived;
     // Identifies the client's connection among those of the server.
     std::int64_t connection_number;
+    // Memory that the head takes up, in bytes.
+    std::size_t head_memory = 0;
 
     [[nodiscard]] bool is_open() const;
     // Sends a complete response.
     void respond(int status, const http::fields& fields, const std::string& body);
     // Sends a response in pieces: `start`, any number of `send`, `finish`.
-    void start(int status, const http::fields& fields);
+    void start(int status, const http::fields& fields, response_end end = response_end::marked);
     void send(const std::string& bytes);
     void finish();
     // Breaks the connection during a response that cannot be completed, so that the client cannot
@@ -45,6 +52,8 @@
     void abort();
     // The same at once: what the client has not received yet is dropped, which frees its memory.
     void reset();
+    // Closes the connection at once, in an orderly way.
+    void close();
     // Bytes of the response that the kernel has not accepted yet, which shows how far the client
     // lags in reading.
     [[nodiscard]] std::size_t unsent() const;
@@ -58,7 +67,7 @@
     std::weak_ptr<client_connection> connection;
 };
 
-using exchange_ptr = std::shared_ptr<client_exchange>;
+using client_exchange_ptr = std::shared_ptr<client_exchange>;
 
 // Limits on the size of a request, and on how long the client may take to send it.
 struct client_limits {
@@ -93,27 +102,43 @@
     std::size_t busy = 0;
 };
 
+// The fields and the body of the response to a request that is refused.
+struct refusal {
+    http::fields fields;
+    std::string body;
+};
+
 // Callbacks into the owner of the server.
 struct frontend_callbacks {
-    std::function<void(const exchange_ptr&)> on_request;
+    std::function<void(const client_exchange_ptr&)> on_request;
     std::function<client_limits()> limits;
     std::function<base::instant()> now;
     // A request was refused with this status before it was received completely.
     std::function<void(int status)> on_refused;
-    // More of a request was received; may be empty.
+    // More of a request was received, also behind one that awaits its response; may be empty.
     std::function<void(std::int64_t connection)> on_received = {};
     // May be empty.
     std::function<void(const late_input&)> on_late_input = {};
+    // The head of a request was received and not yet all of its body; may be empty. The request may
+    // be refused then, before its client is asked to go on.
+    std::function<void(std::int64_t connection)> on_head = {};
+    // What a request that the server refuses is answered with; may be empty.
+    std::function<refusal(int status)> make_refusal = {};
 };
 
 // What a client's connection buffers, in bytes.
 struct connection_buffers {
-    // The request that is being received, and what was received after it.
+    // The request that is being received, and what was received after it. Counted is the memory
+    // that it takes up.
     std::size_t received = 0;
+    // What is to come of the request's body, if its head states that.
+    std::size_t announced = 0;
     // Responses that the kernel has not accepted yet.
     std::size_t unsent = 0;
     // A request has been received in part and no response to it has begun.
     bool is_receiving = false;
+    // Time since the last byte was received.
+    base::micros silent{0};
     // The head of that request; null before it is received completely.
     const http::request_head* head = nullptr;
 };
@@ -152,7 +177,8 @@
     void reset(std::int64_t connection);
     [[nodiscard]] std::size_t open_connections() const { return this->connections.size(); }
     // Limits the number of open connections. The connections that have been idle longest are closed
-    // to make room; if none is idle, accepting pauses until a connection is closed.
+    // to make room; if none is idle, accepting pauses until a connection is closed, and requests
+    // whose clients have stopped sending are refused.
     void limit_connections(std::size_t count);
     // The connection limit in force. It is lower than the configured one if the process ran out of
     // file descriptors earlier.
@@ -169,10 +195,13 @@
     void accept_failed();
     void accept_waiting();
     void remove(std::int64_t number);
+    void keep_refused(std::int64_t number);
     void close_idle_connections();
+    void refuse_stalled_requests();
     void retry_accepting();
     void pause_accepting();
     void resume_accepting();
+    void continue_accepting();
 
     event_base* base;
     frontend_callbacks callbacks;
@@ -185,8 +214,12 @@
     std::int64_t last_idle_key = 0;
     // Connections that the server has finished sending on, but that the client has not closed yet.
     std::size_t closing_count = 0;
+    // Those of them whose request was refused before it was complete.
+    std::set<std::int64_t> refused;
     std::size_t connection_limit = unbounded_connections;
-    adapters::timer accept_retry_timer;
+    timer accept_retry_timer;
+    timer accept_turn_timer;
+    std::size_t accepts_this_turn = 0;
     bool is_paused = false;
     std::int64_t pause_count = 0;
     std::int64_t idle_closed_count = 0;
@@ -194,4 +227,4 @@
     bool stopped = false;
 };
 
-} // namespace camphorrail::proxy
+} // namespace camphorrail::adapters
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -1,24 +1,19 @@
 #pragma once
 
+#include "adapters/client_memory.h"
+#include "adapters/frontend_server.h"
 #include "base/units.h"
+#include "buffers/memory_plan.h"
 #include "ports/upstream.h"
 
 #include <sigc++/sigc++.h>
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <optional>
 #include <string>
-#include <unordered_map>
-
-struct bufferevent;
-struct evbuffer;
-struct evbuffer_cb_info;
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_connection;
-struct evhttp_request;
+
 struct event_base;
 
 namespace camphorrail::adapters {
@@ -29,16 +24,24 @@
 // gone, everything sent to it is dropped.
 class http_exchange : public std::enable_shared_from_this<http_exchange> {
 public:
-    http_exchange(http_server& server, evhttp_request* request);
+    http_exchange(http_server& server, client_exchange_ptr request);
 
-    [[nodiscard]] const std::string& method() const { return this->request_method; }
+    [[nodiscard]] const std::string& method() const { return this->request->head.method; }
     // The path with its query.
-    [[nodiscard]] const std::string& target() const { return this->request_target; }
+    [[nodiscard]] const std::string& target() const { return this->request->head.target; }
     [[nodiscard]] const std::string& path() const { return this->request_path; }
     // A header's value; empty where there is none.
     [[nodiscard]] std::string header(const std::string& name) const;
-    [[nodiscard]] const std::string& body() const { return this->request_body; }
-    [[nodiscard]] bool open() const { return this->request != nullptr; }
+    [[nodiscard]] const std::string& body() const { return this->request->body; }
+    // The body, which the exchange does not hold any more.
+    std::string take_body() { return std::move(this->request->body); }
+    [[nodiscard]] bool open() const { return this->is_open; }
+
+    // Whether the request may make its process hold so many bytes more. If not, it is to be
+    // refused.
+    [[nodiscard]] bool may_hold(std::size_t bytes);
+    // Counts bytes that the request makes its process hold, beside its body and its answer.
+    void set_held(std::size_t bytes);
 
     // The whole answer at once.
     void reply(int status, const ports::headers& fields, const std::string& body);
@@ -61,19 +64,16 @@
 
 private:
     friend class http_server;
-    static void on_closed(evhttp_connection* connection, void* self);
-    static void on_drained(evhttp_connection* connection, void* self);
-    void add_headers(const ports::headers& fields);
+    void on_disconnected();
     void finish();
+    [[nodiscard]] buffers::holding measure() const;
 
     http_server* server;
-    evhttp_request* request;
-    bufferevent* socket;
-    std::string request_method;
-    std::string request_target;
+    client_exchange_ptr request;
     std::string request_path;
-    std::string request_body;
-    ports::headers request_headers;
+    std::size_t held_bytes = 0;
+    bool has_started = false;
+    bool is_open = true;
 };
 
 using exchange_ptr = std::shared_ptr<http_exchange>;
@@ -84,6 +84,9 @@
     int idle_timeout_s = 75;
     // From the first byte of a request to its last.
     base::milliseconds receive_timeout{60000};
+    // On what connections and requests hold together; no bounds by default.
+    buffers::budget memory{};
+    std::size_t max_connections = unbounded_connections;
 };
 
 // HTTP towards callers or operators.
@@ -99,34 +102,32 @@
     // Takes no more connections; answers under way go on.
     void stop_listening();
     [[nodiscard]] std::size_t open_exchanges() const { return this->exchanges.size(); }
+    [[nodiscard]] std::size_t open_connections() const { return this->frontend.open_connections(); }
+    // Bytes that connections and requests hold.
+    [[nodiscard]] std::int64_t held_bytes() const {
+        return buffers::total(this->memory.held().held);
+    }
+
+    // What a request that the server itself refuses is answered with, by its status; may be empty.
+    std::function<refusal(int status)> make_refusal;
+    // A connection or request gives up so many bytes, since too many are held; may be empty.
+    std::function<void(std::int64_t bytes)> on_yield;
 
 private:
     friend class http_exchange;
-    // What a connection receives.
-    struct reception {
-        http_server* server = nullptr;
-        // The request that was received awaits the end of its answer.
-        bool in_exchange = false;
-        // When the first byte of a request arrived that is not complete.
-        std::optional<base::instant> began_at;
-    };
-    using receptions = std::unordered_map<bufferevent*, reception>;
-
-    static void on_request(evhttp_request* request, void* self);
-    static bufferevent* make_socket(event_base* base, void* self);
-    static void on_input(evbuffer* input, const evbuffer_cb_info* change, void* socket_reception);
-    [[nodiscard]] bool is_beyond_limits(reception& receiving, std::size_t unread_bytes) const;
-
-    evhttp* handle;
-    // The most that a connection may receive of a request that is not complete.
-    std::size_t max_input_bytes;
-    base::milliseconds receive_timeout;
-    // By the connections' sockets. The entry of a connection that has ended is replaced when its
-    // memory serves another one.
-    receptions sockets;
-    evhttp_bound_socket* bound = nullptr;
+    void on_request(const client_exchange_ptr& request);
+    void yield(buffers::holder_id holder);
+    void regularly();
+    [[nodiscard]] refusal refusal_of(int status) const;
+    [[nodiscard]] std::shared_ptr<http_exchange> exchange_of(buffers::holder_id holder) const;
+
+    http_limits limits;
     std::function<void(exchange_ptr)> handler;
-    std::unordered_map<http_exchange*, exchange_ptr> exchanges;
+    client_memory memory;
+    frontend_server frontend;
+    timer memory_timer;
+    // Requests that are not answered, by their connections.
+    std::map<std::int64_t, exchange_ptr> exchanges;
 };
 
 } // namespace camphorrail::adapters
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -67,10 +67,10 @@
     this->listener = adapters::listen_for_links(
         this->loop.base(), this->settings.listen, {wire::max_frame_bytes},
         [this](adapters::link_ptr transport) { this->accept(std::move(transport)); });
-    auto operators = process::serve_operators(this->loop, this->metrics, this->timeline,
-                                              {[this] { return this->config.ready(); },
-                                               [this] { return this->status(); },
-                                               [this] { this->refresh_metrics(); }});
+    auto operators = process::serve_operators(
+        this->loop, this->metrics, this->timeline, this->settings.limits.memory_mb,
+        {[this] { return this->config.ready(); }, [this] { return this->status(); },
+         [this] { this->refresh_metrics(); }});
     if (!this->listener || !operators->listen(this->settings.operators_listen)) {
         adapters::log(adapters::log_level::error, "cannot_listen",
                       {{"listen", this->settings.listen},
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "adapters/allocator.h"
 #include "app/commands.h"
 
 #include <iostream>
@@ -45,5 +46,6 @@
         std::cerr << "camphorrail: no command '" << args[0] << "'\n\n" << usage;
         return app::exit_usage;
     }
+    adapters::configure_allocator();
     return found->second(args);
 }
--- a/src/buffers/account.h
+++ b/src/buffers/account.h
@@ -52,6 +52,10 @@
 struct holding {
     amounts held;
     stage progress = stage::not_sent;
+    // The client has stopped sending its request.
+    bool is_stalled = false;
+    // What is held can be released. If not, others yield instead.
+    bool may_yield = true;
 };
 
 // All that an entry holds.
--- /dev/null
+++ b/src/buffers/memory_plan.cpp
@@ -0,0 +1,37 @@
+#include "buffers/memory_plan.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace camphorrail::buffers {
+
+namespace {
+
+constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
+// Parts of the memory.
+constexpr std::int64_t connections_divisor = 4;
+constexpr std::int64_t control_port_divisor = 32;
+constexpr std::int64_t messages_divisor = 16;
+// Fewer connections would not serve callers that send one small request each.
+constexpr std::int64_t min_connections = 64;
+
+} // namespace
+
+memory_plan plan_memory(std::int64_t memory_mb) {
+    memory_plan plan;
+    if (memory_mb == 0) {
+        plan.connections = std::numeric_limits<std::int32_t>::max();
+        plan.incomplete_messages = std::numeric_limits<std::int64_t>::max();
+        return plan;
+    }
+    const std::int64_t bytes = memory_mb * bytes_per_mb;
+    const std::int64_t received = bytes / connections_divisor / receive_buffer_bytes;
+    plan.clients = budget_of(memory_mb);
+    plan.connections = static_cast<std::size_t>(
+        std::max<std::int64_t>(min_connections, received - listen_backlog));
+    plan.control_port = budget_of_bytes(bytes / control_port_divisor);
+    plan.incomplete_messages = bytes / messages_divisor;
+    return plan;
+}
+
+} // namespace camphorrail::buffers
--- a/src/buffers/yielding.cpp
+++ b/src/buffers/yielding.cpp
@@ -1,6 +1,7 @@
 #include "buffers/yielding.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace camphorrail::buffers {
@@ -15,7 +16,8 @@
 
 // Sorts holders in the order in which they yield.
 auto yield_order(const std::pair<holder_id, holding>& each) {
-    return std::make_tuple(-total(each.second.held), each.second.progress, -each.first.value);
+    return std::make_tuple(!each.second.is_stalled, -total(each.second.held), each.second.progress,
+                           -each.first.value);
 }
 
 bool has_room(const account& state, const budget& limits) {
@@ -25,7 +27,10 @@
 } // namespace
 
 budget budget_of(std::int64_t memory_mb) {
-    const std::int64_t limit = memory_mb * bytes_per_mb / memory_divisor;
+    return budget_of_bytes(memory_mb * bytes_per_mb / memory_divisor);
+}
+
+budget budget_of_bytes(std::int64_t limit) {
     return {limit, limit - limit / release_divisor, limit - limit / reserve_divisor};
 }
 
@@ -38,7 +43,9 @@
     if (!is_exhausted(state, limits)) {
         return chosen;
     }
-    std::vector<std::pair<holder_id, holding>> holders(state.holders.begin(), state.holders.end());
+    std::vector<std::pair<holder_id, holding>> holders;
+    std::copy_if(state.holders.begin(), state.holders.end(), std::back_inserter(holders),
+                 [](const auto& each) { return each.second.may_yield; });
     std::sort(holders.begin(), holders.end(), [](const auto& left, const auto& right) {
         return yield_order(left) < yield_order(right);
     });
--- a/src/buffers/yielding.h
+++ b/src/buffers/yielding.h
@@ -20,17 +20,23 @@
     std::int64_t reading = 0;
 };
 
+// The budget for so many bytes.
+budget budget_of_bytes(std::int64_t limit);
+
 // The budget of a process that may use so much memory, in MiB. Half of it: the process itself, its
-// view of the platform and the allocator's losses take the rest.
+// view of the platform, what the kernel has received and the allocator's losses take the rest.
 budget budget_of(std::int64_t memory_mb);
 
+// A client that sends nothing of its request for this long has stalled.
+constexpr base::milliseconds stall_time{1000};
+
 // Whether more is held than the budget allows.
 bool is_exhausted(const account& state, const budget& limits);
 
-// The holders that must yield to bring what is held back under the budget, in this order: the
-// largest first; of the same size, a request that was not sent before a response under way, and
-// that before a request that may be running; then the one that came last. Empty unless the budget
-// is exhausted.
+// The holders that must yield to bring what is held back under the budget, in this order: requests
+// whose clients have stalled first, then the largest; of the same size, a request that was not sent
+// before a response under way, and that before a request that may be running; then the one that
+// came last. Empty unless the budget is exhausted.
 std::vector<holder_id> choose_yields(const account& state, const budget& limits);
 
 // Whether a new request, which the account already contains, may be sent to an upstream. It may not
--- a/src/buffers/yielding_tests.cpp
+++ b/src/buffers/yielding_tests.cpp
@@ -41,6 +41,20 @@
     CHECK(buffers::choose_yields(state, limits) == std::vector<holder_id>{{5}, {4}, {3}, {2}, {1}});
 }
 
+// Guards against clients that stop sending and keep their memory, while others are refused.
+TEST_CASE("requests whose clients have stalled yield before larger ones", "[buffers]") {
+    const buffers::budget limits{100, 60, 100};
+    auto state = holding_all({{50, stage::not_sent}, {10, stage::not_sent}, {45, stage::running}});
+    state.holders.at({2}).is_stalled = true;
+    CHECK(buffers::choose_yields(state, limits) == std::vector<holder_id>{{2}, {1}});
+
+    SECTION("and what cannot be released never does") {
+        state.holders.at({1}).may_yield = false;
+        CHECK(buffers::choose_yields(state, limits) == std::vector<holder_id>{{2}, {3}});
+        CHECK(buffers::may_take(state, limits, {1}));
+    }
+}
+
 TEST_CASE("as many holders yield as must, a new request among them", "[buffers]") {
     const buffers::budget limits{100, 90, 80};
     const auto of_new = [](std::int64_t bytes) {
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -3,10 +3,12 @@
 #include "adapters/http_client.h"
 #include "adapters/http_platform.h"
 #include "adapters/logging.h"
+#include "adapters/sockets.h"
 #include "process/operators_port.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -20,10 +22,34 @@
 constexpr base::milliseconds vm_list_timeout{1000};
 constexpr std::size_t most_vm_list_bytes = 4U << 20U;
 constexpr int http_ok = 200;
+// A request is copied so often while it is read, and kept so often until its answer.
+constexpr std::size_t reading_factor = 5;
 
 adapters::http_limits to_http_limits(const settings::limit_settings& limits) {
-    return {limits.max_header_bytes, limits.max_body_bytes,
-            static_cast<int>(limits.idle_timeout.count())};
+    const auto plan = buffers::plan_memory(limits.memory_mb);
+    adapters::http_limits all;
+    all.max_header_bytes = limits.max_header_bytes;
+    all.max_body_bytes = limits.max_body_bytes;
+    all.idle_timeout_s = static_cast<int>(limits.idle_timeout.count());
+    all.memory = plan.clients;
+    // Links to agents and the platform keep an eighth of the descriptors.
+    const std::size_t descriptors = adapters::descriptor_limit();
+    all.max_connections = std::min(descriptors - descriptors / 8, plan.connections);
+    return all;
+}
+
+// What a request is refused with that was not received completely.
+adapters::refusal refusal_of(int status) {
+    constexpr int too_large = 413;
+    constexpr int unavailable = 503;
+    if (status == too_large) {
+        return process::make_refusal({base::code::body_too_large});
+    }
+    if (status == unavailable) {
+        return process::make_refusal(
+            {base::code::memory_exhausted, base::execution_state::not_run, soon});
+    }
+    return {};
 }
 
 } // namespace
@@ -55,8 +81,21 @@
     this->callers = std::make_unique<adapters::http_server>(
         this->loop.base(), to_http_limits(this->settings.limits),
         [this](const adapters::exchange_ptr& exchange) { this->on_request(exchange); });
+    this->callers->make_refusal = [this](int status) {
+        this->metrics.count("camphorrail_unreadable_requests_total",
+                            {{"status", std::to_string(status)}});
+        return refusal_of(status);
+    };
+    this->callers->on_yield = [this](std::int64_t bytes) {
+        this->metrics.count("camphorrail_buffer_yields_total");
+        adapters::log(
+            adapters::log_level::warning, "buffers_yielded",
+            {{"bytes", bytes},
+             {"held", this->callers->held_bytes()},
+             {"budget", buffers::plan_memory(this->settings.limits.memory_mb).clients.limit}});
+    };
     auto operators = process::serve_operators(
-        this->loop, this->metrics, this->timeline,
+        this->loop, this->metrics, this->timeline, this->settings.limits.memory_mb,
         {[this] { return this->config.ready() && !this->stopping; },
          [this] { return this->status(); }, [this] { this->refresh_metrics(); }});
     if (!this->callers->listen(this->settings.listen) ||
@@ -111,9 +150,15 @@
         this->list_models(exchange);
         return;
     }
+    if (!exchange->may_hold(reading_factor * exchange->body().size())) {
+        process::reply_problem(
+            *exchange, {base::code::memory_exhausted, base::execution_state::not_run, soon});
+        return;
+    }
     const http_request asked{
         exchange->method(), exchange->target(), exchange->path(),
-        [&exchange](const std::string& name) { return exchange->header(name); }, exchange->body()};
+        [&exchange](const std::string& name) { return exchange->header(name); },
+        exchange->take_body()};
     auto read = read_request(asked, this->config.current(), this->settings.limits,
                              "own-" + this->next_attempt().value);
     if (const auto* refusal = std::get_if<process::problem>(&read)) {
@@ -243,6 +288,8 @@
 
 void entry::refresh_metrics() {
     this->metrics.set("camphorrail_links", static_cast<double>(this->links.count()));
+    this->metrics.set("camphorrail_buffered_bytes",
+                      static_cast<double>(this->callers->held_bytes()));
     this->metrics.set("camphorrail_open_requests",
                       static_cast<double>(this->callers->open_exchanges()));
     this->metrics.set("camphorrail_config_version",
--- a/src/entry/request_answers.cpp
+++ b/src/entry/request_answers.cpp
@@ -36,6 +36,7 @@
         return;
     }
     this->body += message.bytes;
+    this->update_held_bytes();
     if (this->body.size() > max_buffered_answer) {
         this->give_up({base::code::upstream_answer_malformed, base::execution_state::unknown});
         return;
--- a/src/entry/request_flow.cpp
+++ b/src/entry/request_flow.cpp
@@ -57,6 +57,7 @@
             held->on_deadline();
         }
     });
+    this->update_held_bytes();
     this->around->metrics->count("camphorrail_requests_total",
                                  {{"pool", this->request.pool.value}});
     admission::record_request(this->around->router->budget);
@@ -68,6 +69,13 @@
     this->attempt_next();
 }
 
+// Counts what the request makes this process hold: the request, its copies on the way to an agent,
+// and the answer as far as it is here.
+void request_flow::update_held_bytes() {
+    constexpr std::size_t copies = 3;
+    this->exchange->set_held(copies * this->request.body.capacity() + this->body.capacity());
+}
+
 void request_flow::attempt_next() {
     if (this->is_over) {
         return;
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -51,6 +51,7 @@
     [[nodiscard]] bool over() const { return this->is_over; }
 
 private:
+    void update_held_bytes();
     void attempt_next();
     void attempt_routed();
     void attempt_owner();
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -81,4 +81,18 @@
     return false;
 }
 
+std::size_t memory_of(const std::string& text) {
+    // A short text lies within its object.
+    return text.capacity() < sizeof(std::string) ? 0 : text.capacity() + 1;
+}
+
+std::size_t memory_of(const request_head& head) {
+    std::size_t bytes =
+        memory_of(head.method) + memory_of(head.target) + head.all.capacity() * sizeof(field);
+    for (const auto& each : head.all) {
+        bytes += memory_of(each.name) + memory_of(each.value);
+    }
+    return bytes;
+}
+
 } // namespace camphorrail::http
--- a/src/http/fields.h
+++ b/src/http/fields.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,12 @@
     bool chunks_allowed = true;
 };
 
+// Memory that a text takes up beside its object, in bytes.
+std::size_t memory_of(const std::string& text);
+
+// Memory that a head takes up, in bytes. Many small fields take up several times their length.
+std::size_t memory_of(const request_head& head);
+
 // An answer without its body.
 struct response_head {
     int status = 0;
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -16,6 +16,18 @@
 constexpr std::size_t max_chunk_line = 4096;
 constexpr int first_final_status = 200;
 
+// A large body grows by a quarter at a time: doubled, it would take up twice its size.
+constexpr std::size_t min_large_body = 64U << 10U;
+constexpr std::size_t growth_divisor = 4;
+
+void append(std::string& body, beast::string_view bytes) {
+    const std::size_t needed = body.size() + bytes.size();
+    if (needed > body.capacity() && needed > min_large_body) {
+        body.reserve(needed + needed / growth_divisor);
+    }
+    body.append(bytes.data(), bytes.size());
+}
+
 template <bool is_request>
 class parser : public beast::http::basic_parser<is_request> {
 public:
@@ -58,13 +70,13 @@
     void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                            code& /*error*/) override {}
     std::size_t on_body_impl(text bytes, code& /*error*/) override {
-        this->body.append(bytes.data(), bytes.size());
+        append(this->body, bytes);
         return bytes.size();
     }
     void on_chunk_header_impl(std::uint64_t /*size*/, text /*extensions*/,
                               code& /*error*/) override {}
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, text bytes, code& /*error*/) override {
-        this->body.append(bytes.data(), bytes.size());
+        append(this->body, bytes);
         return bytes.size();
     }
     void on_finish_impl(code& /*error*/) override {}
@@ -144,6 +156,7 @@
     read_fault fault = read_fault::none;
     bool head_taken = false;
     request_head head;
+    std::size_t head_memory = 0;
 };
 
 request_reader::request_reader(read_limits limits) : held(std::make_unique<state>(limits)) {}
@@ -159,6 +172,8 @@
         now.head.method = std::move(now.reader.method);
         now.head.target = std::move(now.reader.target);
         now.head.all = std::move(now.reader.all);
+        now.head.all.shrink_to_fit();
+        now.head_memory = memory_of(now.head);
         now.head.keep_alive = now.reader.keep_alive();
         now.head.chunks_allowed = now.reader.version == version_1_1;
     }
@@ -185,8 +200,17 @@
     return std::exchange(this->held->reader.body, {});
 }
 
-std::size_t request_reader::body_size() const {
-    return this->held->reader.body.size();
+std::size_t request_reader::head_memory() const {
+    return this->held->head_memory;
+}
+
+std::size_t request_reader::memory() const {
+    return this->held->head_memory + memory_of(this->held->reader.body);
+}
+
+std::size_t request_reader::announced_bytes() const {
+    const auto left = this->held->reader.content_length_remaining();
+    return left ? static_cast<std::size_t>(*left) : 0;
 }
 
 struct response_reader::state {
--- a/src/http/readers.h
+++ b/src/http/readers.h
@@ -33,8 +33,11 @@
     [[nodiscard]] request_head& head();
     // The body read since the last call.
     std::string take_body();
-    // The size of that body so far.
-    [[nodiscard]] std::size_t body_size() const;
+    // Memory that the head takes up, and the request received so far with it, in bytes.
+    [[nodiscard]] std::size_t head_memory() const;
+    [[nodiscard]] std::size_t memory() const;
+    // Bytes of the body that are to come, if its length is known; else 0.
+    [[nodiscard]] std::size_t announced_bytes() const;
 
 private:
     struct state;
--- a/src/process/operators_port.cpp
+++ b/src/process/operators_port.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr int http_ok = 200;
+// No request to these ports has a body.
+constexpr std::int64_t max_body_bytes = 4 << 10;
+constexpr std::size_t max_connections = 128;
 
 void reply_json(adapters::http_exchange& exchange, const nlohmann::json& document) {
     exchange.reply(http_ok, {{"Content-Type", "application/json"}}, document.dump() + "\n");
@@ -20,10 +23,17 @@
 
 } // namespace
 
-std::unique_ptr<adapters::http_server> serve_operators(adapters::event_loop& loop,
-                                                       adapters::metrics& metrics,
-                                                       adapters::timeline& timeline,
-                                                       operators_view view) {
+adapters::http_limits control_port_limits(std::int64_t memory_mb) {
+    adapters::http_limits limits;
+    limits.max_body_bytes = max_body_bytes;
+    limits.max_connections = max_connections;
+    limits.memory = buffers::plan_memory(memory_mb).control_port;
+    return limits;
+}
+
+std::unique_ptr<adapters::http_server>
+serve_operators(adapters::event_loop& loop, adapters::metrics& metrics,
+                adapters::timeline& timeline, std::int64_t memory_mb, operators_view view) {
     const auto handle = [&metrics, &timeline, view](const adapters::exchange_ptr& exchange) {
         const std::string& path = exchange->path();
         if (path == "/healthz") {
@@ -43,7 +53,8 @@
             reply_problem(*exchange, {base::code::unknown_path});
         }
     };
-    return std::make_unique<adapters::http_server>(loop.base(), adapters::http_limits{}, handle);
+    return std::make_unique<adapters::http_server>(loop.base(), control_port_limits(memory_mb),
+                                                   handle);
 }
 
 } // namespace camphorrail::process
--- a/src/process/operators_port.h
+++ b/src/process/operators_port.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,9 +22,13 @@
     std::function<void()> refresh;
 };
 
+// The limits of a port for operators or balancers, whose requests have no bodies, in a process that
+// may use so much memory, in MiB.
+adapters::http_limits control_port_limits(std::int64_t memory_mb);
+
 std::unique_ptr<adapters::http_server> serve_operators(adapters::event_loop& loop,
                                                        adapters::metrics& metrics,
                                                        adapters::timeline& timeline,
-                                                       operators_view view);
+                                                       std::int64_t memory_mb, operators_view view);
 
 } // namespace camphorrail::process
--- a/src/process/problem.cpp
+++ b/src/process/problem.cpp
@@ -30,12 +30,21 @@
     return document.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-void reply_problem(adapters::http_exchange& exchange, const problem& answer) {
-    ports::headers fields{{"Content-Type", "application/problem+json"}};
+adapters::refusal make_refusal(const problem& answer) {
+    http::fields fields{{"Content-Type", "application/problem+json"}};
     if (answer.retry_after.count() > 0) {
-        fields.emplace_back("Retry-After", std::to_string(whole_seconds(answer.retry_after)));
+        fields.push_back({"Retry-After", std::to_string(whole_seconds(answer.retry_after))});
+    }
+    return {std::move(fields), to_json(answer) + "\n"};
+}
+
+void reply_problem(adapters::http_exchange& exchange, const problem& answer) {
+    const auto text = make_refusal(answer);
+    ports::headers fields;
+    for (const auto& each : text.fields) {
+        fields.emplace_back(each.name, each.value);
     }
-    exchange.reply(base::describe(answer.number).http_status, fields, to_json(answer) + "\n");
+    exchange.reply(base::describe(answer.number).http_status, fields, text.body);
 }
 
 } // namespace camphorrail::process
--- a/src/process/problem.h
+++ b/src/process/problem.h
@@ -20,6 +20,9 @@
 
 std::string to_json(const problem& answer);
 
+// The fields and the body of such an answer.
+adapters::refusal make_refusal(const problem& answer);
+
 void reply_problem(adapters::http_exchange& exchange, const problem& answer);
 
 } // namespace camphorrail::process
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -125,17 +125,17 @@
 }
 
 bool proxy::listen() {
-    this->frontend = std::make_unique<frontend_server>(
+    this->frontend = std::make_unique<adapters::frontend_server>(
         this->loop.base(),
-        frontend_callbacks{
-            [this](const exchange_ptr& exchange) { this->on_request(exchange); },
+        adapters::frontend_callbacks{
+            [this](const adapters::client_exchange_ptr& exchange) { this->on_request(exchange); },
             [this] {
                 const auto limits = this->state.config == nullptr ? routes::client_limits{}
                                                                   : this->state.config->limits;
-                return client_limits{{static_cast<std::uint32_t>(limits.header_bytes),
-                                      static_cast<std::uint64_t>(limits.body_bytes)},
-                                     limits.header_timeout,
-                                     limits.idle_timeout};
+                return adapters::client_limits{{static_cast<std::uint32_t>(limits.header_bytes),
+                                                static_cast<std::uint64_t>(limits.body_bytes)},
+                                               limits.header_timeout,
+                                               limits.idle_timeout};
             },
             adapters::boot_now,
             [this](int status) {
@@ -143,8 +143,9 @@
                 this->metrics.count("camphorrail_unreadable_requests_total",
                                     {{"status", std::to_string(status)}});
             },
-            [this](std::int64_t connection) { this->buffered.update({connection}); },
-            [this](const late_input& late) { this->log_late_input(late); }});
+            [this](std::int64_t connection) { this->buffered.record_received({connection}); },
+            [this](const adapters::late_input& late) { this->log_late_input(late); },
+            [this](std::int64_t connection) { this->buffered.check_announced({connection}); }});
     this->buffered.connect(*this->frontend);
     this->serve_operators_and_balancer();
     const std::pair<const char*, bool> listened[] = {
@@ -164,11 +165,13 @@
 void proxy::apply_descriptor_limits() {
     const std::size_t limit = adapters::descriptor_limit();
     const auto shares = share_descriptors(limit);
-    this->frontend->limit_connections(shares.clients);
+    const auto plan = buffers::plan_memory(this->settings.memory_mb);
+    this->frontend->limit_connections(std::min(shares.clients, plan.connections));
     this->connections.limit_idle(shares.idle_upstreams);
     this->log.line(importance::keep, "descriptors_shared")
         .number("limit", static_cast<std::int64_t>(limit))
-        .number("most_callers", static_cast<std::int64_t>(shares.clients))
+        .number("most_callers", static_cast<std::int64_t>(this->frontend->max_connections()))
+        .number("memory_mb", this->settings.memory_mb)
         .number("most_idle_upstreams", static_cast<std::int64_t>(shares.idle_upstreams))
         .number("reserve", static_cast<std::int64_t>(shares.reserve));
 }
@@ -180,13 +183,14 @@
 
 void proxy::serve_operators_and_balancer() {
     this->balancer = std::make_unique<adapters::http_server>(
-        this->loop.base(), adapters::http_limits{}, [this](const adapters::exchange_ptr& exchange) {
+        this->loop.base(), process::control_port_limits(this->settings.memory_mb),
+        [this](const adapters::exchange_ptr& exchange) {
             exchange->reply(this->ready() ? status_ok : status_unavailable, {}, "");
         });
-    this->operators = process::serve_operators(this->loop, this->metrics, this->timeline,
-                                               {[this] { return this->ready(); },
-                                                [this] { return this->status(); },
-                                                [this] { this->refresh_metrics(); }});
+    this->operators = process::serve_operators(
+        this->loop, this->metrics, this->timeline, this->settings.memory_mb,
+        {[this] { return this->ready(); }, [this] { return this->status(); },
+         [this] { this->refresh_metrics(); }});
 }
 
 int proxy::run() {
@@ -414,7 +418,7 @@
     this->awaits_software_records = !has_waited && !this->software.is_complete();
 }
 
-void proxy::on_request(const exchange_ptr& exchange) {
+void proxy::on_request(const adapters::client_exchange_ptr& exchange) {
     const auto flow = std::make_shared<request_flow>(this->context, exchange);
     const std::int64_t number = ++this->last_flow;
     this->flows.emplace(number, flow);
@@ -551,6 +555,7 @@
     this->settings.platform.agreements = fresh->platform.agreements;
     this->settings.features = fresh->features;
     this->settings.memory_mb = fresh->memory_mb;
+    this->apply_descriptor_limits();
     this->apply_agreements();
     this->update_retry_budgets();
 }
@@ -588,7 +593,7 @@
         .number("busy", static_cast<std::int64_t>(found.busy));
 }
 
-void proxy::log_late_input(const late_input& late) {
+void proxy::log_late_input(const adapters::late_input& late) {
     this->log.line(importance::keep, "late_input")
         .number("connection", late.connection)
         .number("bytes", static_cast<std::int64_t>(late.bytes))
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -2,6 +2,7 @@
 
 #include "adapters/event_log.h"
 #include "adapters/event_loop.h"
+#include "adapters/frontend_server.h"
 #include "adapters/http_server.h"
 #include "adapters/metrics.h"
 #include "adapters/platform_budget.h"
@@ -10,7 +11,6 @@
 #include "proxy/context.h"
 #include "proxy/crash_detector.h"
 #include "proxy/descriptors.h"
-#include "proxy/frontend_server.h"
 #include "proxy/kv_store_follower.h"
 #include "proxy/leadership.h"
 #include "proxy/limit_exchange.h"
@@ -66,7 +66,7 @@
     // The messages sent to a newly connected entry.
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void log_deferred_call(adapters::platform_call kind, base::micros wait);
-    void on_request(const exchange_ptr& exchange);
+    void on_request(const adapters::client_exchange_ptr& exchange);
     void record_activity();
     [[nodiscard]] bool awaits_verification() const;
     void begin_held_requests();
@@ -95,7 +95,7 @@
     void stop();
     void continue_shutdown();
     void stop_accepting();
-    void log_late_input(const late_input& late);
+    void log_late_input(const adapters::late_input& late);
     [[nodiscard]] bool has_config_and_upstreams() const;
     [[nodiscard]] bool ready() const;
     void check_awaited_records();
@@ -135,7 +135,7 @@
     cache_space_record cache_spaces;
     kv_store_follower kv_stores;
     request_buffers buffered;
-    std::unique_ptr<frontend_server> frontend;
+    std::unique_ptr<adapters::frontend_server> frontend;
     std::unique_ptr<adapters::http_server> balancer;
     std::unique_ptr<adapters::http_server> operators;
     // Keyed by increasing numbers, so that requests are iterated in the order of their arrival.
@@ -143,7 +143,7 @@
     std::int64_t last_flow = 0;
     pause_state pause;
     // Requests that wait for the verification after a pause, by their numbers in `flows`.
-    std::vector<std::pair<std::int64_t, exchange_ptr>> held_requests;
+    std::vector<std::pair<std::int64_t, adapters::client_exchange_ptr>> held_requests;
     shutdown_state shutdown;
     bool was_ready = false;
     bool was_partitioned = false;
--- a/src/proxy/request_buffers.cpp
+++ b/src/proxy/request_buffers.cpp
@@ -13,6 +13,9 @@
 
 using adapters::importance;
 
+// What a part of a prompt takes up: its name, its size and what is derived of both.
+constexpr std::int64_t prompt_part_memory = 256;
+
 std::int64_t to_bytes(std::size_t size) {
     return static_cast<std::int64_t>(size);
 }
@@ -26,16 +29,25 @@
 } // namespace
 
 request_buffers::request_buffers(entry_context& context)
-    : context(context), release_timer(context.loop.base(), [this] { this->release(); }) {}
+    : context(context),
+      memory(context.loop.base(),
+             {[this] { return this->limits(); },
+              [this](buffers::holder_id holder) -> std::optional<buffers::holding> {
+                  const auto flow = this->flow_of(holder);
+                  return flow == nullptr ? std::nullopt : std::optional(flow->buffered());
+              },
+              [this](buffers::holder_id holder) { this->flow_of(holder)->yield_buffers(); },
+              [this](buffers::holder_id holder) { return this->make_refusal(holder); },
+              [this](buffers::holder_id holder, const buffers::amounts& held) {
+                  this->log_yield(holder, held);
+              }}) {}
 
-bool request_buffers::has_budget() const {
-    const auto& settings = this->context.settings;
-    return settings.features.memory_budget && settings.memory_mb > 0 && this->server != nullptr;
+buffers::budget request_buffers::limits() const {
+    return buffers::budget_of(this->context.settings.memory_mb);
 }
 
-buffers::budget request_buffers::limits() const {
-    return this->has_budget() ? buffers::budget_of(this->context.settings.memory_mb)
-                              : buffers::budget{};
+bool request_buffers::reads_ahead() const {
+    return this->context.settings.features.memory_budget && this->memory.has_budget();
 }
 
 void request_buffers::attach(const std::shared_ptr<request_flow>& flow, buffers::holder_id holder) {
@@ -48,37 +60,15 @@
 }
 
 bool request_buffers::may_take(buffers::holder_id holder, std::size_t body_bytes) {
-    if (!this->has_budget()) {
-        return true;
-    }
-    this->update(holder);
-    auto expected = this->measure(holder);
     // The copy of the request that will wait for its upstream.
-    expected.held.upstream_data += to_bytes(body_bytes);
-    buffers::record(this->account, holder, expected);
-    if (buffers::is_exhausted(this->account, this->limits())) {
-        this->measure_all();
-        buffers::record(this->account, holder, expected);
-    }
-    return buffers::may_take(this->account, this->limits(), holder);
-}
-
-void request_buffers::update(buffers::holder_id holder) {
-    if (!this->has_budget()) {
-        return;
-    }
-    buffers::record(this->account, holder, this->measure(holder));
-    if (buffers::is_exhausted(this->account, this->limits())) {
-        this->release_timer.set(base::micros(0));
-    }
+    return this->memory.may_take(holder, {0, 0, to_bytes(body_bytes)});
 }
 
 void request_buffers::tick() {
-    if (!this->has_budget()) {
-        this->account = {};
+    this->memory.tick();
+    if (!this->reads_ahead()) {
         return;
     }
-    this->release();
     const auto attached = this->flows;
     for (const auto& [holder, weak] : attached) {
         if (const auto flow = weak.lock()) {
@@ -89,7 +79,7 @@
 
 void request_buffers::show_metrics() const {
     using buffers::kind;
-    const auto& held = this->account.held;
+    const auto& held = this->held().held;
     const std::pair<kind, std::int64_t> kinds[] = {{kind::request_body, held.request_bodies},
                                                    {kind::response, held.responses},
                                                    {kind::upstream_data, held.upstream_data}};
@@ -106,62 +96,13 @@
     return found == this->flows.end() ? nullptr : found->second.lock();
 }
 
-buffers::holding request_buffers::measure(buffers::holder_id holder) const {
-    const auto connection = this->server->buffered(holder.value);
-    const auto flow = this->flow_of(holder);
-    buffers::holding now;
-    if (flow != nullptr) {
-        now = flow->buffered();
-    } else if (!connection.is_receiving || connection.unsent > 0) {
-        // A refusal would wait behind an earlier response.
-        now.progress = buffers::stage::responding;
-    }
-    now.held.request_bodies += to_bytes(connection.received);
-    now.held.responses += to_bytes(connection.unsent);
-    return now;
-}
-
-void request_buffers::measure_all() {
-    const auto before = this->account.holders;
-    for (const auto& [holder, holding] : before) {
-        buffers::record(this->account, holder, this->measure(holder));
-    }
-}
-
-void request_buffers::release() {
-    this->measure_all();
-    const auto limits = this->limits();
-    for (const auto holder : buffers::choose_yields(this->account, limits)) {
-        if (buffers::total(this->account.held) <= limits.released_to) {
-            return;
-        }
-        this->yield(holder);
-    }
-}
-
-// The holder may have ended when an earlier one yielded.
-void request_buffers::yield(buffers::holder_id holder) {
-    const auto now = this->measure(holder);
-    if (buffers::total(now.held) > 0) {
-        this->log_yield(holder, now.held);
-        if (const auto flow = this->flow_of(holder)) {
-            flow->yield_buffers();
-        } else if (now.progress == buffers::stage::not_sent) {
-            this->refuse_unread(holder);
-        } else {
-            this->server->reset(holder.value);
-        }
-    }
-    buffers::record(this->account, holder, this->measure(holder));
-}
-
 void request_buffers::log_yield(buffers::holder_id holder, const buffers::amounts& held) const {
     const std::string kind(buffers::name_of(buffers::largest_kind(held)));
     this->context.log.line(importance::keep, "buffers_yielded")
         .text("request", this->request_of(holder).value)
         .text("kind", kind)
         .number("bytes", buffers::total(held))
-        .number("held", buffers::total(this->account.held))
+        .number("held", buffers::total(this->held().held))
         .number("budget", this->limits().limit);
     this->context.metrics.count("camphorrail_buffer_yields_total", {{"kind", kind}});
 }
@@ -171,7 +112,7 @@
     if (const auto flow = this->flow_of(holder)) {
         return flow->id();
     }
-    const auto* head = this->server->buffered(holder.value).head;
+    const auto* head = this->memory.head_of(holder);
     if (head == nullptr) {
         return {};
     }
@@ -179,17 +120,16 @@
     return read.has_value() ? base::request_id{read.value().request_id} : base::request_id{};
 }
 
-// Refuses a request whose body has not been received completely.
-void request_buffers::refuse_unread(buffers::holder_id holder) {
+// What a request whose body has not been received completely is refused with.
+adapters::refusal request_buffers::make_refusal(buffers::holder_id holder) const {
     const auto request = this->request_of(holder);
     const auto retry_after = retry_delay_of(request);
     const auto& code = base::describe(base::code::memory_exhausted);
     const process::problem problem{code.number, base::execution_state::not_run, retry_after, ""};
     this->context.metrics.count("camphorrail_refusals_total",
                                 {{"code", std::string(code.name)}, {"ran", "not_run"}});
-    this->server->refuse(holder.value, code.http_status,
-                         this->context.codec.make_refusal_fields(request.value, retry_after),
-                         process::to_json(problem) + "\n");
+    return {this->context.codec.make_refusal_fields(request.value, retry_after),
+            process::to_json(problem) + "\n"};
 }
 
 base::request_id request_flow::id() const {
@@ -202,7 +142,9 @@
 
 buffers::holding request_flow::buffered() const {
     buffers::holding now;
-    now.held.request_bodies = to_bytes(this->exchange->body.size());
+    now.held.request_bodies =
+        to_bytes(http::memory_of(this->exchange->body) + this->exchange->head_memory) +
+        to_bytes(this->metadata.prompt_parts.size()) * prompt_part_memory;
     now.held.responses = to_bytes(this->body_buffer.size() + this->relay.splitter.rest.size());
     now.held.responses += this->upstream_error ? to_bytes(this->upstream_error->body.size()) : 0;
     now.held.upstream_data = this->current ? to_bytes(this->current->connection->unsent()) : 0;
@@ -251,7 +193,7 @@
 void request_flow::pause_reading_if_due(std::size_t bytes) {
     const auto* buffers = this->context.buffers;
     const base::instant now = this->context.now();
-    if (buffers != nullptr && buffers->has_budget()) {
+    if (buffers != nullptr && buffers->reads_ahead()) {
         buffers::read_on(this->reading, buffers->held(), buffers->limits(), to_bytes(bytes), now);
     } else {
         this->reading.paused = true;
--- a/src/proxy/request_buffers_tests.cpp
+++ b/src/proxy/request_buffers_tests.cpp
@@ -1,8 +1,10 @@
 #include "proxy_world.h"
+#include "raw_client.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -161,3 +163,67 @@
     CHECK(world.buffers().held().holders.empty());
     close(deaf);
 }
+
+// Guards against bodies that are received for nothing, and clients that learn of it late.
+TEST_CASE("a body that finds no room is refused by its head", "[proxy][buffers]") {
+    tests::proxy_world world;
+    world.set_memory_budget(2);
+    auto& engine = world.add_engine("i-1", [](const auto& got) { return long_stream(got, 1); });
+    const auto bytes = tests::request("once", "r1", std::string(3 * megabyte, 'x'));
+    const auto seen = world.call(bytes.substr(0, bytes.find("\r\n\r\n") + 4));
+    CHECK(seen.heads.at(0).status == 503);
+    CHECK(nlohmann::json::parse(seen.bodies.at(0)).at("ran") == "not_run");
+    CHECK(engine.requests.empty());
+    CHECK(world.call(tests::request("stream", "r2", "small")).heads.at(0).status == 200);
+}
+
+// Guards against bodies that stay in memory while the clients of refused requests go on sending.
+TEST_CASE("a refused request holds no memory", "[proxy][buffers]") {
+    tests::proxy_world world;
+    world.set_memory_budget(64);
+    world.connect_at_once("POST /once/x HTTP/1.1\r\nHost: desk.example\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n100000\r\n");
+    std::size_t sent = 0;
+    REQUIRE(world.run_until([&] {
+        sent += world.send_at_once(0, std::string(64 * kilobyte, 'x'));
+        return world.buffers().held().held.request_bodies > 256 * 1024;
+    }));
+    world.callers_port().refuse(1, 503, {}, "");
+    world.buffers().tick();
+    CHECK(world.buffers().held().held == buffers::amounts{});
+}
+
+// Guards against responses that pile up for a client that reads none of them.
+TEST_CASE("requests behind responses that are not read wait", "[proxy][buffers]") {
+    tests::proxy_world world;
+    world.set_memory_budget(64);
+    world.connect_at_once("");
+    world.let_callers_read(false);
+    const std::string refused = "GET /nowhere HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    std::size_t most_unsent = 0;
+    int turns = 0;
+    world.run_until([&] {
+        world.send_at_once(0, tests::repeat(refused, 64 * kilobyte));
+        most_unsent = std::max(most_unsent, world.unsent());
+        return ++turns > 2000;
+    });
+    CHECK(most_unsent <= 128 * kilobyte);
+
+    SECTION("until the client reads") {
+        const std::size_t before = world.seen_by(0).heads.size();
+        world.let_callers_read(true);
+        CHECK(world.run_until([&] { return world.seen_by(0).heads.size() > before + 1000; }));
+    }
+}
+
+// Guards against a head of many small fields, which takes up far more than its bytes once it is
+// read, in thousands of connections.
+TEST_CASE("the memory of a head is counted", "[proxy][buffers]") {
+    tests::proxy_world world;
+    world.set_memory_budget(64);
+    std::string head = "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 100\r\n";
+    head += tests::repeat("a:b\r\n", 12 * kilobyte) + "\r\n";
+    world.connect_at_once(head);
+    REQUIRE(world.run_until([&] { return !world.buffers().held().holders.empty(); }));
+    CHECK(world.buffers().held().held.request_bodies > static_cast<std::int64_t>(4 * head.size()));
+}
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -44,7 +44,7 @@
     return sent;
 }
 
-request_flow::request_flow(entry_context& context, exchange_ptr exchange)
+request_flow::request_flow(entry_context& context, adapters::client_exchange_ptr exchange)
     : context(context), exchange(std::move(exchange)),
       timeout_timer(context.loop.base(), [this] { this->on_timeout(); }),
       stall_timer(context.loop.base(), [this] { this->check_for_stall(); }),
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "adapters/address_probe.h"
+#include "adapters/frontend_server.h"
 #include "adapters/timer.h"
 #include "buffers/yielding.h"
 #include "proxy/admission.h"
 #include "proxy/context.h"
-#include "proxy/frontend_server.h"
 #include "proxy/stall_detection.h"
 #include "proxy/stream_relay.h"
 #include "proxy/upstream_choice.h"
@@ -21,7 +21,7 @@
 // after another where the request may be retried.
 class request_flow : public std::enable_shared_from_this<request_flow> {
 public:
-    request_flow(entry_context& context, exchange_ptr exchange);
+    request_flow(entry_context& context, adapters::client_exchange_ptr exchange);
 
     void begin();
     // Terminates the request because the process is shutting down.
@@ -200,7 +200,7 @@
     void record_survived_parts();
 
     entry_context& context;
-    exchange_ptr exchange;
+    adapters::client_exchange_ptr exchange;
     // Computed on first use.
     std::optional<quarantine::request_identity> cached_identity;
     std::optional<std::vector<quarantine::request_identity>> cached_parts;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -47,6 +47,7 @@
         reader.number("request_timeout_ms", parsed.request_timeout.count(), timeout_range));
     parsed.idle_timeout =
         base::seconds(reader.number("idle_timeout_s", parsed.idle_timeout.count(), idle_range));
+    parsed.memory_mb = reader.number("memory_mb", parsed.memory_mb, memory_range);
     reader.finish();
     return parsed;
 }
@@ -124,7 +125,7 @@
 }
 
 std::int64_t parse_memory(yaml_reader reader) {
-    const std::int64_t memory_mb = reader.number("memory_mb", 0, memory_range);
+    const std::int64_t memory_mb = reader.number("memory_mb", default_memory_mb, memory_range);
     reader.finish();
     return memory_mb;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -22,7 +22,10 @@
     std::vector<std::string> agreements;
 };
 
-// Bounds on what one caller may take up.
+// Memory that a process may use where its settings do not say, in MiB.
+inline constexpr std::int64_t default_memory_mb = 88;
+
+// Bounds on what one caller may take up, and on what all of them do.
 struct limit_settings {
     std::int64_t max_body_bytes = 4 << 20;
     std::int64_t max_header_bytes = 16 << 10;
@@ -31,6 +34,9 @@
     base::milliseconds request_timeout{60000};
     // A caller's connection on which nothing moves for this long is closed.
     base::seconds idle_timeout{75};
+    // Memory that the process may use, in MiB; 0 for no bounds. Requests are refused before more is
+    // used for them.
+    std::int64_t memory_mb = default_memory_mb;
 };
 
 // How much a process keeps of its events for the common time line. They stay in memory, since the
@@ -104,7 +110,8 @@
     bool rank_queueing = false;
     // Entries exclude together the upstreams that several of them have found to be failing.
     bool shared_suspicion = false;
-    // What is buffered for slow readers is bounded by the process's memory.
+    // Responses are read from upstreams for as long as the process's memory allows, also where
+    // their clients read slowly.
     bool memory_budget = false;
 };
 
@@ -124,7 +131,7 @@
     platform_settings platform;
     bound_settings bounds;
     feature_settings features;
-    // Memory that the process may use, in MiB; 0 if unknown.
+    // As in `limit_settings`.
     std::int64_t memory_mb = 0;
     timeline_settings timeline;
 };
