Refuse bodies of JSON that hold very many values

Eight clients with legal bodies of 4 MiB, in which objects hold one another, made an entry use 159 MB: a parsed value takes up a hundred bytes and more, and five in the body.

--- a/src/entry/caller_request_tests.cpp
+++ b/src/entry/caller_request_tests.cpp
@@ -110,3 +110,25 @@
         CHECK(refused(ask) == base::code::body_too_large);
     }
 }
+
+// Guards against a body of legal size that takes up many times its size once it is read.
+TEST_CASE("a body of very many values is refused", "[entry]") {
+    const auto with_values = [](std::size_t count) {
+        std::string list = "0";
+        for (std::size_t value = 1; value < count; ++value) {
+            list += ",0";
+        }
+        asked ask;
+        ask.body = R"({"model":"desk-8b","prompt":"hello","more":[)" + list + "]}";
+        return ask;
+    };
+    CHECK(refused(with_values(100'000)) == base::code::body_malformed);
+    CHECK(std::holds_alternative<entry::caller_request>(read(with_values(90'000))));
+
+    SECTION("also if they hold one another") {
+        asked ask;
+        ask.body = R"({"model":"desk-8b","prompt":"hello","more":)" + std::string(200'000, '[') +
+                   std::string(200'000, ']') + "}";
+        CHECK(refused(ask) == base::code::body_malformed);
+    }
+}
