Bound messages that do not end over all links of a listener, and the orders an agent holds

A link takes messages of up to 8 MB between entries and 65 MB at an agent. 96 clients that complete the handshake and stop within a message made an entry use 698 MB, and an agent as much; nothing bounded their sum, nor the number of links, nor what the orders of all entries hold at an agent.

The links of a listener now share a bound, a sixteenth of the process's memory and at least the largest message; beyond it the link with the most is closed, so that one that carries whole messages is not. A listener has 512 links at most. An agent refuses orders beyond half of its memory, counted three times each: as not run where the order may be repeated, as unknown where it has a key, since an earlier copy may have run.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -10,8 +10,10 @@
 #include <websocketpp/config/core_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
+#include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <type_traits>
@@ -45,6 +47,35 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+// The links that a listener has accepted, and what each holds of a message that is not complete.
+struct accepted_links {
+    std::map<link*, std::size_t> incomplete_bytes;
+    std::size_t total = 0;
+};
+
+using accepted_links_ptr = std::shared_ptr<accepted_links>;
+
+void set_incomplete(accepted_links& all, link* one, std::size_t bytes) {
+    std::size_t& now = all.incomplete_bytes[one];
+    all.total += bytes - now;
+    now = bytes;
+}
+
+void remove(accepted_links& all, link* one) {
+    const auto found = all.incomplete_bytes.find(one);
+    if (found != all.incomplete_bytes.end()) {
+        all.total -= found->second;
+        all.incomplete_bytes.erase(found);
+    }
+}
+
+link* largest(const accepted_links& all) {
+    return std::max_element(
+               all.incomplete_bytes.begin(), all.incomplete_bytes.end(),
+               [](const auto& left, const auto& right) { return left.second < right.second; })
+        ->first;
+}
+
 template <class Endpoint>
 class socket_link : public link, public std::enable_shared_from_this<socket_link<Endpoint>> {
 public:
@@ -57,8 +88,15 @@
     socket_link(const socket_link&) = delete;
     socket_link& operator=(const socket_link&) = delete;
 
+    // Counts this link among those of its listener.
+    void join(accepted_links_ptr all) {
+        this->listener_links = std::move(all);
+        set_incomplete(*this->listener_links, this, 0);
+    }
+
     void attach(typename Endpoint::connection_ptr made, const link_limits& limits) {
         this->connection = made;
+        this->max_incomplete_bytes = limits.max_incomplete_bytes;
         made->set_max_message_size(limits.max_message_bytes);
         made->set_max_http_body_size(max_handshake_body);
         made->set_write_handler(
@@ -74,6 +112,7 @@
         });
         made->set_message_handler(
             [this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
+                this->incomplete_bytes = 0;
                 this->received.emit(message->get_payload());
             });
         made->set_fail_handler([this](websocketpp::connection_hdl) { this->broken = true; });
@@ -116,10 +155,26 @@
             if (count <= 0) {
                 break;
             }
+            held->incomplete_bytes += static_cast<std::size_t>(count);
             held->connection->read_all(piece.data(), static_cast<std::size_t>(count));
         }
         if (held->broken) {
             held->fail();
+        } else {
+            held->check_incomplete();
+        }
+    }
+
+    // Messages of many links, none of which ends, would fill the memory together.
+    void check_incomplete() {
+        if (!this->listener_links || this->socket == nullptr) {
+            return;
+        }
+        set_incomplete(*this->listener_links, this, this->incomplete_bytes);
+        if (this->listener_links->total > this->max_incomplete_bytes) {
+            const auto held =
+                static_cast<socket_link*>(largest(*this->listener_links))->shared_from_this();
+            held->fail();
         }
     }
 
@@ -155,6 +210,9 @@
     }
 
     void release() {
+        if (this->listener_links) {
+            remove(*this->listener_links, this);
+        }
         if (this->handshake_timer != nullptr) {
             event_free(std::exchange(this->handshake_timer, nullptr));
         }
@@ -168,6 +226,11 @@
     bufferevent* socket;
     event* handshake_timer;
     typename Endpoint::connection_ptr connection;
+    // Null for a link that was not accepted by a listener.
+    accepted_links_ptr listener_links;
+    std::size_t max_incomplete_bytes = 0;
+    // Bytes received since the last complete message.
+    std::size_t incomplete_bytes = 0;
     bool broken = false;
     bool finished = false;
 };
@@ -221,11 +284,16 @@
     static void on_accept(evconnlistener* listener, evutil_socket_t socket, sockaddr* /*from*/,
                           int /*length*/, void* self) {
         auto* owner = static_cast<socket_listener*>(self);
+        if (owner->links->incomplete_bytes.size() >= owner->limits.max_links) {
+            evutil_closesocket(socket);
+            return;
+        }
         disable_delay(socket);
         bufferevent* buffered = bufferevent_socket_new(evconnlistener_get_base(listener), socket,
                                                        BEV_OPT_CLOSE_ON_FREE);
         auto made = std::make_shared<socket_link<server_endpoint>>(owner->endpoint, buffered);
         auto connection = owner->endpoint.get_connection();
+        made->join(owner->links);
         made->attach(connection, owner->limits);
         owner->accepted(made);
         connection->start();
@@ -234,6 +302,7 @@
     link_limits limits;
     std::function<void(link_ptr)> accepted;
     server_endpoint endpoint;
+    accepted_links_ptr links = std::make_shared<accepted_links>();
     evconnlistener* listener = nullptr;
 };
 
--- a/src/adapters/link.h
+++ b/src/adapters/link.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,6 +40,11 @@
     std::size_t max_message_bytes = 0;
     // Time from the start of a connection until the link is open.
     std::chrono::milliseconds handshake_time{3000};
+    // Bytes of messages that are not complete, over all links of a listener. Beyond it, the link
+    // with the most of them is closed.
+    std::size_t max_incomplete_bytes = std::numeric_limits<std::size_t>::max();
+    // Links of a listener. Beyond it, new connections are closed.
+    std::size_t max_links = 512;
 };
 
 // Starts to connect to "IP:PORT"; `opened` or `closed` follows.
--- a/src/adapters/link_tests.cpp
+++ b/src/adapters/link_tests.cpp
@@ -160,3 +160,42 @@
     CHECK(sent <= (12U << 20U));
     close(client);
 }
+
+// Guards against messages of many links that never end and fill the memory together.
+TEST_CASE("links whose messages do not end are closed when all of them hold too much",
+          "[adapters][endless]") {
+    adapters::event_loop loop;
+    constexpr std::size_t most_incomplete = 110'000;
+    adapters::link_limits bounded = limits;
+    bounded.max_incomplete_bytes = most_incomplete;
+    std::vector<adapters::link_ptr> accepted;
+    int closed = 0;
+    auto listener =
+        adapters::listen_for_links(loop.base(), address, bounded, [&](adapters::link_ptr made) {
+            made->closed.connect([&] { ++closed; });
+            accepted.push_back(made);
+        });
+    REQUIRE(listener);
+    // A handshake, and the head of a masked frame of 60,000 bytes.
+    const std::string begin =
+        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n" +
+        std::string("\x82\xfe\xea\x60\x00\x00\x00\x00", 8);
+    std::vector<int> clients;
+    for (int each = 0; each < 3; ++each) {
+        clients.push_back(tests::connect_client(address));
+        REQUIRE(tests::send_some(clients.back(), begin + std::string(50'000, 'x')));
+    }
+    loop.after(base::seconds(10), [&] { loop.stop(); });
+    loop.every(base::milliseconds(5), [&] {
+        if (closed > 0) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    CHECK(accepted.size() == 3);
+    CHECK(closed == 1);
+    for (const int client : clients) {
+        close(client);
+    }
+}
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -4,11 +4,13 @@
 #include "adapters/http_platform.h"
 #include "adapters/http_upstream.h"
 #include "adapters/logging.h"
+#include "buffers/memory_plan.h"
 #include "process/config_exchange.h"
 #include "process/operators_port.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -22,6 +24,21 @@
 constexpr base::micros longest_stop = base::seconds(60);
 constexpr std::size_t most_load_bytes = 1U << 20U;
 constexpr int http_ok = 200;
+// What an order holds beside its body.
+constexpr std::size_t other_order_bytes = 1U << 20U;
+// An order is held so often: as it came, for the call to the upstream, and in that call's buffer.
+constexpr std::size_t order_copies = 3;
+constexpr base::milliseconds memory_retry_after{1000};
+
+adapters::link_limits listener_limits(const settings::limit_settings& settings) {
+    adapters::link_limits limits{wire::max_frame_bytes};
+    const auto plan = buffers::plan_memory(settings.memory_mb);
+    const auto largest_order =
+        static_cast<std::size_t>(settings.max_body_bytes) + other_order_bytes;
+    limits.max_incomplete_bytes =
+        std::max(largest_order, static_cast<std::size_t>(plan.incomplete_messages));
+    return limits;
+}
 
 std::string make_nonce(const settings::agent_settings& settings, std::int64_t incarnation) {
     return settings.id.value + "@" + std::to_string(incarnation);
@@ -65,7 +82,7 @@
 int agent::run() {
     adapters::start_logging(this->settings.id.value);
     this->listener = adapters::listen_for_links(
-        this->loop.base(), this->settings.listen, {wire::max_frame_bytes},
+        this->loop.base(), this->settings.listen, listener_limits(this->settings.limits),
         [this](adapters::link_ptr transport) { this->accept(std::move(transport)); });
     auto operators = process::serve_operators(
         this->loop, this->metrics, this->timeline, this->settings.limits.memory_mb,
@@ -181,8 +198,37 @@
     process::take(this->config, *from->link, message);
 }
 
+// Whether what the orders of all entries hold stays within the memory with this one.
+bool agent::has_memory_for(const wire::order& order) const {
+    const auto limit = buffers::plan_memory(this->settings.limits.memory_mb).clients.limit;
+    const std::size_t held =
+        order_copies * (this->orders.body_bytes() + this->once.body_bytes() + order.body.size());
+    return limit == 0 || held <= static_cast<std::size_t>(limit);
+}
+
+// An earlier copy of an order with a key may have run.
+void agent::refuse_for_memory(const session_ptr& from, const wire::order& order) {
+    const bool keyed = !order.idempotency_key.empty();
+    const auto number = keyed ? base::code::once_outcome_unknown : base::code::memory_exhausted;
+    const auto ran = keyed ? base::execution_state::unknown : base::execution_state::not_run;
+    this->metrics.count("camphorrail_refusals_total",
+                        {{"code", std::to_string(static_cast<int>(number))},
+                         {"ran", std::string(base::to_string(ran))}});
+    this->timeline.mark("order_refused", order.attempt, {{"code", static_cast<int>(number)}});
+    from->link->send(wire::refused{order.attempt,
+                                   static_cast<int>(number),
+                                   static_cast<int>(ran),
+                                   memory_retry_after.count(),
+                                   this->orders.load(),
+                                   {}});
+}
+
 void agent::handle_one(const session_ptr& from, const wire::order& message) {
     process::note_version(this->config, *from->link, message.config_version);
+    if (!this->has_memory_for(message)) {
+        this->refuse_for_memory(from, message);
+        return;
+    }
     const std::weak_ptr<session> weak = from;
     const std::string attempt = message.attempt;
     const auto send = [weak, attempt](const wire::message& answer) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -37,6 +37,8 @@
     void handle_one(const session_ptr& from, const wire::heartbeat& message);
     void handle_one(const session_ptr& from, const wire::config_request& message);
     void handle_one(const session_ptr& from, const wire::config_reply& message);
+    [[nodiscard]] bool has_memory_for(const wire::order& order) const;
+    void refuse_for_memory(const session_ptr& from, const wire::order& order);
     void handle_one(const session_ptr& from, const wire::order& message);
     void handle_one(const session_ptr& from, const wire::cancel& message);
     void handle_one(const session_ptr& from, const wire::credit& message);
--- a/src/agent/once_runner.cpp
+++ b/src/agent/once_runner.cpp
@@ -137,11 +137,14 @@
         return;
     }
     const pool_ptr pool = found->second;
-    this->asked[order.attempt] = {order, std::move(send), pool};
     const base::idempotency_key key{order.idempotency_key};
     if (pool->orders.count(key.value) == 0) {
         pool->orders[key.value] = order;
     }
+    wire::order without_body = order;
+    without_body.body.clear();
+    without_body.body.shrink_to_fit();
+    this->asked[order.attempt] = {std::move(without_body), std::move(send), pool};
     const once::event_time at = this->moment();
     this->carry_out(
         pool,
@@ -194,6 +197,16 @@
     return count;
 }
 
+std::size_t once_runner::body_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [name, pool] : this->pools) {
+        for (const auto& [key, order] : pool->orders) {
+            bytes += order.body.size();
+        }
+    }
+    return bytes;
+}
+
 void once_runner::carry_out(const pool_ptr& pool, const once::actions& todo) {
     for (const auto& action : todo) {
         std::visit([this, &pool](const auto& one) { this->carry_out_one(pool, one); }, action);
--- a/src/agent/once_runner.h
+++ b/src/agent/once_runner.h
@@ -41,11 +41,14 @@
     void close();
     [[nodiscard]] bool closed() const;
     [[nodiscard]] std::size_t key_count() const;
+    // Bytes of the bodies of all orders that are held.
+    [[nodiscard]] std::size_t body_bytes() const;
 
 private:
     struct pool_runner;
     using pool_ptr = std::shared_ptr<pool_runner>;
     struct asked_order {
+        // Without its body, which lies with the pool's orders.
         wire::order order;
         send_function send;
         pool_ptr pool;
--- a/src/agent/order_runner.cpp
+++ b/src/agent/order_runner.cpp
@@ -126,6 +126,16 @@
                        {}});
 }
 
+std::size_t order_runner::body_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto* orders : {&this->waiting, &this->running}) {
+        for (const auto& [attempt, active] : *orders) {
+            bytes += active->order.body.size();
+        }
+    }
+    return bytes;
+}
+
 bool order_runner::has_room() const {
     const auto prefilling =
         std::count_if(this->running.begin(), this->running.end(),
--- a/src/agent/order_runner.h
+++ b/src/agent/order_runner.h
@@ -38,6 +38,8 @@
     void set_leaving(bool leaving) { this->leaving = leaving; }
     void note_engine(std::int64_t engine_incarnation);
     [[nodiscard]] wire::load_report load() const;
+    // Bytes of the bodies of all orders that wait or run.
+    [[nodiscard]] std::size_t body_bytes() const;
     [[nodiscard]] bool idle() const { return this->running.empty() && this->waiting.empty(); }
 
 private:
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -1,5 +1,6 @@
 #include "proxy/peers.h"
 
+#include "buffers/memory_plan.h"
 #include "entries/duty_ranking.h"
 #include "proxy/store_follower.h"
 #include "proxy/target_weights.h"
@@ -137,9 +138,17 @@
     }
 }
 
+adapters::link_limits peers::listener_limits() const {
+    adapters::link_limits limits{max_message_bytes};
+    const auto plan = buffers::plan_memory(this->context.settings.memory_mb);
+    limits.max_incomplete_bytes =
+        std::max(max_message_bytes, static_cast<std::size_t>(plan.incomplete_messages));
+    return limits;
+}
+
 bool peers::listen() {
     this->listener = adapters::listen_for_links(
-        this->context.loop.base(), this->context.settings.peer_listen, {max_message_bytes},
+        this->context.loop.base(), this->context.settings.peer_listen, this->listener_limits(),
         [this](const adapters::link_ptr& link) { this->add_link(link, {}); });
     this->send_load();
     return this->listener != nullptr;
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -109,6 +109,7 @@
     std::function<std::vector<peering::message>()> initial_messages;
 
 private:
+    [[nodiscard]] adapters::link_limits listener_limits() const;
     struct peer_link {
         adapters::link_ptr link;
         base::entry_id id;
