Refuse a request that finds no room beside requests under way, and log yields at an entry once a second

A request that an entry with agents is to hold was never refused: what is under way can't yield, and the request was looked for among what can. It is asked before it holds anything, so it counts as one that can. The test has five requests of 300 KB in 1 MB; all of them found room before, three do now.

An entry with agents writes its log without a bound of its own, so what clients make it log must have one.

--- a/src/adapters/client_memory.cpp
+++ b/src/adapters/client_memory.cpp
@@ -41,6 +41,8 @@
     const auto limits = this->callbacks.budget();
     auto expected = this->measure(holder);
     expected.held = sum_of(expected.held, more);
+    // It is asked before it holds more, so it can still be refused.
+    expected.may_yield = true;
     buffers::record(this->account, holder, expected);
     if (buffers::is_exhausted(this->account, limits)) {
         this->measure_all();
--- a/src/adapters/http_server_tests.cpp
+++ b/src/adapters/http_server_tests.cpp
@@ -205,3 +205,40 @@
         close(client);
     }
 }
+
+// Guards against requests that are received one after the other, run for long, and fill the memory
+// together.
+TEST_CASE("requests under way leave no room for another large one", "[adapters][memory]") {
+    adapters::event_loop loop;
+    adapters::http_limits limits;
+    limits.memory = buffers::budget_of_bytes(1 << 20);
+    constexpr std::size_t large = 300 << 10;
+    std::vector<adapters::exchange_ptr> running;
+    std::vector<bool> found_room;
+    adapters::http_server server(loop.base(), limits, [&](const adapters::exchange_ptr& exchange) {
+        found_room.push_back(exchange->may_hold(large));
+        if (found_room.back()) {
+            exchange->set_held(large);
+        }
+        running.push_back(exchange);
+        if (running.size() == 5) {
+            loop.stop();
+        }
+    });
+    const std::string address = tests::own_address(18998);
+    REQUIRE(server.listen(address));
+    std::vector<int> clients;
+    for (int each = 0; each < 5; ++each) {
+        clients.push_back(tests::connect_client(address));
+        REQUIRE(tests::send_some(clients.back(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    }
+    loop.after(base::seconds(10), [&] { loop.stop(); });
+    loop.run();
+    CHECK(found_room == std::vector<bool>{true, true, true, false, false});
+    for (const auto& exchange : running) {
+        exchange->reply(200, {}, "");
+    }
+    for (const int client : clients) {
+        close(client);
+    }
+}
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -10,12 +10,14 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace camphorrail::entry {
 
 namespace {
 
+constexpr base::micros yield_log_period = base::seconds(1);
 constexpr base::micros vm_list_period = base::seconds(2);
 constexpr base::micros stop_check_period = base::milliseconds(50);
 constexpr base::micros longest_stop = base::seconds(120);
@@ -86,14 +88,7 @@
                             {{"status", std::to_string(status)}});
         return refusal_of(status);
     };
-    this->callers->on_yield = [this](std::int64_t bytes) {
-        this->metrics.count("camphorrail_buffer_yields_total");
-        adapters::log(
-            adapters::log_level::warning, "buffers_yielded",
-            {{"bytes", bytes},
-             {"held", this->callers->held_bytes()},
-             {"budget", buffers::plan_memory(this->settings.limits.memory_mb).clients.limit}});
-    };
+    this->callers->on_yield = [this](std::int64_t bytes) { this->record_yield(bytes); };
     auto operators = process::serve_operators(
         this->loop, this->metrics, this->timeline, this->settings.limits.memory_mb,
         {[this] { return this->config.ready() && !this->stopping; },
@@ -130,6 +125,23 @@
     return 0;
 }
 
+// Clients that send too much may make many requests yield, so only some are logged.
+void entry::record_yield(std::int64_t bytes) {
+    this->metrics.count("camphorrail_buffer_yields_total");
+    ++this->unlogged_yields;
+    const base::instant now = this->loop.clock().now();
+    if (now < this->next_yield_log) {
+        return;
+    }
+    this->next_yield_log = now + yield_log_period;
+    const auto plan = buffers::plan_memory(this->settings.limits.memory_mb);
+    adapters::log(adapters::log_level::warning, "buffers_yielded",
+                  {{"requests", std::exchange(this->unlogged_yields, 0)},
+                   {"bytes", bytes},
+                   {"held", this->callers->held_bytes()},
+                   {"budget", plan.clients.limit}});
+}
+
 base::attempt_id entry::next_attempt() {
     return {this->settings.id.value + "/" + std::to_string(this->incarnation) + "/" +
             std::to_string(++this->attempts)};
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -27,6 +27,7 @@
 
 private:
     void on_request(const adapters::exchange_ptr& exchange);
+    void record_yield(std::int64_t bytes);
     void list_models(const adapters::exchange_ptr& exchange);
     void on_message(const base::upstream_id& from, const wire::message& message);
     void on_lost(const base::upstream_id& from);
@@ -51,6 +52,9 @@
     std::unordered_map<base::attempt_id, std::shared_ptr<request_flow>> flows;
     std::int64_t incarnation;
     std::int64_t attempts = 0;
+    // Requests that have yielded since that was last logged, and when it may be logged again.
+    std::int64_t unlogged_yields = 0;
+    base::instant next_yield_log{};
     bool stopping = false;
     base::instant stop_at;
 };
