--- a/src/adapters/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -52,9 +52,6 @@
 // Connections accepted before the others are served again. Otherwise clients that connect anew as
 // soon as they are refused use up the descriptors faster than ended connections are closed.
 constexpr std::size_t max_accepts_per_turn = 16;
-// The connection limit is not lowered below this when descriptors run out, since another listener
-// may have used them up.
-constexpr std::size_t min_lowered_limit = 16;
 // While accepting is paused, idle connections are searched for at this interval.
 constexpr base::milliseconds accept_retry_period{20};
 // One in this many connections is kept free for new clients.
@@ -689,7 +686,7 @@
         // lower: lower the connection limit permanently.
         constexpr std::size_t kept_quarters = 3;
         this->connection_limit =
-            std::max(min_lowered_limit, this->connections.size() * kept_quarters / 4);
+            std::max<std::size_t>(1, this->connections.size() * kept_quarters / 4);
     }
     this->close_idle_connections();
     this->pause_accepting();
