Test clients that read nothing on links, choose long names, or take all descriptors

Twelve crowds more, each against one real process: idle connections at each listener of a process with 160 descriptors, links whose replies nobody reads, links that state names of 100 KB, and streams whose request ids are 15 KB long. Crowds and bounds are those of the other crowds; a process may log 1 MB meanwhile besides.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,7 @@
 # Functions to start and stop a small fleet on loopback; sourced by the demo and the process tests.
 # Every process started here is remembered by its id, and only those are ever ended.
 #
-# shellcheck shell=sh
+# shellcheck shell=sh disable=SC2086
 
 PIDS=""
 OUT=${OUT:-$(mktemp -d)}
@@ -9,6 +9,9 @@
 KV=127.0.0.1:$((PORT_BASE + 70))
 TEAM_KEY=desk-secret
 
+# LAUNCHER, if set, is a command that runs agents and entries, such as one that lowers their limits.
+LAUNCHER=${LAUNCHER:-}
+
 # start NAME COMMAND...: runs a process in the background and remembers its id as PID_NAME.
 start() {
     name=$1
@@ -85,7 +88,7 @@
 limits:
   request_timeout_ms: ${REQUEST_TIMEOUT_MS:-30000}
 YAML
-    start "agent_$1" "$BIN/camphorrail" agent "$OUT/$1.yaml"
+    start "agent_$1" $LAUNCHER "$BIN/camphorrail" agent "$OUT/$1.yaml"
 }
 
 # start_entry ID NUMBER [EXTRA-YAML]: callers' port +0, operators' port +1 of PORT_BASE + 2*N.
@@ -104,7 +107,7 @@
   request_timeout_ms: ${REQUEST_TIMEOUT_MS:-30000}
 ${3:-}
 YAML
-    start "entry_$1" "$BIN/camphorrail" entry "$OUT/$1.yaml"
+    start "entry_$1" $LAUNCHER "$BIN/camphorrail" entry "$OUT/$1.yaml"
 }
 
 # The users' platform: a metadata store, engines that list themselves there, and entries without agents.
@@ -169,7 +172,7 @@
   grace_s: 5
 ${PROXY_BOUNDS:-}
 YAML
-    start "proxy_$1" "$BIN/camphorrail" proxy "$OUT/$1.yaml"
+    start "proxy_$1" $LAUNCHER "$BIN/camphorrail" proxy "$OUT/$1.yaml"
 }
 
 # start_proxy_fleet: a store, a plain service that loses its answers, two engines, and one entry.
--- a/tests/crowd/clients.cpp
+++ b/tests/crowd/clients.cpp
@@ -19,12 +19,20 @@
 constexpr std::size_t missing_bytes = 16;
 // What stands for a connection's number in a head.
 const std::string number_mark = "{number}";
+// The same where the length of the head must not change.
+const std::string padded_mark = "{00000000}";
 
-std::string with_number(std::string head, int number) {
-    for (auto at = head.find(number_mark); at != std::string::npos; at = head.find(number_mark)) {
-        head.replace(at, number_mark.size(), std::to_string(number));
+std::string replace_all(std::string text, const std::string& mark, const std::string& by) {
+    for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark)) {
+        text.replace(at, mark.size(), by);
     }
-    return head;
+    return text;
+}
+
+std::string with_number(const std::string& head, int number) {
+    const std::string digits = std::to_string(number);
+    const std::string padded = std::string(padded_mark.size() - digits.size(), '0') + digits;
+    return replace_all(replace_all(head, number_mark, digits), padded_mark, padded);
 }
 
 // Starts to connect without waiting, since a listener may leave connections in its queue.
--- a/tests/crowd/load_kinds.cpp
+++ b/tests/crowd/load_kinds.cpp
@@ -1,5 +1,8 @@
 #include "crowd/load_kinds.h"
 
+#include "peering/messages.h"
+#include "wire/messages.h"
+
 #include <functional>
 #include <map>
 
@@ -98,14 +101,80 @@
     return {with_length(target, std::to_string(body.size())), body, 1, "", burst, 1};
 }
 
+const std::string link_handshake =
+    "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+// The head of a binary frame of so many bytes, masked with zeros.
+std::string frame_head(std::uint64_t bytes) {
+    constexpr std::uint64_t max_short = 125;
+    constexpr std::uint64_t max_medium = 65535;
+    constexpr unsigned bits_per_byte = 8;
+    std::string head("\x82");
+    unsigned length_bytes = 0;
+    if (bytes <= max_short) {
+        head += static_cast<char>(0x80U | bytes);
+    } else {
+        head += bytes <= max_medium ? '\xfe' : '\xff';
+        length_bytes = bytes <= max_medium ? 2 : 8;
+    }
+    for (unsigned left = length_bytes; left > 0; --left) {
+        head += static_cast<char>(bytes >> (bits_per_byte * (left - 1)));
+    }
+    return head + std::string(4, '\0');
+}
+
+std::string in_frame(const std::string& message) {
+    return frame_head(message.size()) + message;
+}
+
 // A message of 8,000,000 bytes on a link between two of our processes, which does not end.
 client_load link_messages(const request_target& /*target*/) {
-    const std::string handshake =
-        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
-    // The head of a binary frame with a length of eight bytes, masked with zeros.
-    const std::string frame("\x82\xff\x00\x00\x00\x00\x00\x7a\x12\x00\x00\x00\x00\x00", 14);
-    return {handshake + frame, letters, 7 * megabyte / letters.size(), "", burst};
+    return {link_handshake + frame_head(8'000'000), letters, 7 * megabyte / letters.size(), "",
+            burst};
+}
+
+// The same message on a link again and again. Nobody reads what it is answered with.
+client_load unread_replies(const std::string& message) {
+    std::string block;
+    while (block.size() < piece) {
+        block += in_frame(message);
+    }
+    return {link_handshake, block, without_end, "", 4 * piece, 1, false};
+}
+
+client_load unread_store_views(const request_target& /*target*/) {
+    return unread_replies(peering::encode({peering::store_query{1, {}, true}}));
+}
+
+client_load unread_configurations(const request_target& /*target*/) {
+    return unread_replies(wire::encode(wire::config_request{0}));
+}
+
+// A link on which an entry states twenty names, one after the other. They are 100 KB long.
+client_load link_names(const request_target& /*target*/) {
+    constexpr int names = 20;
+    std::string head = link_handshake;
+    for (int name = 0; name < names; ++name) {
+        const std::string unique = "{00000000}-" + std::to_string(name);
+        const std::string padding(100 * kilobyte, 'x');
+        head += in_frame(peering::encode({peering::handshake{{unique + padding}, {"a"}, 1}}));
+    }
+    return {head, "", 0, "", burst, 1};
+}
+
+// Whole requests on a connection each, with what the target's fields hold.
+client_load whole_requests(const request_target& target) {
+    return {with_length({target.path, target.fields + "Connection: close\r\n"}, "2"),
+            "{}",
+            1,
+            "",
+            burst,
+            1};
+}
+
+client_load idle_connections(const request_target& /*target*/) {
+    return {"", "", 0, "", burst, 1};
 }
 
 using make_load = std::function<client_load(const request_target&)>;
@@ -123,7 +192,12 @@
         {"many_fields", many_fields},
         {"unread_responses", unread_responses},
         {"nested_json", nested_json},
-        {"link_messages", link_messages}};
+        {"link_messages", link_messages},
+        {"unread_store_views", unread_store_views},
+        {"unread_configurations", unread_configurations},
+        {"link_names", link_names},
+        {"long_names", whole_requests},
+        {"idle_connections", idle_connections}};
     return loads;
 }
 
--- a/tests/crowd/load_kinds.h
+++ b/tests/crowd/load_kinds.h
@@ -11,7 +11,8 @@
 constexpr std::size_t without_end = std::numeric_limits<std::size_t>::max();
 
 // What one client of a crowd sends: a head, a block again and again, and an end. In the head,
-// "{number}" stands for a number that no other connection has.
+// "{number}" stands for a number that no other connection has, and "{00000000}" for the same one
+// in as many characters as the mark has.
 struct client_load {
     std::string head;
     std::string block;
--- a/tests/process/crowd.sh
+++ b/tests/process/crowd.sh
@@ -9,7 +9,7 @@
 # The smallest machine that entries run on.
 MEMORY_MB=88
 case "$LOAD" in
-many_fields) CLIENTS=480 ;;
+many_fields | long_names | idle_connections) CLIENTS=480 ;;
 nested_json) CLIENTS=8 ;;
 *) CLIENTS=96 ;;
 esac
@@ -17,7 +17,13 @@
 UPSTREAM_MEMORY_MB=192
 # For connections to other processes, and for those that the kernel has not told of yet.
 OTHER_DESCRIPTORS=64
+# The most that a process may log meanwhile.
+LOG_KB=1024
 LARGE_BODY=$OUT/large_body
+REQUEST_NAME=crowd-{number}
+[ "$LOAD" = long_names ] && REQUEST_NAME=crowd-{number}-$(head -c 15000 /dev/zero | tr '\0' 'x')
+# So few descriptors that the crowd alone needs more.
+[ "$LOAD" = idle_connections ] && LAUNCHER="prlimit --nofile=160"
 
 start_proxy_with_engines() {
     PROXY_BOUNDS="limits:
@@ -29,6 +35,7 @@
     start_proxy entry-1 0
     wait_for ready "$(proxy_operators_of 0)"
     PID=$PID_proxy_entry_1
+    LOG=$OUT/proxy_entry-1.log
     base=$((PORT_BASE + 20))
     case "$LISTENER" in
     clients) ADDRESS=127.0.0.1:$base ;;
@@ -37,6 +44,8 @@
     entries) ADDRESS=127.0.0.1:$((base + 3)) ;;
     esac
     REQUEST_PATH=/status/x
+    [ "$LOAD" = long_names ] && REQUEST_PATH=/stream/x
+    return 0
 }
 
 start_entry_with_agent() {
@@ -54,7 +63,11 @@
     agent-operators) ADDRESS=$(agent_operators_of 1) ;;
     esac
     PID=$PID_entry_entry_1
-    [ "$ROLE" = agent ] && PID=$PID_agent_slots_1
+    LOG=$OUT/entry_entry-1.log
+    if [ "$ROLE" = agent ]; then
+        PID=$PID_agent_slots_1
+        LOG=$OUT/agent_slots-1.log
+    fi
     REQUEST_PATH=/services/slots/confirm
     [ "$LOAD" = nested_json ] && REQUEST_PATH=/v1/completions
     return 0
@@ -87,7 +100,7 @@
 
 "$BIN/camphorrail_crowd" "--address=$ADDRESS" "--pid=$PID" "--load=$LOAD" "--clients=$CLIENTS" \
     "--path=$REQUEST_PATH" "--field=Host: desk.example" "--field=Authorization: Bearer $TEAM_KEY" \
-    "--field=Request-Id: crowd-{number}" "--field=Idempotency-Key: crowd-{number}" >"$OUT/crowd.txt"
+    "--field=Request-Id: $REQUEST_NAME" "--field=Idempotency-Key: crowd-{number}" >"$OUT/crowd.txt"
 cat "$OUT/crowd.txt"
 value_of() { grep -o "$1=[0-9]*" "$OUT/crowd.txt" | cut -d= -f2; }
 
@@ -101,6 +114,7 @@
 fi
 [ "$(value_of descriptors)" -le $((before + CLIENTS + OTHER_DESCRIPTORS)) ] ||
     fail "$(value_of descriptors) descriptors were open, $before before"
+[ "$(wc -c <"$LOG")" -le $((1024 * LOG_KB)) ] || fail "$(wc -c <"$LOG") bytes were logged"
 wait_for answered '{"slot":17}' || fail "an ordinary request is not answered"
 wait_for operators_answer "$([ "$ROLE" = proxy ] && proxy_operators_of 0 || entry_operators_of 0)"
 wait_for few_descriptors || fail "$(descriptors) descriptors are still open, $before before"
