Pause accepting links while the process has no file descriptor left

Connections to the port for links that took all descriptors made an entry and an agent log 101 MB in 4 s, and kept their event loops busy. Cause: the listener had no callback for failed accepts, so libevent logged each and the loop tried again at once. Accepting pauses for 100 ms now, as at the HTTP listeners.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t read_piece = 16384;
 // A handshake has no body; websocketpp would keep one of 32 MB.
 constexpr std::size_t max_handshake_body = 4096;
+// Accepting is retried after this time, in microseconds, if the process has no descriptor left.
+constexpr suseconds_t accept_retry_period_us = 100'000;
 
 struct socket_address {
     sockaddr_storage storage{};
@@ -270,10 +272,18 @@
         constexpr unsigned flags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE;
         this->listener =
             evconnlistener_new_bind(base, on_accept, this, flags, -1, parsed.get(), parsed.length);
-        return this->listener != nullptr;
+        if (this->listener == nullptr) {
+            return false;
+        }
+        this->retry_timer = evtimer_new(base, on_accept_retry, this);
+        evconnlistener_set_error_cb(this->listener, on_accept_failed);
+        return true;
     }
 
     void stop() override {
+        if (this->retry_timer != nullptr) {
+            event_free(std::exchange(this->retry_timer, nullptr));
+        }
         if (this->listener != nullptr) {
             evconnlistener_free(this->listener);
             this->listener = nullptr;
@@ -299,11 +309,24 @@
         connection->start();
     }
 
+    // Pauses accepting: otherwise the event loop would retry at once for as long as the process
+    // lacks descriptors.
+    static void on_accept_failed(evconnlistener* listener, void* self) {
+        evconnlistener_disable(listener);
+        const timeval wait{0, accept_retry_period_us};
+        evtimer_add(static_cast<socket_listener*>(self)->retry_timer, &wait);
+    }
+
+    static void on_accept_retry(evutil_socket_t /*socket*/, short /*what*/, void* self) {
+        evconnlistener_enable(static_cast<socket_listener*>(self)->listener);
+    }
+
     link_limits limits;
     std::function<void(link_ptr)> accepted;
     server_endpoint endpoint;
     accepted_links_ptr links = std::make_shared<accepted_links>();
     evconnlistener* listener = nullptr;
+    event* retry_timer = nullptr;
 };
 
 } // namespace
