Keep the connection limit of ports for operators and balancers when descriptors run out

The HTTP server lowers its limit for good when an accept fails for want of descriptors, to three quarters of its connections. That is right for callers, who have used them up. A port for operators that had none or one at that moment took one connection at a time from then on. Such a port keeps its limit now and retries, as it did.

--- a/src/adapters/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -681,7 +681,7 @@
 // Pauses accepting: otherwise the event loop would retry at once for as long as the process lacks
 // descriptors.
 void frontend_server::accept_failed() {
-    if (errno == EMFILE) {
+    if (errno == EMFILE && this->lowers_limit) {
         // Other parts of the process use more descriptors than planned, or the system limit is
         // lower: lower the connection limit permanently.
         constexpr std::size_t kept_quarters = 3;
--- a/src/adapters/frontend_server.h
+++ b/src/adapters/frontend_server.h
@@ -180,6 +180,9 @@
     // to make room; if none is idle, accepting pauses until a connection is closed, and requests
     // whose clients have stopped sending are refused.
     void limit_connections(std::size_t count);
+    // Keeps the limit when the process runs out of file descriptors, because other listeners use
+    // them. Otherwise it is lowered then.
+    void keep_connection_limit() { this->lowers_limit = false; }
     // The connection limit in force. It is lower than the configured one if the process ran out of
     // file descriptors earlier.
     [[nodiscard]] std::size_t max_connections() const { return this->connection_limit; }
@@ -217,6 +220,7 @@
     // Those of them whose request was refused before it was complete.
     std::set<std::int64_t> refused;
     std::size_t connection_limit = unbounded_connections;
+    bool lowers_limit = true;
     timer accept_retry_timer;
     timer accept_turn_timer;
     std::size_t accepts_this_turn = 0;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -166,6 +166,9 @@
       memory_timer(base, [this] { this->regularly(); }) {
     this->memory.connect(this->frontend);
     this->frontend.limit_connections(limits.max_connections);
+    if (!limits.lowers_max_connections) {
+        this->frontend.keep_connection_limit();
+    }
     if (this->memory.has_budget()) {
         this->memory_timer.set(memory_check_period);
     }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -87,6 +87,8 @@
     // On what connections and requests hold together; no bounds by default.
     buffers::budget memory{};
     std::size_t max_connections = unbounded_connections;
+    // Whether that is lowered when the process runs out of file descriptors.
+    bool lowers_max_connections = true;
 };
 
 // HTTP towards callers or operators.
--- a/src/process/operators_port.cpp
+++ b/src/process/operators_port.cpp
@@ -27,6 +27,8 @@
     adapters::http_limits limits;
     limits.max_body_bytes = max_body_bytes;
     limits.max_connections = max_connections;
+    // The connections of this port alone do not use up the descriptors.
+    limits.lowers_max_connections = false;
     limits.memory = buffers::plan_memory(memory_mb).control_port;
     return limits;
 }
--- a/src/proxy/descriptors_tests.cpp
+++ b/src/proxy/descriptors_tests.cpp
@@ -172,6 +172,31 @@
     CHECK(world.last_seen().heads[0].status == 200);
 }
 
+// Guards against a port for operators that takes one connection at a time for good, since clients
+// had used up the descriptors once.
+TEST_CASE("a port of few connections keeps its limit when there is no descriptor left",
+          "[proxy][descriptors]") {
+    constexpr std::size_t limit = 128;
+    tests::proxy_world world;
+    world.add_engine("i-1", echo);
+    auto& port = world.callers_port();
+    port.limit_connections(limit);
+    port.keep_connection_limit();
+    {
+        auto exhausted = std::optional<descriptor_exhaustion>();
+        world.call_until(tests::request("once", "r1"), [&] {
+            if (!exhausted) {
+                exhausted.emplace();
+            }
+            return port.pauses() > 0;
+        });
+    }
+    CHECK(port.pauses() >= 1);
+    CHECK(port.max_connections() == limit);
+    REQUIRE(world.run_until([&] { return world.last_seen().heads.size() == 1; }));
+    CHECK(world.last_seen().heads[0].status == 200);
+}
+
 // Guards against unused upstream connections that take the descriptors the entry needs for its own.
 TEST_CASE("idle connections to upstreams are limited", "[proxy][descriptors]") {
     constexpr std::size_t limit = 2;
