Refuse messages on links that nest deeply or hold very many values

One message of 1 MB on a link, arrays within arrays, ended an entry and an agent: the reader of CBOR calls itself for each level and exhausts the stack. One of 4 MB that holds nulls made them use 214 and 210 MB, since a value takes up sixteen bytes and more once it is parsed.

Messages are counted before they are parsed: at most 250,000 values and 4,096 levels. Shorter ones than 4,096 bytes are not counted. The counter of values in callers' JSON serves both now.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "entry/caller_request.h"
 
 #include "base/hash.h"
+#include "base/json_values.h"
 
 #include <nlohmann/json.hpp>
 
@@ -18,8 +19,8 @@
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t longest_key = 200;
 constexpr std::size_t longest_traceparent = 128;
-// Values of all kinds in a body of JSON, those within others included.
-constexpr std::size_t max_json_values = 100'000;
+// Of a body of JSON. Its parser needs no stack for nested values.
+constexpr base::value_limits body_limits{100'000, 100'000};
 
 problem refusal(base::code number, std::string detail = "") {
     return {number, base::execution_state::not_run, base::milliseconds{0}, std::move(detail)};
@@ -40,45 +41,6 @@
                        [](unsigned char letter) { return letter > ' ' && letter < 127; });
 }
 
-// Counts values, and gives up when there are too many.
-class value_counter : public json::json_sax_t {
-public:
-    bool null() override { return this->count(); }
-    bool boolean(bool /*value*/) override { return this->count(); }
-    bool number_integer(number_integer_t /*value*/) override { return this->count(); }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return this->count(); }
-    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override {
-        return this->count();
-    }
-    bool string(string_t& /*value*/) override { return this->count(); }
-    bool binary(binary_t& /*value*/) override { return this->count(); }
-    bool start_object(std::size_t /*elements*/) override { return this->count(); }
-    bool key(string_t& /*value*/) override { return true; }
-    bool end_object() override { return true; }
-    bool start_array(std::size_t /*elements*/) override { return this->count(); }
-    bool end_array() override { return true; }
-    bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
-                     const json::exception& /*error*/) override {
-        return false;
-    }
-    [[nodiscard]] bool too_many() const { return this->values > max_json_values; }
-
-private:
-    bool count() { return ++this->values <= max_json_values; }
-
-    std::size_t values = 0;
-};
-
-// A value takes up a hundred bytes and more once it is parsed, and two in the body.
-bool has_too_many_values(const std::string& body) {
-    if (body.size() <= max_json_values) {
-        return false;
-    }
-    value_counter counter;
-    json::sax_parse(body, &counter);
-    return counter.too_many();
-}
-
 // The text parts of a message's content, which is a text or a list of typed parts.
 std::string text_of(const json& content) {
     if (content.is_string()) {
@@ -127,9 +89,10 @@
     if (request.method != "POST") {
         return refusal(base::code::method_not_allowed);
     }
-    if (has_too_many_values(request.body)) {
-        return refusal(base::code::body_malformed,
-                       "the body holds more than " + std::to_string(max_json_values) + " values");
+    if (base::exceeds(request.body, json::input_format_t::json, body_limits)) {
+        return refusal(base::code::body_malformed, "the body holds more than " +
+                                                       std::to_string(body_limits.values) +
+                                                       " values");
     }
     json body = json::parse(request.body, nullptr, false);
     if (!body.is_object()) {
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -1,5 +1,7 @@
 #include "peering/messages.h"
 
+#include "base/json_values.h"
+
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -11,6 +13,9 @@
 
 using nlohmann::json;
 
+// Messages up to the lesser figure in bytes cannot exceed them.
+constexpr base::value_limits message_limits{250'000, 4096};
+
 json to_json(const base::upstream_instance& instance) {
     return {instance.id.value, instance.incarnation.value};
 }
@@ -615,9 +620,13 @@
 }
 
 base::result<frame> decode(std::string_view bytes) {
+    const auto decoded = base::parse_cbor(bytes, message_limits);
+    if (!decoded) {
+        return base::code::frame_malformed;
+    }
     try {
-        const json decoded = json::from_cbor(bytes);
-        return frame{read_message(decoded.at(1)), base::micros(decoded.at(0).get<std::int64_t>())};
+        return frame{read_message(decoded->at(1)),
+                     base::micros(decoded->at(0).get<std::int64_t>())};
     } catch (const std::exception&) {
         return base::code::frame_malformed;
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,5 +1,7 @@
 #include "wire/messages.h"
 
+#include "base/json_values.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -38,6 +40,8 @@
 constexpr const char* bytes_field = "b";
 constexpr int highest_ran = 2;
 constexpr std::size_t most_levels = 64;
+// Frames up to the lesser figure in bytes cannot exceed them.
+constexpr base::value_limits frame_limits{250'000, 4096};
 
 template <class Message>
 nlohmann::json to_fields(const Message& value) {
@@ -152,10 +156,12 @@
     if (bytes.size() > max_frame_bytes) {
         return base::code::frame_too_large;
     }
-    // The library throws for lengths that can't be, even where it is told not to: a frame of a few
-    // bytes that announces 2^62 items would end the process.
+    const auto fields = base::parse_cbor(bytes, frame_limits);
+    if (!fields) {
+        return base::code::frame_malformed;
+    }
     try {
-        return read_frame(nlohmann::json::from_cbor(bytes));
+        return read_frame(*fields);
     } catch (const nlohmann::json::exception&) {
         return base::code::frame_malformed;
     }
--- a/tests/crowd/load_kinds.cpp
+++ b/tests/crowd/load_kinds.cpp
@@ -151,6 +151,28 @@
     return unread_replies(wire::encode(wire::config_request{0}));
 }
 
+// Messages in which arrays hold one another, or hold millions of values. They are legal CBOR.
+client_load nested_messages(const request_target& /*target*/) {
+    return {link_handshake + frame_head(megabyte),
+            std::string(piece, '\x81'),
+            megabyte / piece,
+            "",
+            burst,
+            1};
+}
+
+client_load many_values(const request_target& /*target*/) {
+    // An array of so many values in the next four bytes, each of them null.
+    constexpr std::size_t values = 4 * megabyte;
+    const std::string array("\x9a\x00\x40\x00\x00", 5);
+    return {link_handshake + frame_head(array.size() + values) + array,
+            std::string(piece, '\xf6'),
+            values / piece,
+            "",
+            burst,
+            1};
+}
+
 // A link on which an entry states twenty names, one after the other. They are 100 KB long.
 client_load link_names(const request_target& /*target*/) {
     constexpr int names = 20;
@@ -196,6 +218,8 @@
         {"unread_store_views", unread_store_views},
         {"unread_configurations", unread_configurations},
         {"link_names", link_names},
+        {"nested_messages", nested_messages},
+        {"many_values", many_values},
         {"long_names", whole_requests},
         {"idle_connections", idle_connections}};
     return loads;
