Bound the names that links state and the entries that are remembered

A link may state one name after the other, as long as a message, and an entry kept each for good: 96 links with twenty names of 100 KB made it use 238 MB. Names above 256 bytes are refused as unreadable now, and of entries without a link at most 4,096 are remembered; what is remembered, an estimate of the sender's clock, is learned anew from its next messages.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <stdexcept>
 #include <utility>
 
 namespace camphorrail::peering {
@@ -15,6 +16,17 @@
 
 // Messages up to the lesser figure in bytes cannot exceed them.
 constexpr base::value_limits message_limits{250'000, 4096};
+// Names of entries and of their availability zones, in bytes.
+constexpr std::size_t max_name_size = 256;
+
+// Throws for a name that is too long to be kept.
+std::string read_name(const json& value) {
+    auto name = value.get<std::string>();
+    if (name.size() > max_name_size) {
+        throw std::length_error("the name is too long");
+    }
+    return name;
+}
 
 json to_json(const base::upstream_instance& instance) {
     return {instance.id.value, instance.incarnation.value};
@@ -498,8 +510,8 @@
 message read_message(const json& value) {
     const std::string kind = value.at(0).get<std::string>();
     if (kind == "hello") {
-        return handshake{{value.at(1).get<std::string>()},
-                         {value.at(2).get<std::string>()},
+        return handshake{{read_name(value.at(1))},
+                         {read_name(value.at(2))},
                          value.at(3).get<std::int64_t>(),
                          value.size() > 4 ? value.at(4).get<std::int64_t>() : first_protocol};
     }
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -42,6 +42,7 @@
 constexpr base::milliseconds startup_wait{1000};
 // A configuration of 350 routes together with 2,000 listed upstreams stays below 1 MB.
 constexpr std::size_t max_message_bytes = 8U << 20U;
+constexpr std::size_t max_known_senders = 4096;
 
 ports::snapshot snapshot_of(const ports::changes& all) {
     ports::snapshot read;
@@ -435,7 +436,22 @@
     std::visit([&](const auto& message) { this->handle(key, message, written); }, payload);
 }
 
+// Drops what is known of entries that have no link, once too many have been seen: a link may state
+// one name after the other.
+void peers::limit_known_senders() {
+    if (this->known_senders.size() < max_known_senders) {
+        return;
+    }
+    std::set<base::entry_id> linked;
+    for (const auto& [key, peer] : this->links) {
+        linked.insert(peer.id);
+    }
+    std::erase_if(this->known_senders,
+                  [&linked](const auto& each) { return linked.count(each.first) == 0; });
+}
+
 void peers::identify_peer(peer_link& peer, const peering::handshake& message) {
+    this->limit_known_senders();
     auto& known = this->known_senders[message.from];
     if (known.clock == nullptr || known.incarnation != message.incarnation) {
         known = {message.incarnation, std::make_shared<base::sender_clock>()};
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -154,6 +154,7 @@
     void add_link(const adapters::link_ptr& link, base::entry_id id);
     void drop_link(link_key key);
     void on_received(link_key key, std::string_view bytes);
+    void limit_known_senders();
     void identify_peer(peer_link& peer, const peering::handshake& message);
     // `written` is the estimated time of sending, however long the message waited to be read.
     void handle(link_key key, const peering::handshake& message, base::instant written);
