Close links that read nothing when all of them hold too much

A link may ask for the configuration or for a view of the store again and again with a few bytes and read none of the replies. They piled up without a bound: 96 such links made an entry use 307 MB and an agent 610. What the other ends of accepted links have not read is bounded over all of a listener now, at a quarter of the memory; beyond it the link with the most is closed. It is taken from the half that requests of clients may use, so that the sum stays. One test drives two links, of which the one that reads stays open.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -49,32 +49,48 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-// The links that a listener has accepted, and what each holds of a message that is not complete.
+// What a link holds, in bytes.
+struct link_bytes {
+    // Of a message that is not complete.
+    std::size_t incomplete = 0;
+    // Of messages that the other end has not read.
+    std::size_t unread = 0;
+};
+
+// The links that a listener has accepted, and what all of them hold.
 struct accepted_links {
-    std::map<link*, std::size_t> incomplete_bytes;
-    std::size_t total = 0;
+    std::map<link*, link_bytes> held;
+    link_bytes total;
 };
 
 using accepted_links_ptr = std::shared_ptr<accepted_links>;
 
-void set_incomplete(accepted_links& all, link* one, std::size_t bytes) {
-    std::size_t& now = all.incomplete_bytes[one];
-    all.total += bytes - now;
+void record(accepted_links& all, link* one, const link_bytes& bytes) {
+    link_bytes& now = all.held[one];
+    all.total.incomplete += bytes.incomplete - now.incomplete;
+    all.total.unread += bytes.unread - now.unread;
     now = bytes;
 }
 
 void remove(accepted_links& all, link* one) {
-    const auto found = all.incomplete_bytes.find(one);
-    if (found != all.incomplete_bytes.end()) {
-        all.total -= found->second;
-        all.incomplete_bytes.erase(found);
+    if (all.held.count(one) > 0) {
+        record(all, one, {});
+        all.held.erase(one);
+    }
+}
+
+// What other ends have read since is not reported.
+void measure_unread(accepted_links& all) {
+    for (auto& [one, bytes] : all.held) {
+        record(all, one, {bytes.incomplete, one->queued_bytes()});
     }
 }
 
-link* largest(const accepted_links& all) {
-    return std::max_element(
-               all.incomplete_bytes.begin(), all.incomplete_bytes.end(),
-               [](const auto& left, const auto& right) { return left.second < right.second; })
+link* largest(const accepted_links& all, std::size_t link_bytes::*kind) {
+    return std::max_element(all.held.begin(), all.held.end(),
+                            [kind](const auto& left, const auto& right) {
+                                return left.second.*kind < right.second.*kind;
+                            })
         ->first;
 }
 
@@ -83,7 +99,7 @@
 public:
     socket_link(Endpoint& endpoint, bufferevent* socket)
         : endpoint(&endpoint), socket(socket),
-          handshake_timer(evtimer_new(bufferevent_get_base(socket), on_handshake_timeout, this)) {}
+          end_timer(evtimer_new(bufferevent_get_base(socket), on_end_due, this)) {}
 
     ~socket_link() override { this->release(); }
 
@@ -93,12 +109,13 @@
     // Counts this link among those of its listener.
     void join(accepted_links_ptr all) {
         this->listener_links = std::move(all);
-        set_incomplete(*this->listener_links, this, 0);
+        record(*this->listener_links, this, {});
     }
 
     void attach(typename Endpoint::connection_ptr made, const link_limits& limits) {
         this->connection = made;
         this->max_incomplete_bytes = limits.max_incomplete_bytes;
+        this->max_unread_bytes = limits.max_unread_bytes;
         made->set_max_message_size(limits.max_message_bytes);
         made->set_max_http_body_size(max_handshake_body);
         made->set_write_handler(
@@ -109,7 +126,7 @@
                 return std::error_code();
             });
         made->set_open_handler([this](websocketpp::connection_hdl) {
-            event_del(this->handshake_timer);
+            event_del(this->end_timer);
             this->opened.emit();
         });
         made->set_message_handler(
@@ -125,7 +142,7 @@
             std::chrono::duration_cast<std::chrono::seconds>(limits.handshake_time);
         const std::chrono::microseconds rest = limits.handshake_time - seconds;
         const timeval wait{seconds.count(), rest.count()};
-        evtimer_add(this->handshake_timer, &wait);
+        evtimer_add(this->end_timer, &wait);
     }
 
     void send(std::string_view bytes) override {
@@ -133,6 +150,7 @@
             return;
         }
         this->connection->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        this->check_unread();
     }
 
     void close() override {
@@ -172,14 +190,40 @@
         if (!this->listener_links || this->socket == nullptr) {
             return;
         }
-        set_incomplete(*this->listener_links, this, this->incomplete_bytes);
-        if (this->listener_links->total > this->max_incomplete_bytes) {
-            const auto held =
-                static_cast<socket_link*>(largest(*this->listener_links))->shared_from_this();
+        auto& all = *this->listener_links;
+        record(all, this, {this->incomplete_bytes, this->queued_bytes()});
+        if (all.total.incomplete > this->max_incomplete_bytes) {
+            const auto held = static_cast<socket_link*>(largest(all, &link_bytes::incomplete))
+                                  ->shared_from_this();
             held->fail();
         }
     }
 
+    // A message may be answered by one that is thousands of times as large, and the other end need
+    // not read it.
+    void check_unread() {
+        if (!this->listener_links) {
+            return;
+        }
+        auto& all = *this->listener_links;
+        record(all, this, {this->incomplete_bytes, this->queued_bytes()});
+        if (all.total.unread <= this->max_unread_bytes) {
+            return;
+        }
+        measure_unread(all);
+        if (all.total.unread > this->max_unread_bytes) {
+            static_cast<socket_link*>(largest(all, &link_bytes::unread))->fail_soon();
+        }
+    }
+
+    // Releases what the link holds. Its end is reported from the event loop, since its owner may be
+    // the caller.
+    void fail_soon() {
+        this->release_socket();
+        const timeval at_once{0, 0};
+        evtimer_add(this->end_timer, &at_once);
+    }
+
     static void on_event(bufferevent* socket, short what, void* self) {
         const auto held = static_cast<socket_link*>(self)->shared_from_this();
         if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -190,8 +234,9 @@
         }
     }
 
-    // The other end may answer a byte at a time, or not at all, which no other limit ends.
-    static void on_handshake_timeout(evutil_socket_t /*socket*/, short /*what*/, void* self) {
+    // Also the end of the time for the handshake: the other end may answer a byte at a time, or not
+    // at all, which no other limit ends.
+    static void on_end_due(evutil_socket_t /*socket*/, short /*what*/, void* self) {
         const auto held = static_cast<socket_link*>(self)->shared_from_this();
         held->fail();
     }
@@ -212,25 +257,30 @@
     }
 
     void release() {
+        if (this->end_timer != nullptr) {
+            event_free(std::exchange(this->end_timer, nullptr));
+        }
+        this->release_socket();
+    }
+
+    void release_socket() {
         if (this->listener_links) {
             remove(*this->listener_links, this);
         }
-        if (this->handshake_timer != nullptr) {
-            event_free(std::exchange(this->handshake_timer, nullptr));
-        }
         if (this->socket != nullptr) {
-            bufferevent_free(this->socket);
-            this->socket = nullptr;
+            bufferevent_free(std::exchange(this->socket, nullptr));
         }
     }
 
     Endpoint* endpoint;
     bufferevent* socket;
-    event* handshake_timer;
+    // Ends the link once it is due.
+    event* end_timer;
     typename Endpoint::connection_ptr connection;
     // Null for a link that was not accepted by a listener.
     accepted_links_ptr listener_links;
     std::size_t max_incomplete_bytes = 0;
+    std::size_t max_unread_bytes = 0;
     // Bytes received since the last complete message.
     std::size_t incomplete_bytes = 0;
     bool broken = false;
@@ -280,6 +330,8 @@
         return true;
     }
 
+    [[nodiscard]] std::size_t unread_bytes() const override { return this->links->total.unread; }
+
     void stop() override {
         if (this->retry_timer != nullptr) {
             event_free(std::exchange(this->retry_timer, nullptr));
@@ -294,7 +346,7 @@
     static void on_accept(evconnlistener* listener, evutil_socket_t socket, sockaddr* /*from*/,
                           int /*length*/, void* self) {
         auto* owner = static_cast<socket_listener*>(self);
-        if (owner->links->incomplete_bytes.size() >= owner->limits.max_links) {
+        if (owner->links->held.size() >= owner->limits.max_links) {
             evutil_closesocket(socket);
             return;
         }
--- a/src/adapters/link.h
+++ b/src/adapters/link.h
@@ -43,6 +43,9 @@
     // Bytes of messages that are not complete, over all links of a listener. Beyond it, the link
     // with the most of them is closed.
     std::size_t max_incomplete_bytes = std::numeric_limits<std::size_t>::max();
+    // Bytes of messages that the other ends have not read, over all links of a listener. Beyond it,
+    // the link with the most of them is closed.
+    std::size_t max_unread_bytes = std::numeric_limits<std::size_t>::max();
     // Links of a listener. Beyond it, new connections are closed.
     std::size_t max_links = 512;
 };
@@ -55,6 +58,8 @@
 public:
     virtual ~link_listener() = default;
     virtual void stop() = 0;
+    // Bytes of messages that the other ends of its links have not read.
+    [[nodiscard]] virtual std::size_t unread_bytes() const = 0;
 };
 
 // Gives nothing when the address can't be listened on.
--- a/src/adapters/link_tests.cpp
+++ b/src/adapters/link_tests.cpp
@@ -7,7 +7,9 @@
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 
+#include <algorithm>
 #include <string>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -199,3 +201,56 @@
         close(client);
     }
 }
+
+// Guards against replies that pile up for links whose other ends read none of them.
+TEST_CASE("a link that is not read is closed when all of them hold too much",
+          "[adapters][endless]") {
+    constexpr std::size_t max_unread = 4U << 20U;
+    constexpr int most_requests = 200;
+    adapters::event_loop loop;
+    adapters::link_limits bounded = limits;
+    bounded.max_unread_bytes = max_unread;
+    const std::string reply(1U << 20U, 'x');
+    std::vector<adapters::link_ptr> accepted;
+    std::vector<std::size_t> closed;
+    std::size_t most_unread = 0;
+    const auto listener =
+        adapters::listen_for_links(loop.base(), address, bounded, [&](adapters::link_ptr made) {
+            const std::size_t number = accepted.size();
+            accepted.push_back(made);
+            made->closed.connect([&closed, number] { closed.push_back(number); });
+            made->received.connect([&, made = made.get()](std::string_view) { made->send(reply); });
+        });
+    REQUIRE(listener);
+    const std::string handshake =
+        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    // A masked frame of one byte.
+    const std::string request("\x82\x81\x00\x00\x00\x00x", 7);
+    // Only the second client reads.
+    std::vector<int> clients{tests::connect_client(address), tests::connect_client(address)};
+    for (const int client : clients) {
+        REQUIRE(tests::send_some(client, handshake));
+    }
+    std::vector<char> bytes(reply.size());
+    int requests = 0;
+    loop.after(base::seconds(20), [&] { loop.stop(); });
+    loop.every(base::milliseconds(2), [&] {
+        while (recv(clients[1], bytes.data(), bytes.size(), 0) > 0) {
+        }
+        tests::send_some(clients[0], request);
+        most_unread = std::max(most_unread, listener->unread_bytes());
+        if (++requests % 10 == 0) {
+            tests::send_some(clients[1], request);
+        }
+        if (!closed.empty() || requests > most_requests) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    CHECK(closed == std::vector<std::size_t>{0});
+    CHECK(most_unread <= max_unread + 2 * reply.size());
+    for (const int client : clients) {
+        close(client);
+    }
+}
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -37,6 +37,8 @@
         static_cast<std::size_t>(settings.max_body_bytes) + other_order_bytes;
     limits.max_incomplete_bytes =
         std::max(largest_order, static_cast<std::size_t>(plan.incomplete_messages));
+    limits.max_unread_bytes =
+        std::max(largest_order, static_cast<std::size_t>(plan.unread_messages));
     return limits;
 }
 
@@ -202,7 +204,8 @@
 bool agent::has_memory_for(const wire::order& order) const {
     const auto limit = buffers::plan_memory(this->settings.limits.memory_mb).clients.limit;
     const std::size_t held =
-        order_copies * (this->orders.body_bytes() + this->once.body_bytes() + order.body.size());
+        order_copies * (this->orders.body_bytes() + this->once.body_bytes() + order.body.size()) +
+        this->listener->unread_bytes();
     return limit == 0 || held <= static_cast<std::size_t>(limit);
 }
 
--- a/src/buffers/memory_plan.cpp
+++ b/src/buffers/memory_plan.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t connections_divisor = 4;
 constexpr std::int64_t control_port_divisor = 32;
 constexpr std::int64_t messages_divisor = 16;
+constexpr std::int64_t unread_messages_divisor = 4;
 // Fewer connections would not serve callers that send one small request each.
 constexpr std::int64_t min_connections = 64;
 
@@ -22,6 +23,7 @@
     if (memory_mb == 0) {
         plan.connections = std::numeric_limits<std::int32_t>::max();
         plan.incomplete_messages = std::numeric_limits<std::int64_t>::max();
+        plan.unread_messages = plan.incomplete_messages;
         return plan;
     }
     const std::int64_t bytes = memory_mb * bytes_per_mb;
@@ -31,6 +33,7 @@
         std::max<std::int64_t>(min_connections, received - listen_backlog));
     plan.control_port = budget_of_bytes(bytes / control_port_divisor);
     plan.incomplete_messages = bytes / messages_divisor;
+    plan.unread_messages = bytes / unread_messages_divisor;
     return plan;
 }
 
--- a/src/buffers/memory_plan.h
+++ b/src/buffers/memory_plan.h
@@ -18,6 +18,8 @@
     budget control_port;
     // For messages of other processes that are not complete.
     std::int64_t incomplete_messages = 0;
+    // For messages that other processes have not read. What they hold is taken from `clients`.
+    std::int64_t unread_messages = 0;
 };
 
 // What the kernel receives of a connection before it is read, in bytes. A connection's window is
--- a/src/buffers/yielding.cpp
+++ b/src/buffers/yielding.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t memory_divisor = 2;
 constexpr std::int64_t release_divisor = 16;
 constexpr std::int64_t reserve_divisor = 8;
+// This part of the budget is left to requests whatever is held for others.
+constexpr std::int64_t min_part_divisor = 4;
 
 // Sorts holders in the order in which they yield.
 auto yield_order(const std::pair<holder_id, holding>& each) {
@@ -26,8 +28,9 @@
 
 } // namespace
 
-budget budget_of(std::int64_t memory_mb) {
-    return budget_of_bytes(memory_mb * bytes_per_mb / memory_divisor);
+budget budget_of(std::int64_t memory_mb, std::int64_t others) {
+    const std::int64_t all = memory_mb * bytes_per_mb / memory_divisor;
+    return budget_of_bytes(std::max(all - others, all / min_part_divisor));
 }
 
 budget budget_of_bytes(std::int64_t limit) {
--- a/src/buffers/yielding.h
+++ b/src/buffers/yielding.h
@@ -25,7 +25,8 @@
 
 // The budget of a process that may use so much memory, in MiB. Half of it: the process itself, its
 // view of the platform, what the kernel has received and the allocator's losses take the rest.
-budget budget_of(std::int64_t memory_mb);
+// `others` is what is held on behalf of other clients than the holders, and is taken from it.
+budget budget_of(std::int64_t memory_mb, std::int64_t others = 0);
 
 // A client that sends nothing of its request for this long has stalled.
 constexpr base::milliseconds stall_time{1000};
--- a/src/buffers/yielding_tests.cpp
+++ b/src/buffers/yielding_tests.cpp
@@ -85,3 +85,12 @@
     CHECK(buffers::read_on(reading, tight, limits, buffers::read_step - 1, later));
     CHECK_FALSE(buffers::read_on(reading, tight, limits, 1, later));
 }
+
+// Guards against bounds that hold one by one and together exceed the memory of the process.
+TEST_CASE("what is held for others is taken from the budget", "[buffers]") {
+    constexpr std::int64_t megabyte = 1 << 20;
+    CHECK(buffers::budget_of(88, 0).limit == 44 * megabyte);
+    CHECK(buffers::budget_of(88, 20 * megabyte).limit == 24 * megabyte);
+    // Requests are still received.
+    CHECK(buffers::budget_of(88, 80 * megabyte).limit == 11 * megabyte);
+}
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -136,6 +136,8 @@
     std::function<void(const base::upstream_instance&)> record_suspect_byte;
     // What requests buffer. Null if it is not counted.
     request_buffers* buffers = nullptr;
+    // Bytes of messages that other entries have not read.
+    std::function<std::size_t()> unread_message_bytes = [] { return std::size_t{0}; };
 };
 
 // The target versions of a model's weights; empty if the operators have set none. A look-up must
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -144,6 +144,8 @@
     const auto plan = buffers::plan_memory(this->context.settings.memory_mb);
     limits.max_incomplete_bytes =
         std::max(max_message_bytes, static_cast<std::size_t>(plan.incomplete_messages));
+    limits.max_unread_bytes =
+        std::max(max_message_bytes, static_cast<std::size_t>(plan.unread_messages));
     return limits;
 }
 
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -36,6 +36,10 @@
     // for the store's contents when the local copy has gone unverified for too long.
     void tick();
     void broadcast(const peering::message& message);
+    // Bytes of messages that entries which have connected to this one have not read.
+    [[nodiscard]] std::size_t unread_bytes() const {
+        return this->listener == nullptr ? 0 : this->listener->unread_bytes();
+    }
     // Queries a peer for the store's contents at the next tick, however recently the local copy was
     // verified.
     void query_soon() { this->query_wanted = true; }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -115,6 +115,7 @@
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }),
       buffered(this->context) {
     this->context.buffers = &this->buffered;
+    this->context.unread_message_bytes = [this] { return this->peer_entries.unread_bytes(); };
     this->apply_agreements();
 }
 
--- a/src/proxy/request_buffers.cpp
+++ b/src/proxy/request_buffers.cpp
@@ -43,7 +43,8 @@
               }}) {}
 
 buffers::budget request_buffers::limits() const {
-    return buffers::budget_of(this->context.settings.memory_mb);
+    const std::size_t others = this->context.unread_message_bytes();
+    return buffers::budget_of(this->context.settings.memory_mb, to_bytes(others));
 }
 
 bool request_buffers::reads_ahead() const {
