Bound the memory of the table that says where streams began

The table was bounded by its records, 50,000, and each holds its request's name three times, which clients choose and which may be as long as a head. 480 clients with names of 15 KB made an entry use 384 MB in 4 s. Besides, a record that was extended stayed in the order of expiry under each of its times. The table is bounded by an eighth of the memory now, taken from the half of the requests; beyond it names above 256 bytes are dropped first, so that such clients do not make others' streams unknown.

--- a/src/buffers/memory_plan.cpp
+++ b/src/buffers/memory_plan.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t control_port_divisor = 32;
 constexpr std::int64_t messages_divisor = 16;
 constexpr std::int64_t unread_messages_divisor = 4;
+constexpr std::int64_t request_names_divisor = 8;
 // Fewer connections would not serve callers that send one small request each.
 constexpr std::int64_t min_connections = 64;
 
@@ -24,6 +25,7 @@
         plan.connections = std::numeric_limits<std::int32_t>::max();
         plan.incomplete_messages = std::numeric_limits<std::int64_t>::max();
         plan.unread_messages = plan.incomplete_messages;
+        plan.request_names = plan.incomplete_messages;
         return plan;
     }
     const std::int64_t bytes = memory_mb * bytes_per_mb;
@@ -34,6 +36,7 @@
     plan.control_port = budget_of_bytes(bytes / control_port_divisor);
     plan.incomplete_messages = bytes / messages_divisor;
     plan.unread_messages = bytes / unread_messages_divisor;
+    plan.request_names = bytes / request_names_divisor;
     return plan;
 }
 
--- a/src/buffers/memory_plan.h
+++ b/src/buffers/memory_plan.h
@@ -20,6 +20,9 @@
     std::int64_t incomplete_messages = 0;
     // For messages that other processes have not read. What they hold is taken from `clients`.
     std::int64_t unread_messages = 0;
+    // For names that clients have given their requests and that are kept beyond them, taken from
+    // `clients` as well.
+    std::int64_t request_names = 0;
 };
 
 // What the kernel receives of a connection before it is read, in bytes. A connection's window is
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -169,6 +169,7 @@
     const auto plan = buffers::plan_memory(this->settings.memory_mb);
     this->frontend->limit_connections(std::min(shares.clients, plan.connections));
     this->connections.limit_idle(shares.idle_upstreams);
+    this->state.origins.max_bytes = static_cast<std::size_t>(plan.request_names);
     this->log.line(importance::keep, "descriptors_shared")
         .number("limit", static_cast<std::int64_t>(limit))
         .number("most_callers", static_cast<std::int64_t>(this->frontend->max_connections()))
--- a/src/proxy/request_buffers.cpp
+++ b/src/proxy/request_buffers.cpp
@@ -43,7 +43,8 @@
               }}) {}
 
 buffers::budget request_buffers::limits() const {
-    const std::size_t others = this->context.unread_message_bytes();
+    const std::size_t others =
+        this->context.unread_message_bytes() + this->context.state.origins.bytes;
     return buffers::budget_of(this->context.settings.memory_mb, to_bytes(others));
 }
 
--- a/src/resumption/stream_origins.h
+++ b/src/resumption/stream_origins.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 
 #include <cstddef>
+#include <limits>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -32,9 +33,16 @@
     std::unordered_map<base::request_id, origin_record> records;
     // The same by the time at which they expire.
     std::multimap<base::instant, base::request_id> by_expiry;
+    // Records of requests with long names.
+    std::size_t long_names = 0;
+    // Memory that all records take up, in bytes, and the most that they may.
+    std::size_t bytes = 0;
+    std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
 };
 
-// Limits the memory of the table. The records that expire first are dropped.
+// Limits the table beside `max_bytes`. Clients choose the names of their requests, which may be as
+// long as a head: beyond `max_bytes`, records with long names are dropped, and then those that
+// expire first.
 inline constexpr std::size_t max_origin_records = 50000;
 
 // Adds a record, or extends the time for which one is kept.
--- a/src/resumption/stream_origins_tests.cpp
+++ b/src/resumption/stream_origins_tests.cpp
@@ -53,6 +53,43 @@
     CHECK(resumption::find_origin(table, {"r10"}).has_value());
 }
 
+// Guards against clients that fill the memory with long names, and so make others' streams unknown.
+TEST_CASE("the memory of the table of origins stays bounded", "[resumption]") {
+    constexpr std::size_t limit = 200'000;
+    const std::string long_name(15'000, 'x');
+    origin_table table;
+    table.max_bytes = limit;
+    resumption::record_origin(table, began("r1", "pool", start));
+
+    SECTION("and long names are dropped first") {
+        for (int each = 0; each < 100; ++each) {
+            const auto later = start + base::seconds(9);
+            resumption::record_origin(table,
+                                      began(long_name + std::to_string(each), "pool", later));
+            CHECK(table.bytes <= limit);
+        }
+        CHECK(resumption::find_origin(table, {"r1"}).has_value());
+    }
+    SECTION("then those that expire first") {
+        for (int each = 2; each < 5000; ++each) {
+            const auto later = start + base::milliseconds(each);
+            resumption::record_origin(table, began("r" + std::to_string(each), "pool", later));
+            CHECK(table.bytes <= limit);
+        }
+        CHECK_FALSE(resumption::find_origin(table, {"r1"}).has_value());
+        CHECK(resumption::find_origin(table, {"r4999"}).has_value());
+    }
+    SECTION("also when one record is extended again and again") {
+        for (int each = 0; each < 5000; ++each) {
+            resumption::record_origin(table, began("r1", "pool", start + base::milliseconds(each)));
+        }
+        CHECK(table.by_expiry.size() == 1);
+    }
+    resumption::drop_expired(table, start + base::minutes(1));
+    CHECK(table.bytes == 0);
+    CHECK(table.long_names == 0);
+}
+
 TEST_CASE("the streams of one pool are listed in a fixed order", "[resumption]") {
     origin_table table;
     for (const char* request : {"r3", "r1", "r2"}) {
