Test processes that are stopped under a crowd

For half of the time the process does not run, and the crowd goes on: links on which sound messages come without end, and bodies at entries. What the kernel receives meanwhile counts.

--- a/tests/crowd/load_kinds.cpp
+++ b/tests/crowd/load_kinds.cpp
@@ -173,6 +173,29 @@
             1};
 }
 
+// Messages that are read and ignored, one behind the other, until the process is stopped.
+client_load frozen_links(const std::string& message) {
+    auto load = unread_replies(message);
+    load.turn_bytes = burst;
+    load.freezes = true;
+    return load;
+}
+
+client_load frozen_entry_links(const request_target& /*target*/) {
+    const std::string name(4 * kilobyte, 'x');
+    return frozen_links(peering::encode({peering::upstream_responding{{{name}, {1}}}}));
+}
+
+client_load frozen_agent_links(const request_target& /*target*/) {
+    return frozen_links(wire::encode(wire::credit{std::string(4 * kilobyte, 'x'), 1}));
+}
+
+client_load frozen_bodies(const request_target& target) {
+    auto load = legal_length(target, burst);
+    load.freezes = true;
+    return load;
+}
+
 // A link on which an entry states twenty names, one after the other. They are 100 KB long.
 client_load link_names(const request_target& /*target*/) {
     constexpr int names = 20;
@@ -220,6 +243,9 @@
         {"link_names", link_names},
         {"nested_messages", nested_messages},
         {"many_values", many_values},
+        {"frozen_entry_links", frozen_entry_links},
+        {"frozen_agent_links", frozen_agent_links},
+        {"frozen_bodies", frozen_bodies},
         {"long_names", whole_requests},
         {"idle_connections", idle_connections}};
     return loads;
--- a/tests/crowd/load_kinds.h
+++ b/tests/crowd/load_kinds.h
@@ -26,6 +26,8 @@
     std::size_t completing = 8;
     // Clients read what they are sent.
     bool reads = true;
+    // The process is stopped for the second half of the time.
+    bool freezes = false;
 };
 
 // Where requests go and what fields they carry, such as a key.
--- a/tests/crowd/main.cpp
+++ b/tests/crowd/main.cpp
@@ -74,14 +74,22 @@
     const std::uint16_t port = ntohs(parsed->sin_port);
     crowd::crowd_clients clients(address, *load,
                                  static_cast<std::size_t>(options["--clients"].asLong()));
-    const auto until =
-        std::chrono::steady_clock::now() + std::chrono::seconds(options["--seconds"].asLong());
+    const std::chrono::milliseconds duration = std::chrono::seconds(options["--seconds"].asLong());
+    const auto until = std::chrono::steady_clock::now() + duration;
+    bool is_frozen = false;
     peaks most;
     while (most.alive && std::chrono::steady_clock::now() < until) {
+        if (load->freezes && !is_frozen &&
+            std::chrono::steady_clock::now() > until - duration / 2) {
+            is_frozen = kill(pid, SIGSTOP) == 0;
+        }
         clients.take_turn();
         record(most, crowd::measure_process(pid, port));
         std::this_thread::sleep_for(turn_length);
     }
+    if (is_frozen) {
+        kill(pid, SIGCONT);
+    }
     most.memory_kb = std::max(most.memory_kb, crowd::peak_memory_kb(pid));
     std::cout << "alive=" << (most.alive ? 1 : 0) << " memory_kb=" << most.memory_kb
               << " unread_kb=" << most.unread_kb << " descriptors=" << most.descriptors
