Close links that do not say which entry they are of

A link that is open and silent stayed for good and took one of the 512 places, so that many such links leave no room for those of other entries. Entries send their handshake as soon as a link is open; a link without one is closed after 5 s now, as agents close silent ones after 3 s. The test drives a link that names its entry and one that does not.

--- a/src/base/json_values_tests.cpp
+++ b/src/base/json_values_tests.cpp
@@ -34,7 +34,9 @@
         CHECK(base::exceeds(document.dump(), json::input_format_t::json, limits));
     }
     SECTION("not with more levels") {
-        CHECK_FALSE(base::parse_cbor(std::string(10'000'000, '\x81'), limits));
+        std::string deep;
+        deep.resize(10'000'000, '\x81');
+        CHECK_FALSE(base::parse_cbor(deep, limits));
         CHECK(base::exceeds(std::string(17, '['), json::input_format_t::json, limits));
     }
     SECTION("nor if they are cut off") {
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -32,6 +32,9 @@
 // A peer that leaves a query unanswered for this long is itself cut off from the store, or its link
 // is dead; the link is dropped.
 constexpr base::milliseconds query_timeout{900};
+// An entry sends its handshake as soon as a link is open. A link without one takes the place of
+// another entry's.
+constexpr base::milliseconds identification_time{5000};
 // How long an entry that could not read a large value asks the other entries for such values before
 // it tries the store again.
 constexpr base::milliseconds large_value_query_time{3000};
@@ -167,6 +170,7 @@
     if (!this->context.state.stopping && !this->registering && now >= this->next_registration) {
         this->register_self();
     }
+    this->drop_unidentified();
     this->connect_to_new_entries();
     this->check_startup_wait();
     const auto age = mirror::age(this->context.state.store, now);
@@ -292,6 +296,7 @@
     added.link = link;
     added.id = std::move(id);
     added.clock = std::make_shared<base::sender_clock>();
+    added.added_at = this->context.now();
     this->links[key] = std::move(added);
     // Anything sent before the link is open would be lost.
     link->opened.connect([this, key] {
@@ -417,6 +422,19 @@
     }
 }
 
+void peers::drop_unidentified() {
+    const base::instant now = this->context.now();
+    std::vector<link_key> dropped;
+    for (const auto& [key, peer] : this->links) {
+        if (peer.id.empty() && now - peer.added_at > identification_time) {
+            dropped.push_back(key);
+        }
+    }
+    for (const link_key key : dropped) {
+        this->drop_link(key);
+    }
+}
+
 void peers::on_received(link_key key, std::string_view bytes) {
     // A dropped link still delivers what it had received before it was closed.
     if (this->links.count(key) == 0) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -122,6 +122,7 @@
         // Shared by all links to the same incarnation of an entry.
         std::shared_ptr<base::sender_clock> clock;
         bool open = false;
+        base::instant added_at{};
         // The store query awaiting a response, 0 if there is none, and when it was sent.
         std::int64_t query_id = 0;
         base::instant queried_at{};
@@ -154,6 +155,7 @@
     [[nodiscard]] bool may_query(const peer_link& peer) const;
     void send_query(peer_link& peer);
     void drop_unresponsive();
+    void drop_unidentified();
     void send_handshake(peer_link& peer);
     void add_link(const adapters::link_ptr& link, base::entry_id id);
     void drop_link(link_key key);
--- a/src/proxy/peers_tests.cpp
+++ b/src/proxy/peers_tests.cpp
@@ -130,6 +130,36 @@
     CHECK(peer.tick_until([&] { return got_initial_messages(reports); }));
 }
 
+// Guards against links that state nothing and leave no room for those of other entries.
+TEST_CASE("a link that does not say which entry it is of is dropped", "[proxy]") {
+    peer_world peer;
+    REQUIRE(peer.others.listen());
+    auto stranger =
+        adapters::connect_link(peer.world.entry().loop.base(),
+                               peer.world.entry().settings.peer_listen, {max_message_bytes});
+    bool is_closed = false;
+    stranger->closed.connect([&] { is_closed = true; });
+    const bool identifies_itself = GENERATE(false, true);
+    stranger->received.connect([&](std::string_view bytes) {
+        const auto message = peering::decode(bytes).value().payload;
+        if (const auto* query = std::get_if<peering::store_query>(&message)) {
+            peering::store_view reply;
+            reply.query_id = query->query_id;
+            stranger->send(peering::encode({reply, base::seconds(1)}));
+        }
+    });
+    stranger->opened.connect([&] {
+        if (identifies_itself) {
+            stranger->send(
+                peering::encode({peering::handshake{{"aa"}, {"a"}, 1}, base::seconds(1)}));
+        }
+    });
+    const auto start = peer.world.entry().now();
+    REQUIRE(peer.tick_until(
+        [&] { return is_closed || peer.world.entry().now() - start > base::seconds(20); }));
+    CHECK(is_closed != identifies_itself);
+}
+
 // A failure seen by one entry may be due to its own network, so other entries prefer other
 // upstreams but still send to the suspected one rather than refuse. An upstream that is changing
 // weights gets nothing new.
