--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -13,6 +13,8 @@
 
 // A pipe that polls writable takes this much without blocking.
 constexpr std::size_t safe_write_bytes = 4096;
+// A longer line counts as several.
+constexpr std::size_t max_line_bytes = 512;
 constexpr unsigned char first_printable = 0x20;
 constexpr double millis_a_second = 1000.0;
 constexpr std::int64_t micros_a_tenth = 100;
@@ -49,8 +51,8 @@
     if (owner == nullptr) {
         return;
     }
-    constexpr std::size_t usual_bytes = 256;
-    this->line.reserve(usual_bytes);
+    constexpr std::size_t reserved_bytes = 256;
+    this->line.reserve(reserved_bytes);
     this->line += "{\"time_ms\":";
     append_number(this->line, time_ms);
     this->text("process", owner->process);
@@ -148,6 +150,9 @@
         ++this->dropped;
         return;
     }
+    // Clients choose the names in lines, which may be as long as a head.
+    const std::size_t further_lines = line.size() / max_line_bytes;
+    this->all_left -= static_cast<double>(further_lines);
     this->buffer += line;
     if (this->buffer.size() >= safe_write_bytes) {
         this->flush();
--- a/src/adapters/event_log.h
+++ b/src/adapters/event_log.h
@@ -18,7 +18,8 @@
 };
 
 // Bounds on what a process writes. A busy entry writes about three lines a request; the bounds let
-// some 300 requests a second through whole and hold a flood to about 200 KB a second.
+// some 300 requests a second through whole. A line counts as one for each 512 bytes begun, so that
+// a flood is held to 750 KB a second.
 struct event_log_limits {
     double routine_lines_a_second = 900;
     double lines_a_second = 1500;
--- a/src/adapters/event_log_tests.cpp
+++ b/src/adapters/event_log_tests.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <cstdio>
 #include <sstream>
 #include <unistd.h>
 
@@ -87,3 +88,22 @@
     close(ends[0]);
     close(ends[1]);
 }
+
+// Guards against clients that fill the log with names as long as a head.
+TEST_CASE("a flood of long lines is bounded in bytes", "[event_log]") {
+    std::FILE* file = std::tmpfile();
+    REQUIRE(file != nullptr);
+    const adapters::event_log_limits limits{.routine_lines_a_second = 90, .lines_a_second = 150};
+    adapters::event_log log(fileno(file), "entry-1", limits, [] { return 1000; });
+    const std::string name(15'000, 'x');
+    for (int each = 0; each < 150; ++each) {
+        log.line(adapters::importance::keep, "refused").text("request", name);
+    }
+    log.flush();
+    constexpr long counted_bytes = 512;
+    const auto long_line = static_cast<long>(name.size() + counted_bytes);
+    const long written = lseek(fileno(file), 0, SEEK_END);
+    CHECK(written > long_line);
+    CHECK(written <= 150 * counted_bytes + long_line);
+    (void)std::fclose(file);
+}
