Bound the acknowledgements that links make an entry keep

An entry kept what other entries acknowledge by pool and entry, whatever they named: 96 links with twenty names of 100 KB each made it use 205 MB. Names of pools above 256 bytes are ignored now, and above 8,192 acknowledgements those are dropped whose pool has no streams here or whose entry is not listed; nothing else reads them. The unit test counts 20,000 invented ones, of which the listed entry's stays.

--- a/src/proxy/software_records.cpp
+++ b/src/proxy/software_records.cpp
@@ -23,6 +23,10 @@
 constexpr base::milliseconds succession_time{1600};
 
 constexpr const char* software_prefix = "software/";
+// Acknowledgements of pools or entries that do not exist are kept up to this number, since an entry
+// may acknowledge before it is listed.
+constexpr std::size_t max_acknowledgements = 8192;
+constexpr std::size_t max_pool_name = 256;
 
 } // namespace
 
@@ -59,11 +63,39 @@
 
 void software_records::receive(const base::entry_id& from,
                                const peering::software_record_seen& message) {
+    if (message.pool.value.size() > max_pool_name) {
+        return;
+    }
     auto& latest = this->seen[message.pool][from];
     latest = std::max(latest, message.revision);
+    this->limit_seen();
     this->next_check = {};
 }
 
+std::size_t software_records::acknowledgement_count() const {
+    std::size_t count = 0;
+    for (const auto& [pool, entries] : this->seen) {
+        count += entries.size();
+    }
+    return count;
+}
+
+// A link may name any pools and any entries. Once there are too many, those are dropped that do not
+// exist.
+void software_records::limit_seen() {
+    if (this->acknowledgement_count() <= max_acknowledgements) {
+        return;
+    }
+    const auto others = this->listed_entries();
+    std::erase_if(this->seen, [this](const auto& each) {
+        return this->context.state.software.count(each.first) == 0;
+    });
+    for (auto& [pool, entries] : this->seen) {
+        std::erase_if(entries,
+                      [&others](const auto& each) { return others.count(each.first) == 0; });
+    }
+}
+
 std::vector<base::entry_id> software_records::writers_of(const base::pool_id& pool) const {
     auto all = this->connected_entries();
     all.push_back({this->context.settings.id, this->context.settings.zone});
--- a/src/proxy/software_records.h
+++ b/src/proxy/software_records.h
@@ -35,6 +35,9 @@
     // begin no streams.
     [[nodiscard]] bool is_complete() const;
 
+    // The acknowledgements that are kept.
+    [[nodiscard]] std::size_t acknowledgement_count() const;
+
     // Called when streams of a pool may have begun on different versions from now on.
     std::function<void(const base::pool_id&)> several_versions;
     // The entries with an open link that understand acknowledgements.
@@ -54,6 +57,7 @@
     [[nodiscard]] bool is_seen_by_all(const base::pool_id& pool, base::revision revision) const;
     void apply_pool(const base::pool_id& pool);
     void drop_old_acknowledgements(const base::pool_id& pool);
+    void limit_seen();
     void acknowledge(const base::pool_id& pool);
     void write(const base::pool_id& pool, const resumption::version_record& record);
 
--- a/src/proxy/software_records_tests.cpp
+++ b/src/proxy/software_records_tests.cpp
@@ -211,3 +211,22 @@
     CHECK(entry.store.calls == 0);
     CHECK(entry.records.is_complete());
 }
+
+// Guards against links that fill the memory with names of pools.
+TEST_CASE("acknowledgements of pools and entries that do not exist are bounded",
+          "[proxy][resumption]") {
+    constexpr std::size_t limit = 8192;
+    constexpr std::size_t unknown = 20'000;
+    record_world entry({"v1"});
+    entry.listed = {{"entry-9"}};
+    entry.run(base::milliseconds(500));
+    entry.records.receive({"entry-9"}, {{"pool"}, entry.stored_revision()});
+    for (std::size_t each = 0; each < unknown; ++each) {
+        const std::string name = "x" + std::to_string(each);
+        entry.records.receive({name}, {{name}, {}});
+    }
+    // The one of the listed entry is kept each time.
+    CHECK(entry.records.acknowledgement_count() == 1 + unknown % limit);
+    entry.records.receive({"x"}, {{std::string(257, 'x')}, {}});
+    CHECK(entry.records.acknowledgement_count() == 1 + unknown % limit);
+}
--- a/tests/crowd/load_kinds.cpp
+++ b/tests/crowd/load_kinds.cpp
@@ -196,18 +196,28 @@
     return load;
 }
 
-// A link on which an entry states twenty names, one after the other. They are 100 KB long.
-client_load link_names(const request_target& /*target*/) {
+// Twenty messages on a link, each with a name of 100 KB that no other has.
+client_load link_names(const std::function<peering::message(const std::string&)>& make_message) {
     constexpr int names = 20;
     std::string head = link_handshake;
     for (int name = 0; name < names; ++name) {
         const std::string unique = "{00000000}-" + std::to_string(name);
-        const std::string padding(100 * kilobyte, 'x');
-        head += in_frame(peering::encode({peering::handshake{{unique + padding}, {"a"}, 1}}));
+        head +=
+            in_frame(peering::encode({make_message(unique + std::string(100 * kilobyte, 'x'))}));
     }
     return {head, "", 0, "", burst, 1};
 }
 
+client_load entry_names(const request_target& /*target*/) {
+    return link_names([](const std::string& name) { return peering::handshake{{name}, {"a"}, 1}; });
+}
+
+client_load pool_names(const request_target& /*target*/) {
+    return link_names([](const std::string& name) {
+        return peering::software_record_seen{{name}, {}};
+    });
+}
+
 // Whole requests on a connection each, with what the target's fields hold.
 client_load whole_requests(const request_target& target) {
     return {with_length({target.path, target.fields + "Connection: close\r\n"}, "2"),
@@ -240,7 +250,8 @@
         {"link_messages", link_messages},
         {"unread_store_views", unread_store_views},
         {"unread_configurations", unread_configurations},
-        {"link_names", link_names},
+        {"link_names", entry_names},
+        {"pool_names", pool_names},
         {"nested_messages", nested_messages},
         {"many_values", many_values},
         {"frozen_entry_links", frozen_entry_links},
