Share what the change wrote twice

Read once more, the change to what clients make a process hold had five pieces twice: the limits of a port for links, at entries and agents (now process::listener_limits); the loop that drops links which meet a condition (peers::drop_links); whether a client has stalled, by the same comparison in the server and in the account of its memory (connection_buffers::is_stalled); the bytes of a MiB; and the handshake of a link in three tests. Each stands once. apply_descriptor_limits had come to set bounds of memory as well and is called apply_resource_limits.

No behaviour, bound or check changes.

--- a/src/adapters/client_memory.cpp
+++ b/src/adapters/client_memory.cpp
@@ -98,7 +98,7 @@
         // A refusal would wait behind an earlier response.
         now.progress = buffers::stage::responding;
     }
-    now.is_stalled = connection.is_receiving && connection.silent >= buffers::stall_time;
+    now.is_stalled = connection.is_stalled;
     now.held.request_bodies += to_bytes(connection.received);
     now.held.responses += to_bytes(connection.unsent);
     return now;
--- a/src/adapters/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -171,7 +171,7 @@
             now.announced = this->reader.announced_bytes();
             now.head = &this->reader.head();
         }
-        now.silent = this->server->callbacks.now() - this->last_received;
+        now.is_stalled = this->stalled(this->server->callbacks.now());
         return now;
     }
     [[nodiscard]] bool stalled(base::instant now) const {
--- a/src/adapters/frontend_server.h
+++ b/src/adapters/frontend_server.h
@@ -137,8 +137,8 @@
     std::size_t unsent = 0;
     // A request has been received in part and no response to it has begun.
     bool is_receiving = false;
-    // Time since the last byte was received.
-    base::micros silent{0};
+    // Its client has stopped sending it.
+    bool is_stalled = false;
     // The head of that request; null before it is received completely.
     const http::request_head* head = nullptr;
 };
--- a/src/adapters/link_tests.cpp
+++ b/src/adapters/link_tests.cpp
@@ -180,9 +180,7 @@
     REQUIRE(listener);
     // A handshake, and the head of a masked frame of 60,000 bytes.
     const std::string begin =
-        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n" +
-        std::string("\x82\xfe\xea\x60\x00\x00\x00\x00", 8);
+        tests::link_handshake + std::string("\x82\xfe\xea\x60\x00\x00\x00\x00", 8);
     std::vector<int> clients;
     for (int each = 0; each < 3; ++each) {
         clients.push_back(tests::connect_client(address));
@@ -222,15 +220,12 @@
             made->received.connect([&, made = made.get()](std::string_view) { made->send(reply); });
         });
     REQUIRE(listener);
-    const std::string handshake =
-        "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
     // A masked frame of one byte.
     const std::string request("\x82\x81\x00\x00\x00\x00x", 7);
     // Only the second client reads.
     std::vector<int> clients{tests::connect_client(address), tests::connect_client(address)};
     for (const int client : clients) {
-        REQUIRE(tests::send_some(client, handshake));
+        REQUIRE(tests::send_some(client, tests::link_handshake));
     }
     std::vector<char> bytes(reply.size());
     int requests = 0;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,11 +6,11 @@
 #include "adapters/logging.h"
 #include "buffers/memory_plan.h"
 #include "process/config_exchange.h"
+#include "process/link_limits.h"
 #include "process/operators_port.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -31,15 +31,9 @@
 constexpr base::milliseconds memory_retry_after{1000};
 
 adapters::link_limits listener_limits(const settings::limit_settings& settings) {
-    adapters::link_limits limits{wire::max_frame_bytes};
-    const auto plan = buffers::plan_memory(settings.memory_mb);
     const auto largest_order =
         static_cast<std::size_t>(settings.max_body_bytes) + other_order_bytes;
-    limits.max_incomplete_bytes =
-        std::max(largest_order, static_cast<std::size_t>(plan.incomplete_messages));
-    limits.max_unread_bytes =
-        std::max(largest_order, static_cast<std::size_t>(plan.unread_messages));
-    return limits;
+    return process::listener_limits(settings.memory_mb, wire::max_frame_bytes, largest_order);
 }
 
 std::string make_nonce(const settings::agent_settings& settings, std::int64_t incarnation) {
--- a/src/buffers/memory_plan.cpp
+++ b/src/buffers/memory_plan.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
 // Parts of the memory.
 constexpr std::int64_t connections_divisor = 4;
 constexpr std::int64_t control_port_divisor = 32;
--- a/src/buffers/yielding.cpp
+++ b/src/buffers/yielding.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
 // Parts of the memory and of the budget.
 constexpr std::int64_t memory_divisor = 2;
 constexpr std::int64_t release_divisor = 16;
--- a/src/buffers/yielding.h
+++ b/src/buffers/yielding.h
@@ -8,6 +8,8 @@
 
 namespace camphorrail::buffers {
 
+constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
+
 // Bounds on what an entry holds. All figures are in bytes; 0 for no bounds.
 struct budget {
     // Holders yield when more than this is held.
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -1,7 +1,7 @@
 #include "proxy/peers.h"
 
-#include "buffers/memory_plan.h"
 #include "entries/duty_ranking.h"
+#include "process/link_limits.h"
 #include "proxy/store_follower.h"
 #include "proxy/target_weights.h"
 
@@ -142,19 +142,11 @@
     }
 }
 
-adapters::link_limits peers::listener_limits() const {
-    adapters::link_limits limits{max_message_bytes};
-    const auto plan = buffers::plan_memory(this->context.settings.memory_mb);
-    limits.max_incomplete_bytes =
-        std::max(max_message_bytes, static_cast<std::size_t>(plan.incomplete_messages));
-    limits.max_unread_bytes =
-        std::max(max_message_bytes, static_cast<std::size_t>(plan.unread_messages));
-    return limits;
-}
-
 bool peers::listen() {
+    const auto limits = process::listener_limits(this->context.settings.memory_mb,
+                                                 max_message_bytes, max_message_bytes);
     this->listener = adapters::listen_for_links(
-        this->context.loop.base(), this->context.settings.peer_listen, this->listener_limits(),
+        this->context.loop.base(), this->context.settings.peer_listen, limits,
         [this](const adapters::link_ptr& link) { this->add_link(link, {}); });
     this->send_load();
     return this->listener != nullptr;
@@ -411,26 +403,26 @@
 
 void peers::drop_unresponsive() {
     const base::instant now = this->context.now();
-    std::vector<link_key> silent;
-    for (const auto& [key, peer] : this->links) {
-        if (peer.open && peer.query_id != 0 && now - peer.queried_at > query_timeout) {
-            silent.push_back(key);
-        }
-    }
-    for (const link_key key : silent) {
-        this->drop_link(key);
-    }
+    this->drop_links([now](const peer_link& peer) {
+        return peer.open && peer.query_id != 0 && now - peer.queried_at > query_timeout;
+    });
 }
 
 void peers::drop_unidentified() {
     const base::instant now = this->context.now();
-    std::vector<link_key> dropped;
+    this->drop_links([now](const peer_link& peer) {
+        return peer.id.empty() && now - peer.added_at > identification_time;
+    });
+}
+
+void peers::drop_links(const std::function<bool(const peer_link&)>& is_lost) {
+    std::vector<link_key> lost;
     for (const auto& [key, peer] : this->links) {
-        if (peer.id.empty() && now - peer.added_at > identification_time) {
-            dropped.push_back(key);
+        if (is_lost(peer)) {
+            lost.push_back(key);
         }
     }
-    for (const link_key key : dropped) {
+    for (const link_key key : lost) {
         this->drop_link(key);
     }
 }
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -113,7 +113,6 @@
     std::function<std::vector<peering::message>()> initial_messages;
 
 private:
-    [[nodiscard]] adapters::link_limits listener_limits() const;
     struct peer_link {
         adapters::link_ptr link;
         base::entry_id id;
@@ -156,6 +155,7 @@
     void send_query(peer_link& peer);
     void drop_unresponsive();
     void drop_unidentified();
+    void drop_links(const std::function<bool(const peer_link&)>& is_lost);
     void send_handshake(peer_link& peer);
     void add_link(const adapters::link_ptr& link, base::entry_id id);
     void drop_link(link_key key);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -159,11 +159,11 @@
             this->log.line(importance::keep, "cannot_listen").text("setting", name);
         }
     }
-    this->apply_descriptor_limits();
+    this->apply_resource_limits();
     return listened[0].second && listened[1].second;
 }
 
-void proxy::apply_descriptor_limits() {
+void proxy::apply_resource_limits() {
     const std::size_t limit = adapters::descriptor_limit();
     const auto shares = share_descriptors(limit);
     const auto plan = buffers::plan_memory(this->settings.memory_mb);
@@ -557,7 +557,7 @@
     this->settings.platform.agreements = fresh->platform.agreements;
     this->settings.features = fresh->features;
     this->settings.memory_mb = fresh->memory_mb;
-    this->apply_descriptor_limits();
+    this->apply_resource_limits();
     this->apply_agreements();
     this->update_retry_budgets();
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -100,7 +100,7 @@
     [[nodiscard]] bool ready() const;
     void check_awaited_records();
     void log_readiness();
-    void apply_descriptor_limits();
+    void apply_resource_limits();
     [[nodiscard]] accept_status current_accept_status() const;
     [[nodiscard]] nlohmann::json status() const;
     void refresh_metrics();
--- a/tests/crowd/load_kinds.cpp
+++ b/tests/crowd/load_kinds.cpp
@@ -1,6 +1,7 @@
 #include "crowd/load_kinds.h"
 
 #include "peering/messages.h"
+#include "raw_client.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -29,6 +30,8 @@
     return post(target, "Transfer-Encoding: chunked\r\n");
 }
 
+using tests::link_handshake;
+
 const std::string letters(piece, 'x');
 const std::string large_chunk = "10000\r\n" + std::string(64 * kilobyte, 'x') + "\r\n";
 const std::string last_chunk = "0\r\n\r\n";
@@ -101,10 +104,6 @@
     return {with_length(target, std::to_string(body.size())), body, 1, "", burst, 1};
 }
 
-const std::string link_handshake =
-    "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-    "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
-
 // The head of a binary frame of so many bytes, masked with zeros.
 std::string frame_head(std::uint64_t bytes) {
     constexpr std::uint64_t max_short = 125;
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -6,6 +6,11 @@
 
 namespace camphorrail::tests {
 
+// What the connecting end of a link sends first.
+inline const std::string link_handshake =
+    "GET / HTTP/1.1\r\nHost: link\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
 // Connects to "IP:PORT" before it returns. The descriptor does not block; it is -1 if nothing
 // listens there.
 int connect_client(const std::string& address);
