Read messages and callers' JSON once

The bound on values read each document twice, first to count and then to parse, and the library takes as long for a text that is counted as for one that is kept. Each order of an entry to an agent above 4 KB paid for it, on the event loop. The parser gives up now while it builds the document, in one pass, for CBOR and for callers' JSON alike; limits, verdicts and the error that callers see are the same, and the tests check the same verdicts and more.

--- a/src/base/json_values.cpp
+++ b/src/base/json_values.cpp
@@ -1,34 +1,39 @@
 #include "base/json_values.h"
 
+#include <utility>
+
 namespace camphorrail::base {
 
 namespace {
 
 using nlohmann::json;
 
-// Counts values, and gives up when there are too many or they are nested too deeply.
-class value_counter : public json::json_sax_t {
+// Builds a document, and gives up when it has too many values or they are nested too deeply. The
+// document is read once: a separate pass that counts costs as much as half of the parser.
+class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json> {
+    using builder = nlohmann::detail::json_sax_dom_parser<json>;
+
 public:
-    explicit value_counter(const value_limits& limits) : limits(limits) {}
+    bounded_builder(json& root, const value_limits& limits)
+        : builder(root, false), limits(limits) {}
 
-    bool null() override { return this->count(); }
-    bool boolean(bool /*value*/) override { return this->count(); }
-    bool number_integer(number_integer_t /*value*/) override { return this->count(); }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return this->count(); }
-    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override {
-        return this->count();
+    bool null() { return this->count() && builder::null(); }
+    bool boolean(bool value) { return this->count() && builder::boolean(value); }
+    bool number_integer(json::number_integer_t value) {
+        return this->count() && builder::number_integer(value);
+    }
+    bool number_unsigned(json::number_unsigned_t value) {
+        return this->count() && builder::number_unsigned(value);
     }
-    bool string(string_t& /*value*/) override { return this->count(); }
-    bool binary(binary_t& /*value*/) override { return this->count(); }
-    bool start_object(std::size_t /*elements*/) override { return this->open(); }
-    bool key(string_t& /*value*/) override { return true; }
-    bool end_object() override { return this->close(); }
-    bool start_array(std::size_t /*elements*/) override { return this->open(); }
-    bool end_array() override { return this->close(); }
-    bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
-                     const json::exception& /*error*/) override {
-        return false;
+    bool number_float(json::number_float_t value, const json::string_t& text) {
+        return this->count() && builder::number_float(value, text);
     }
+    bool string(json::string_t& value) { return this->count() && builder::string(value); }
+    bool binary(json::binary_t& value) { return this->count() && builder::binary(value); }
+    bool start_object(std::size_t size) { return this->open() && builder::start_object(size); }
+    bool end_object() { return this->close() && builder::end_object(); }
+    bool start_array(std::size_t size) { return this->open() && builder::start_array(size); }
+    bool end_array() { return this->close() && builder::end_array(); }
     [[nodiscard]] bool gave_up() const { return this->has_given_up; }
 
 private:
@@ -53,26 +58,20 @@
 
 } // namespace
 
-bool exceeds(std::string_view document, json::input_format_t format, const value_limits& limits) {
-    if (document.size() <= limits.values && document.size() <= limits.depth) {
-        return false;
-    }
-    value_counter counter(limits);
-    json::sax_parse(document, &counter, format);
-    return counter.gave_up();
-}
-
-std::optional<json> parse_cbor(std::string_view document, const value_limits& limits) {
-    if (exceeds(document, json::input_format_t::cbor, limits)) {
-        return std::nullopt;
-    }
+parsed_values parse_values(std::string_view document, json::input_format_t format,
+                           const value_limits& limits) {
+    json root;
+    bounded_builder builder(root, limits);
     // The library throws for lengths that can't be, even where it is told not to: a few bytes that
     // announce 2^62 items would end the process.
     try {
-        return json::from_cbor(document);
+        if (json::sax_parse(document, &builder, format)) {
+            return {std::move(root), false};
+        }
     } catch (const json::exception&) {
-        return std::nullopt;
+        return {json(json::value_t::discarded), false};
     }
+    return {json(json::value_t::discarded), builder.gave_up()};
 }
 
 } // namespace camphorrail::base
--- a/src/base/json_values.h
+++ b/src/base/json_values.h
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
-#include <optional>
 #include <string_view>
 
 namespace camphorrail::base {
@@ -17,11 +16,15 @@
     std::size_t depth = 0;
 };
 
-// Whether a document exceeds its limits. False for one that breaks its format earlier.
-bool exceeds(std::string_view document, nlohmann::json::input_format_t format,
-             const value_limits& limits);
+struct parsed_values {
+    // Discarded if the document is malformed or exceeds its limits.
+    nlohmann::json document;
+    // It exceeds them before it breaks its format, if it does.
+    bool exceeds_limits = false;
+};
 
-// Parses CBOR; nothing if it is malformed or exceeds the limits.
-std::optional<nlohmann::json> parse_cbor(std::string_view document, const value_limits& limits);
+// Parses a document as far as its limits allow.
+parsed_values parse_values(std::string_view document, nlohmann::json::input_format_t format,
+                           const value_limits& limits);
 
 } // namespace camphorrail::base
--- a/src/base/json_values_tests.cpp
+++ b/src/base/json_values_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace camphorrail;
@@ -10,6 +11,13 @@
 
 namespace {
 
+constexpr auto cbor = json::input_format_t::cbor;
+constexpr auto text = json::input_format_t::json;
+
+bool is_refused(const base::parsed_values& parsed) {
+    return parsed.exceeds_limits && parsed.document.is_discarded();
+}
+
 std::string cbor_of(const json& document) {
     std::string bytes;
     json::to_cbor(document, bytes);
@@ -25,22 +33,27 @@
 
     SECTION("up to the limits they are parsed") {
         const json document(std::vector<int>(999, 1));
-        CHECK(base::parse_cbor(cbor_of(document), limits) == document);
-        CHECK_FALSE(base::exceeds(document.dump(), json::input_format_t::json, limits));
+        CHECK(base::parse_values(cbor_of(document), cbor, limits).document == document);
+        CHECK(base::parse_values(document.dump(), text, limits).document == document);
     }
     SECTION("not with more values") {
         const json document(std::vector<int>(1000, 1));
-        CHECK_FALSE(base::parse_cbor(cbor_of(document), limits));
-        CHECK(base::exceeds(document.dump(), json::input_format_t::json, limits));
+        CHECK(is_refused(base::parse_values(cbor_of(document), cbor, limits)));
+        CHECK(is_refused(base::parse_values(document.dump(), text, limits)));
     }
     SECTION("not with more levels") {
         std::string deep;
         deep.resize(10'000'000, '\x81');
-        CHECK_FALSE(base::parse_cbor(deep, limits));
-        CHECK(base::exceeds(std::string(17, '['), json::input_format_t::json, limits));
+        CHECK(is_refused(base::parse_values(deep, cbor, limits)));
+        CHECK(is_refused(base::parse_values(std::string(17, '['), text, limits)));
     }
-    SECTION("nor if they are cut off") {
-        CHECK_FALSE(base::parse_cbor("\x82\x01", limits));
-        CHECK_FALSE(base::exceeds("[1", json::input_format_t::json, limits));
+    SECTION("nor if they are cut off or announce what can't be") {
+        for (const auto& [document, format] : {std::pair("\x82\x01", cbor),
+                                               {"\x9b\x40\x01\x01\x01\x01\x01\x01\x01", cbor},
+                                               {"[1", text}}) {
+            const auto parsed = base::parse_values(document, format, limits);
+            CHECK(parsed.document.is_discarded());
+            CHECK_FALSE(parsed.exceeds_limits);
+        }
     }
 }
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -89,12 +89,13 @@
     if (request.method != "POST") {
         return refusal(base::code::method_not_allowed);
     }
-    if (base::exceeds(request.body, json::input_format_t::json, body_limits)) {
+    auto parsed = base::parse_values(request.body, json::input_format_t::json, body_limits);
+    if (parsed.exceeds_limits) {
         return refusal(base::code::body_malformed, "the body holds more than " +
                                                        std::to_string(body_limits.values) +
                                                        " values");
     }
-    json body = json::parse(request.body, nullptr, false);
+    json& body = parsed.document;
     if (!body.is_object()) {
         return refusal(base::code::body_malformed, "the body must be a JSON object");
     }
--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -14,7 +14,6 @@
 
 using nlohmann::json;
 
-// Messages up to the lesser figure in bytes cannot exceed them.
 constexpr base::value_limits message_limits{250'000, 4096};
 // Names of entries and of their availability zones, in bytes.
 constexpr std::size_t max_name_size = 256;
@@ -632,13 +631,10 @@
 }
 
 base::result<frame> decode(std::string_view bytes) {
-    const auto decoded = base::parse_cbor(bytes, message_limits);
-    if (!decoded) {
-        return base::code::frame_malformed;
-    }
+    const auto parsed = base::parse_values(bytes, json::input_format_t::cbor, message_limits);
     try {
-        return frame{read_message(decoded->at(1)),
-                     base::micros(decoded->at(0).get<std::int64_t>())};
+        const json& decoded = parsed.document;
+        return frame{read_message(decoded.at(1)), base::micros(decoded.at(0).get<std::int64_t>())};
     } catch (const std::exception&) {
         return base::code::frame_malformed;
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -40,7 +40,6 @@
 constexpr const char* bytes_field = "b";
 constexpr int highest_ran = 2;
 constexpr std::size_t most_levels = 64;
-// Frames up to the lesser figure in bytes cannot exceed them.
 constexpr base::value_limits frame_limits{250'000, 4096};
 
 template <class Message>
@@ -156,12 +155,10 @@
     if (bytes.size() > max_frame_bytes) {
         return base::code::frame_too_large;
     }
-    const auto fields = base::parse_cbor(bytes, frame_limits);
-    if (!fields) {
-        return base::code::frame_malformed;
-    }
+    const auto parsed =
+        base::parse_values(bytes, nlohmann::json::input_format_t::cbor, frame_limits);
     try {
-        return read_frame(*fields);
+        return read_frame(parsed.document);
     } catch (const nlohmann::json::exception&) {
         return base::code::frame_malformed;
     }
