Return free memory whoever has held it

The crowds checked that descriptors come back once they have left, not that memory does. Checked as well now: a process may keep a quarter of its memory, 22 MB, beside what it held before, for tables that have bounds of their own and for what the allocator does not give back. Two crowds failed: after links that read nothing had left, an entry still used 51 MB (8 before) and an agent 47. Nothing leaked; free memory was returned only when the account of clients' requests fell, and links are not in it.

Entries and agents compare their resident memory with what the allocator has handed out each second now, and return what is free from 16 MB on; what requests hold needs no rule of its own any more.

--- a/src/adapters/client_memory.cpp
+++ b/src/adapters/client_memory.cpp
@@ -1,8 +1,5 @@
 #include "adapters/client_memory.h"
 
-#include "adapters/allocator.h"
-
-#include <algorithm>
 #include <utility>
 
 namespace camphorrail::adapters {
@@ -10,10 +7,6 @@
 namespace {
 
 constexpr int status_unavailable = 503;
-// Freed memory is returned to the system once less than this part of the peak is held, and if the
-// peak was above this part of the budget.
-constexpr std::int64_t low_divisor = 4;
-constexpr std::int64_t high_divisor = 4;
 
 std::int64_t to_bytes(std::size_t size) {
     return static_cast<std::int64_t>(size);
@@ -86,7 +79,6 @@
         return;
     }
     this->release();
-    this->return_freed_memory();
 }
 
 buffers::holding client_memory::measure(buffers::holder_id holder) const {
@@ -109,7 +101,6 @@
     for (const auto& [holder, holding] : before) {
         buffers::record(this->account, holder, this->measure(holder));
     }
-    this->peak = std::max(this->peak, buffers::total(this->account.held));
 }
 
 void client_memory::release() {
@@ -147,13 +138,4 @@
     this->server->refuse(holder.value, status_unavailable, text.fields, text.body);
 }
 
-void client_memory::return_freed_memory() {
-    const std::int64_t now = buffers::total(this->account.held);
-    if (this->peak > this->callbacks.budget().limit / high_divisor &&
-        now < this->peak / low_divisor) {
-        this->peak = now;
-        release_free_memory();
-    }
-}
-
 } // namespace camphorrail::adapters
--- a/src/adapters/client_memory.h
+++ b/src/adapters/client_memory.h
@@ -61,14 +61,11 @@
     void release();
     void yield(buffers::holder_id holder);
     void refuse_unread(buffers::holder_id holder);
-    void return_freed_memory();
 
     client_memory_callbacks callbacks;
     frontend_server* server = nullptr;
     buffers::account account;
     timer release_timer;
-    // The most that was held since freed memory was last returned to the system.
-    std::int64_t peak = 0;
 };
 
 } // namespace camphorrail::adapters
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent.h"
 
+#include "adapters/allocator.h"
 #include "adapters/http_client.h"
 #include "adapters/http_platform.h"
 #include "adapters/http_upstream.h"
@@ -106,6 +107,7 @@
                                           this->loop, this->platform_calls),
                         this->settings.platform.poll);
     this->once.start();
+    adapters::return_free_memory_regularly(this->loop);
     this->loop.every(process::heartbeat_period, [this] { this->beat(); });
     this->loop.every(tick_period, [this] { this->orders.expire(); });
     this->loop.every(engine_poll_period, [this] { this->poll_engine(); });
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry.h"
 
+#include "adapters/allocator.h"
 #include "adapters/http_client.h"
 #include "adapters/http_platform.h"
 #include "adapters/logging.h"
@@ -115,6 +116,7 @@
                                               this->settings.platform.timeout),
                                           this->loop, this->platform_calls),
                         this->settings.platform.poll);
+    adapters::return_free_memory_regularly(this->loop);
     this->loop.every(process::heartbeat_period, [this] { this->beat(); });
     if (!this->settings.vm_list.empty()) {
         this->loop.every(vm_list_period, [this] { this->read_vm_list(); });
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,5 +1,6 @@
 #include "proxy/proxy.h"
 
+#include "adapters/allocator.h"
 #include "adapters/sockets.h"
 #include "kvcache/lanes.h"
 #include "process/operators_port.h"
@@ -212,6 +213,7 @@
     }
     this->connect_parts();
     this->store.start();
+    adapters::return_free_memory_regularly(this->loop);
     this->loop.every(tick_period, [this] { this->tick(); });
     this->loop.run();
     this->log.line(importance::keep, "stopped")
--- a/tests/process/crowd.sh
+++ b/tests/process/crowd.sh
@@ -93,6 +93,11 @@
 }
 operators_answer() { http_get "$1/healthz" | grep -q ok; }
 
+# What a process may keep beside what it held before the crowd came: tables that are bounded by an eighth of
+# the memory, and what the allocator does not give back.
+KEPT_KB=$((1024 * MEMORY_MB / 4))
+resident_kb() { grep VmRSS "/proc/$PID/status" | grep -o '[0-9]*'; }
+memory_is_back() { [ "$(resident_kb)" -le $((before_kb + KEPT_KB)) ]; }
 descriptors() { find "/proc/$PID/fd" -mindepth 1 | wc -l; }
 few_descriptors() { [ "$(descriptors)" -le $((before + OTHER_DESCRIPTORS)) ]; }
 
@@ -100,6 +105,7 @@
 head -c 4194304 /dev/zero | tr '\0' 'x' >"$LARGE_BODY"
 wait_for answered '{"slot":17}'
 before=$(descriptors)
+before_kb=$(resident_kb)
 
 "$BIN/camphorrail_crowd" "--address=$ADDRESS" "--pid=$PID" "--load=$LOAD" "--clients=$CLIENTS" \
     "--path=$REQUEST_PATH" "--field=Host: desk.example" "--field=Authorization: Bearer $TEAM_KEY" \
@@ -121,5 +127,7 @@
 wait_for answered '{"slot":17}' || fail "an ordinary request is not answered"
 wait_for operators_answer "$([ "$ROLE" = proxy ] && proxy_operators_of 0 || entry_operators_of 0)"
 wait_for few_descriptors || fail "$(descriptors) descriptors are still open, $before before"
+wait_for memory_is_back || fail "$(resident_kb) KB are still used, $before_kb before"
+echo "used_before_kb=$before_kb used_after_kb=$(resident_kb)"
 wait_for answered "@$LARGE_BODY" || fail "a single large body is not served"
 kill -0 "$PID" 2>/dev/null || fail "the process has ended"
