--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -53,11 +53,11 @@
 # operator_puts KEY VALUE: the answer of the store is the ack.
 operator_puts() { "$STANDIN" put "$STORE" "$1" "$2" || exit 2; }
 
-# start_engine NUMBER SERVICE MODELS
+# start_engine NUMBER SERVICE MODELS [FIRST-EVENT-MS]
 start_engine() {
     take_port
     eval "ENGINE_$1=$PORT"
-    start "engine$1" "$STANDIN" engine "$PORT" "$STORE" "i-$1" "$2" "$3" 32
+    start "engine$1" "$STANDIN" engine "$PORT" "$STORE" "i-$1" "$2" "$3" 32 "${4:-0}"
 }
 
 # start_front NUMBER: an entry with the settings that the template of the deploy file gives it.
@@ -93,6 +93,10 @@
   lease_ms: 3000
   outdated_weights_ms: 8000
 YAML
+    run_front "$1"
+}
+
+run_front() {
     start "front$1" env "CAMPHORRAIL_SETTINGS=$TMP/front$1.yaml" target/bin/camphorrail proxy
 }
 
--- a/review/standins-2/standin.cpp
+++ b/review/standins-2/standin.cpp
@@ -3,10 +3,11 @@
 // channel. Every line that it prints begins with the milliseconds of the steady clock.
 //
 //   standin store LISTEN
-//   standin engine LISTEN STORE ID SERVICE MODELS SLOTS
+//   standin engine LISTEN STORE ID SERVICE MODELS SLOTS FIRST-EVENT-MS
 //   standin put STORE KEY VALUE
 //   standin get ADDRESS PATH
 //   standin load SECONDS RATE EVENTS KEY HOST PREFIX MODEL TAG FRONT...
+//   standin send FRONT ID KEY HOST PREFIX MODEL SHARED-PART BODY
 //   standin kept SECONDS COUNT FIRST SECOND KEY HOST PREFIX FRONT...
 //   standin ports COUNT
 //   standin now
@@ -333,6 +334,7 @@
         while (true) {
             std::this_thread::sleep_for(20ms);
             const std::lock_guard<std::mutex> held(this->guard);
+            this->remove_silent_engines();
             for (auto it = this->leases.begin(); it != this->leases.end();) {
                 if (now_ms() < it->second.until) {
                     ++it;
@@ -361,6 +363,7 @@
     // All entries of one transaction, as the page on the store says.
     static constexpr std::size_t most_entries = 32;
     static constexpr std::size_t page_items = 500;
+    static constexpr std::int64_t beat_ms = 1200;
 
     reply answer(const target& wanted, const std::string& body) {
         if (wanted.path == "/kv-watch") {
@@ -406,13 +409,33 @@
         }
         if (wanted.path == "/stand-in/put") {
             // The operator and the engines write here; the system may not write their keys.
-            this->put(wanted.query.at("key"), to_base64(body), 0);
-            say("store put " + wanted.query.at("key") + " " + body);
+            const std::string& key = wanted.query.at("key");
+            this->put(key, to_base64(body), 0);
+            if (key.rfind("servers/", 0) == 0) {
+                this->heard_at[key] = now_ms();
+            } else {
+                say(join({"store put ", key, " ", body}));
+            }
             return {200, json{{"revision", this->revision}}.dump()};
         }
         return {404, "{}"};
     }
 
+    // An engine's entry is removed after three intervals of silence.
+    void remove_silent_engines() {
+        std::vector<std::string> silent;
+        for (const auto& [key, at] : this->heard_at) {
+            if (now_ms() - at > 3 * beat_ms) {
+                silent.push_back(key);
+            }
+        }
+        for (const auto& key : silent) {
+            say("store removes " + key);
+            this->erase(key);
+            this->heard_at.erase(key);
+        }
+    }
+
     reply range(const target& wanted) const {
         const std::string prefix = wanted.query.at("prefix");
         const auto after = wanted.query.find("after");
@@ -527,6 +550,8 @@
     std::condition_variable changed;
     std::map<std::string, json> items;
     std::map<std::int64_t, lease> leases;
+    // When each engine last wrote its entry.
+    std::map<std::string, std::int64_t> heard_at;
     std::vector<json> history;
     std::int64_t revision = 1;
     std::int64_t last_lease = 100;
@@ -543,9 +568,9 @@
 class engine {
 public:
     engine(std::string address, std::string store_address, std::string id, std::string service,
-           const std::string& models, int slots)
+           const std::string& models, int slots, std::int64_t first_event_ms)
         : address(std::move(address)), store_address(std::move(store_address)), id(std::move(id)),
-          service(std::move(service)), slots(slots) {
+          service(std::move(service)), slots(slots), first_event_ms(first_event_ms) {
         std::istringstream names(models);
         for (std::string name; std::getline(names, name, ',');) {
             if (name != "none") {
@@ -556,6 +581,8 @@
 
     // Writes the engine's entry in the store about every 1,200 ms.
     void beat() {
+        // The engine listens before it lists itself.
+        std::this_thread::sleep_for(100ms);
         for (std::int64_t seq = 1;; ++seq) {
             put_item(this->store_address, "servers/" + this->id, this->entry(seq).dump());
             std::this_thread::sleep_for(1200ms);
@@ -759,6 +786,12 @@
                 std::int64_t cuts) {
         const std::string after = asked.field("last-event-id");
         const int count = asked.body.empty() ? 1 : std::stoi(asked.body);
+        for (std::int64_t read_ms = 0; read_ms < this->first_event_ms; read_ms += 50) {
+            std::this_thread::sleep_for(50ms);
+            if (to.is_gone()) {
+                return false;
+            }
+        }
         bool is_open = to.write(head);
         for (int next = after.empty() ? 1 : std::stoi(after) + 1; is_open && next <= count;
              ++next) {
@@ -784,6 +817,8 @@
     std::string id;
     std::string service;
     int slots;
+    // How long it reads a prompt.
+    std::int64_t first_event_ms;
     std::mutex guard;
     std::condition_variable ended;
     std::map<std::string, model_state> models;
@@ -833,6 +868,22 @@
     return 0;
 }
 
+// One stream, whose prompt has one shared part.
+int run_send(const std::vector<std::string>& args) {
+    const std::string& id = args.at(3);
+    const std::string head =
+        join({"POST ", args.at(6), "2f HTTP/1.1\r\nHost: ", args.at(5), "\r\nRequest-Id: ", id,
+              "\r\nModel-Name: ", args.at(7),
+              "\r\nToken-Count: 9190,10\r\nPrompt-Prefix: ", args.at(8), ":6300,", id,
+              ":2890\r\nRequest-Deadline: 15000\r\nAuthorization: Bearer ", args.at(4), "\r\n"});
+    say(join({"sent ", id, " to ", args.at(2)}));
+    message answer;
+    const int status = call(args.at(2), head, args.at(9), answer);
+    say(join({"answered ", id, " ", std::to_string(status),
+              answer.field("response-stamp").empty() ? "" : " by an engine"}));
+    return 0;
+}
+
 // Requesters that each keep a channel: a first request with a body of FIRST bytes, and SECONDS
 // later on the same channel another one with a body of SECOND bytes.
 int run_kept(const std::vector<std::string>& args) {
@@ -902,7 +953,7 @@
     }
     if (role == "engine") {
         static engine served(args.at(2), args.at(3), args.at(4), args.at(5), args.at(6),
-                             std::stoi(args.at(7)));
+                             std::stoi(args.at(7)), std::stoll(args.at(8)));
         std::thread([] { served.beat(); }).detach();
         return serve(args.at(2), [](channel& from) { served.serve_channel(from); });
     }
@@ -919,6 +970,9 @@
     if (role == "load") {
         return run_load(args);
     }
+    if (role == "send") {
+        return run_send(args);
+    }
     if (role == "kept") {
         return run_kept(args);
     }
