--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -76,8 +76,7 @@
 sleep 4
 step "of 100 requests served: $(share_of draft 1 12) before the final fault, $(share_of draft 34) from 13 s after it"
 if [ "$(share_of draft 1 12)" -ge 25 ] && [ "$(share_of draft 34)" -lt 25 ]; then
-    step "BROKEN"
-    exit 1
+    broken
 fi
 [ "$(share_of draft 34)" -gt 50 ] || exit 2
 step "HELD"
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -44,8 +44,7 @@
 step "kept channels: $(count load first 200) of 30 served before, 6 s after the ack $(count load second 200) of 30 served, $(count load second 413) refused with 413"
 # 5 and one in 500 of all 84 requests.
 if [ "$(count load second 413)" -gt 5 ]; then
-    step "BROKEN"
-    exit 1
+    broken
 fi
 [ "$(count load second 200)" -eq 30 ] || exit 2
 step "HELD"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -51,8 +51,7 @@
 [ "$TROUBLE" != 0 ] || old=0
 step "engines with old weights of beta: $old of 6"
 if [ "$old" -gt 1 ]; then
-    step "BROKEN"
-    exit 1
+    broken
 fi
 [ "$(share_of alpha 12)" -gt 50 ] && [ "$(share_of beta 12)" -gt 50 ] || exit 2
 step "HELD"
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -24,14 +24,26 @@
     PIDS="$PIDS $!"
 }
 
-# end_all: ends what was started, and writes the record in the order of time.
+# broken: the rule was broken.
+broken() {
+    step "BROKEN"
+    BROKEN=yes
+    exit 1
+}
+
+# end_all: ends what was started, and writes the record in the order of time. A script that ends with 1
+# for any other reason could not run.
 end_all() {
+    status=$?
     for pid in $PIDS; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
     sleep 0.5
     for pid in $PIDS; do kill -9 "$pid" 2>/dev/null || true; done
     cat "$TMP"/store.out "$TMP"/engine*.out "$TMP"/load*.out "$TMP"/steps.out 2>/dev/null |
         sort -n -s -k1,1 >"$RECORD" || true
     rm -rf "$TMP"
+    [ "$status" != 1 ] || [ -n "${BROKEN:-}" ] || status=2
+    trap - EXIT
+    exit "$status"
 }
 trap end_all EXIT
 
--- a/review/standins-2/standin.cpp
+++ b/review/standins-2/standin.cpp
@@ -241,9 +241,8 @@
     return std::stoi(answer.first_line.substr(answer.first_line.find(' ') + 1));
 }
 
-// Accepts channels and has `handle` serve each in a thread of its own.
-template <class Handle>
-int serve(const std::string& address, Handle handle) {
+// Opens a listener; ends the program if it cannot.
+int listen_at(const std::string& address) {
     const int listener = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -251,8 +250,14 @@
     if (bind(listener, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
         listen(listener, 512) != 0) {
         std::cerr << "cannot listen at " << address << "\n";
-        return 2;
+        std::exit(2);
     }
+    return listener;
+}
+
+// Accepts channels and has `handle` serve each in a thread of its own.
+template <class Handle>
+int serve(int listener, Handle handle) {
     while (true) {
         const int accepted = accept(listener, nullptr, nullptr);
         if (accepted >= 0) {
@@ -581,8 +586,6 @@
 
     // Writes the engine's entry in the store about every 1,200 ms.
     void beat() {
-        // The engine listens before it lists itself.
-        std::this_thread::sleep_for(100ms);
         for (std::int64_t seq = 1;; ++seq) {
             put_item(this->store_address, "servers/" + this->id, this->entry(seq).dump());
             std::this_thread::sleep_for(1200ms);
@@ -948,14 +951,18 @@
     const std::string role = args.size() > 1 ? args.at(1) : "";
     if (role == "store") {
         static store served;
+        const int listener = listen_at(args.at(2));
         std::thread([] { served.expire(); }).detach();
-        return serve(args.at(2), [](channel& from) { served.serve_channel(from); });
+        return serve(listener, [](channel& from) { served.serve_channel(from); });
     }
     if (role == "engine") {
         static engine served(args.at(2), args.at(3), args.at(4), args.at(5), args.at(6),
                              std::stoi(args.at(7)), std::stoll(args.at(8)));
+        // An engine listens before it lists itself, and a process that is killed closes its
+        // listener before its channels.
+        const int listener = listen_at(args.at(2));
         std::thread([] { served.beat(); }).detach();
-        return serve(args.at(2), [](channel& from) { served.serve_channel(from); });
+        return serve(listener, [](channel& from) { served.serve_channel(from); });
     }
     if (role == "put") {
         return put_item(args.at(2), args.at(3), args.at(4)) == 200 ? 0 : 1;
