--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -10,7 +10,7 @@
 put_config() {
     operator_puts op/config "{\"version\":$1,\"routes\":[{\"name\":\"draft\",\"host\":\"desk.example\",\"prefix\":\"/draft/\",\
 \"kind\":\"stream\",\"timeoutMs\":15000,\"targetLatencyMs\":2000,\"gapTargetMs\":250,\"priority\":0,\
-\"service\":\"lm-pool\",\"attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true}],\
+\"service\":\"lm-pool\",\"attempts\":1,\"public\":false,\"sticky\":true,\"resumable\":true}],\
 \"services\":[{\"name\":\"lm-pool\",\"healthPath\":\"/health\",\"maxConns\":230,\"engine\":{\"slots\":32,\
 \"kvCapacityTokens\":102461,\"kvTokenBytes\":192512,\"linkMbps\":350000.0,\"models\":[{\"name\":\"m0\"}]}}],\
 \"limits\":{\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\
