Require keys once the last team is removed

Callers saw: after a configuration whose list of teams is empty, every request on every route was served, with the key that was taken away, with keys that were never held, and without one.

Cause: admission asked for a key only if the configuration held a team. A document whose last team was removed and one without a list of teams were the same once they were read.

A deployment without the field goes on without keys.

--- a/src/proxy/admission_tests.cpp
+++ b/src/proxy/admission_tests.cpp
@@ -1,3 +1,4 @@
+#include "platform/configuration_document.h"
 #include "proxy/admission.h"
 
 #include <catch2/catch.hpp>
@@ -88,3 +89,35 @@
     // `resumable` has no effect on other kinds.
     CHECK_FALSE(proxy::may_repeat({.kind = request_kind::once, .resumable = true}));
 }
+
+// Guards against serving requests with any key, or without one, once the last team is removed.
+TEST_CASE("a configuration without a team left serves public routes alone", "[proxy]") {
+    const auto code = [](const std::string& teams, const std::string& target,
+                         const std::string& key) {
+        const auto config = platform::read_configuration(
+            R"({"version":4,"services":[],"routes":[)"
+            R"({"host":"desk.example","prefix":"/tag/","kind":"unsafe","service":"desk"},)"
+            R"({"host":"desk.example","prefix":"/o/","kind":"unsafe","service":"desk","public":true}])" +
+            teams + "}");
+        REQUIRE(config.has_value());
+        const proxy::admission_state state{
+            std::make_shared<const routes::operators_config>(config.value()), base::seconds(1),
+            base::milliseconds(4600)};
+        const auto admitted =
+            proxy::admit(state, request(target), {.request_id = "1", .bearer_key = key});
+        return admitted.has_value() ? 0 : static_cast<int>(base::to_code(admitted.error()));
+    };
+
+    SECTION("if its list of teams is empty") {
+        const std::string none =
+            GENERATE(R"(,"tenants":[])", R"(,"tenants":{})", R"(,"tenants":null)");
+        CAPTURE(none);
+        CHECK(code(none, "/tag/x", "k1") == 205);
+        CHECK(code(none, "/tag/x", "") == 205);
+        CHECK(code(none, "/o/x", "") == 0);
+    }
+    SECTION("and all routes if it has never had teams") {
+        CHECK(code("", "/tag/x", "") == 0);
+        CHECK(code("", "/tag/x", "k1") == 0);
+    }
+}
--- a/src/routes/operators_config.cpp
+++ b/src/routes/operators_config.cpp
@@ -51,6 +51,10 @@
     return nullptr;
 }
 
+bool requires_keys(const operators_config& config) {
+    return config.lists_teams || !config.teams.empty();
+}
+
 const team* find_team(const operators_config& config, const std::string& key) {
     const auto found = config.team_by_key.find(key);
     return found == config.team_by_key.end() ? nullptr : &config.teams[found->second];
--- a/src/routes/operators_config.h
+++ b/src/routes/operators_config.h
@@ -115,6 +115,9 @@
     std::vector<kv_store> kv_stores;
     client_limits limits;
     std::vector<team> teams;
+    // The document lists teams, be the list empty. One without a list has no API keys; an empty one
+    // is what is left once the last team is removed.
+    bool lists_teams = false;
     // Built by `build_indexes`.
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
     std::unordered_map<std::string, std::size_t> team_by_key;
@@ -128,6 +131,9 @@
 const route* find_route(const operators_config& config, std::string_view host,
                         std::string_view target);
 
+// Whether a request needs an API key where its route is not public.
+bool requires_keys(const operators_config& config);
+
 // The team that an API key belongs to; null if there is none.
 const team* find_team(const operators_config& config, const std::string& key);
 
