Read each request by the limits in force when it begins

Callers saw: after a configuration had raised the limit on bodies, requests that it allows were answered 413 on connections that had been idle since before the change.

Cause: a connection took the limits, and made the reader that has them, when its last request ended.

Change: the limits are taken at a request's first byte. When an idle connection's time is over, the limit in force decides.

--- a/src/adapters/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -281,11 +281,22 @@
             bufferevent_enable(this->socket, EV_READ);
         } else if (this->reading) {
             this->refuse(status_timeout);
+        } else if (const auto left = this->idle_time_left(); left > base::milliseconds(0)) {
+            // The limit was raised after the connection became idle.
+            this->set_read_timeout(left);
+            bufferevent_enable(this->socket, EV_READ);
         } else {
             this->close();
         }
     }
 
+    // How much longer the connection may stay idle by the limits in force now.
+    [[nodiscard]] base::milliseconds idle_time_left() const {
+        const base::micros idle_for = this->server->callbacks.now() - this->idle_start;
+        return std::chrono::ceil<base::milliseconds>(
+            this->server->callbacks.limits().idle_timeout - idle_for);
+    }
+
     [[nodiscard]] std::size_t input_in_kernel() const {
         int waiting = 0;
         ioctl(bufferevent_getfd(this->socket), FIONREAD, &waiting);
@@ -344,10 +355,15 @@
         this->idle_start = this->server->callbacks.now();
         this->idle_key = ++this->server->last_idle_key;
         this->server->idle.emplace(this->idle_key, this);
-        this->limits = this->server->callbacks.limits();
-        this->reader = http::request_reader(this->limits.read);
+        this->apply_limits();
         this->blank_bytes = 0;
         this->set_read_timeout(this->limits.idle_timeout);
+    }
+
+    // Takes the limits in force for the next request. They may change while the connection is idle.
+    void apply_limits() {
+        this->limits = this->server->callbacks.limits();
+        this->reader = http::request_reader(this->limits.read);
         bufferevent_setwatermark(this->socket, EV_READ, 0, this->max_input_bytes());
     }
 
@@ -446,6 +462,7 @@
         this->reading = true;
         this->head_reported = false;
         this->request_start = this->last_received;
+        this->apply_limits();
         this->set_read_timeout(this->limits.head_timeout);
     }
 
