Go on requiring keys where a deployment that has had teams leaves their list out

The platform says that requests carry a key if the configuration contains teams, and that a key that was taken away admits nothing; the safe side is taken.

Cause: what a deployment had before was known to nobody; the newest document decided alone.

Change: the leader records in the store that teams have been listed. Where that is recorded, or was seen by the entry, a configuration without the list requires keys. Routes that are meant for everyone are marked public. A deployment that has never had teams goes on without keys and makes no call.

--- a/src/proxy/admission.cpp
+++ b/src/proxy/admission.cpp
@@ -18,7 +18,7 @@
     if (route == nullptr) {
         return base::code::unknown_path;
     }
-    if (route->is_public || !routes::requires_keys(*state.config)) {
+    if (route->is_public || !(state.has_had_teams || routes::requires_keys(*state.config))) {
         return admitted_request{state.config, route, nullptr};
     }
     const auto* team = routes::find_team(*state.config, metadata.bearer_key);
--- a/src/proxy/admission.h
+++ b/src/proxy/admission.h
@@ -20,6 +20,9 @@
     // Requests are refused with `not_ready` if the proof is older than this. A revoked key must be
     // refused within a bound even by a process that is cut off from the store.
     base::micros max_config_age{0};
+    // The deployment has had a list of teams, so that a configuration without one still requires
+    // keys.
+    bool has_had_teams = false;
 };
 
 // A request that may be forwarded to an upstream.
--- a/src/proxy/context.cpp
+++ b/src/proxy/context.cpp
@@ -12,6 +12,7 @@
 
 void set_config(entry_state& state, std::shared_ptr<const routes::operators_config> config) {
     state.ranks = make_rank_table(*config);
+    state.has_had_teams = state.has_had_teams || routes::requires_keys(*config);
     state.config = std::move(config);
     update_cache_spaces(state);
 }
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -41,6 +41,8 @@
     // Set by `set_config`.
     std::shared_ptr<const routes::operators_config> config;
     // The ranks of the requests that it allows.
+    // A configuration that listed teams has been in force, here or at another entry.
+    bool has_had_teams = false;
     queueing::rank_table ranks;
     fleet::fleet fleet;
     std::map<base::model_id, weights_history> weights;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -116,6 +116,8 @@
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }),
       buffered(this->context) {
     this->context.buffers = &this->buffered;
+      team_list(this->context, this->store_calls,
+                [this] { return this->leader.fencing_token() != 0; }),
     this->context.unread_message_bytes = [this] { return this->peer_entries.unread_bytes(); };
     this->apply_agreements();
 }
@@ -509,6 +511,7 @@
     this->peer_entries.tick();
     this->retries_at_start.tick();
     this->update_retry_budgets();
+    this->team_list.tick();
     this->update_quota_entries();
     this->update_share_entries();
     this->store.tick();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -26,6 +26,7 @@
 #include "proxy/store_follower.h"
 #include "proxy/store_updates.h"
 #include "proxy/suspicion_exchange.h"
+#include "proxy/team_list_record.h"
 #include "proxy/weights_loader.h"
 
 #include <functional>
@@ -134,6 +135,7 @@
     software_records software;
     cache_space_record cache_spaces;
     kv_store_follower kv_stores;
+    team_list_record team_list;
     request_buffers buffered;
     std::unique_ptr<adapters::frontend_server> frontend;
     std::unique_ptr<adapters::http_server> balancer;
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -27,6 +27,7 @@
         this->apply_config();
     }
     this->cache_spaces.apply(keys);
+    this->team_list.apply(keys);
     if (read_target_weights(this->context, source)) {
         this->renew_begin_deadlines();
     }
