Weigh what a prompt part has survived, and try a quarantined part once

Callers saw: after two engines had crashed 0.4 s apart, every request whose prompt begins with the part that all prompts share was answered 503 for ten minutes, also after a restart of all entries, though the other engines were sound.

Cause: a crash counted against a part whatever the part had survived before, so that a part that all requests carry was blamed for any two crashes. Once it was quarantined, no request with it was sent, and nothing could show that it is harmless.

The new tests failed before, with crashes 0.1, 0.4 and 3 s apart: prompt_part_tests.cpp:261: failed: node.decide(second + 200) == 0 prompt_part_tests.cpp:262: failed: node.judge({"common"}, second + 210) == verdict::allowed and 'a part that was quarantined for two crashes is tried once' at its first check of a trial.

Change: entries remember for ten minutes which parts upstreams have survived, and tell each other in crash reports; a crash counts half against such a part. A quarantined part is tried once after a pause, at one entry after the other, if at most two upstreams (four, where it had survived) have crashed under it. Clients are told when the trial is due. An attempt of a trial that breaks keeps its turn until it is known whether the upstream crashed. Older builds ignore the new field of a crash report.

Why it works: a fatal part never survives, so that nothing changes for it but one trial: three crashes over all entries, which the test with three entries shows for 600 s and requests 0.2 to 2.5 s apart. A sound part is either not quarantined, or let go by its first trial.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -270,9 +270,25 @@
     return {{value.at(0).get<std::string>()}, value.at(1).get<std::size_t>()};
 }
 
+json to_json_list(const std::vector<base::request_digest>& digests) {
+    json list = json::array();
+    for (const auto& each : digests) {
+        list.push_back(each.value);
+    }
+    return list;
+}
+
+std::vector<base::request_digest> read_digests(const json& list) {
+    std::vector<base::request_digest> digests;
+    for (const auto& each : list) {
+        digests.push_back({each.get<std::string>()});
+    }
+    return digests;
+}
+
 json to_json(const crash_report& message) {
-    return {"crash", to_json(message.upstream), message.age.count(),
-            to_json_array(message.victims)};
+    return {"crash", to_json(message.upstream), message.age.count(), to_json_array(message.victims),
+            to_json_list(message.survived_parts)};
 }
 
 json to_json(const quarantine_notice& message) {
@@ -280,19 +296,11 @@
 }
 
 json to_json(const cleared_prompt_parts& message) {
-    json parts = json::array();
-    for (const auto& each : message.parts) {
-        parts.push_back(each.value);
-    }
-    return {"cleared", parts};
+    return {"cleared", to_json_list(message.parts)};
 }
 
 cleared_prompt_parts read_cleared_prompt_parts(const json& value) {
-    cleared_prompt_parts message;
-    for (const auto& each : value.at(1)) {
-        message.parts.push_back({each.get<std::string>()});
-    }
-    return message;
+    return {read_digests(value.at(1))};
 }
 
 json to_json(const upstream_draining& message) {
@@ -371,6 +379,11 @@
             crash.victims.back().parts.push_back(read_identity(part));
         }
     }
+    // Missing in reports of older builds.
+    constexpr std::size_t survived_parts_index = 4;
+    if (value.size() > survived_parts_index) {
+        crash.survived_parts = read_digests(value.at(survived_parts_index));
+    }
     return crash;
 }
 
@@ -599,7 +612,7 @@
 }
 
 crash_report to_message(const quarantine::crash_report& report, base::instant sent_at) {
-    crash_report message{report.upstream, sent_at - report.at, {}};
+    crash_report message{report.upstream, sent_at - report.at, {}, report.survived_parts};
     for (const auto& each : report.victims) {
         const base::micros response_started_ago =
             each.response_started_at ? sent_at - *each.response_started_at : base::micros(-1);
@@ -610,7 +623,8 @@
 }
 
 quarantine::crash_report from_message(const crash_report& message, base::instant sent_at) {
-    quarantine::crash_report report{message.upstream, sent_at - message.age, {}};
+    quarantine::crash_report report{
+        message.upstream, sent_at - message.age, {}, message.survived_parts};
     for (const auto& each : message.victims) {
         quarantine::crash_victim victim{each.request, sent_at - each.sent_ago, {}, each.parts};
         if (each.response_started_ago >= base::micros(0)) {
--- a/src/peering/messages_tests.cpp
+++ b/src/peering/messages_tests.cpp
@@ -267,7 +267,8 @@
     const quarantine::crash_report crash{
         {{"e1"}, {17}},
         now - base::seconds(1),
-        {{quarantine::identify({"/desk", "north", "r"}), now - base::seconds(2), {}, {part}}}};
+        {{quarantine::identify({"/desk", "north", "r"}), now - base::seconds(2), {}, {part}}},
+        {part.digest}};
     const auto decoded = peering::decode(peering::encode({peering::to_message(crash, now)}));
     const auto read =
         peering::from_message(std::get<peering::crash_report>(decoded.value().payload), now);
@@ -275,6 +276,7 @@
     REQUIRE(read.victims.size() == 1);
     CHECK(read.victims[0].request == crash.victims[0].request);
     CHECK(read.victims[0].parts == crash.victims[0].parts);
+    CHECK(read.survived_parts == crash.survived_parts);
 
     const auto cleared =
         peering::decode(peering::encode({peering::cleared_prompt_parts{{part.digest}}}));
@@ -293,6 +295,7 @@
     const auto& crash = std::get<peering::crash_report>(read.value().payload);
     REQUIRE(crash.victims.size() == 1);
     CHECK(crash.victims[0].parts.empty());
+    CHECK(crash.survived_parts.empty());
 }
 
 // Guards against builds that can't run side by side during an upgrade, and against messages that
--- a/src/proxy/crash_detector.cpp
+++ b/src/proxy/crash_detector.cpp
@@ -1,6 +1,7 @@
 #include "proxy/crash_detector.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorrail::proxy {
@@ -21,6 +22,7 @@
 // the entries.
 constexpr int max_report_burst = 10;
 constexpr std::size_t max_reported_victims = 64;
+constexpr std::size_t max_reported_survivals = 256;
 
 } // namespace
 
@@ -87,15 +89,33 @@
 
 void crash_detector::add_victims(const base::upstream_instance& upstream, base::instant at,
                                  const std::vector<quarantine::crash_victim>& victims) {
-    const quarantine::crash_report report{upstream, at, victims};
+    const quarantine::crash_report report{upstream, at, victims, this->survived_parts(victims, at)};
     quarantine::record_crash(this->context.state.quarantine, report, this->context.now(), {});
     auto& pending = this->unreported[upstream];
     pending.upstream = upstream;
     pending.at = at;
     pending.victims.insert(pending.victims.end(), victims.begin(), victims.end());
+    pending.survived_parts.insert(pending.survived_parts.end(), report.survived_parts.begin(),
+                                  report.survived_parts.end());
     this->report_timer.set(victim_collection_time);
 }
 
+// The parts of the victims' prompts that upstreams had survived before, as this entry knows.
+std::vector<base::request_digest>
+crash_detector::survived_parts(const std::vector<quarantine::crash_victim>& victims,
+                               base::instant at) const {
+    const auto& state = this->context.state.quarantine;
+    std::set<base::request_digest> found;
+    for (const auto& victim : victims) {
+        for (const auto& part : victim.parts) {
+            if (quarantine::has_survived(state, part.digest, at, {})) {
+                found.insert(part.digest);
+            }
+        }
+    }
+    return {found.begin(), found.end()};
+}
+
 void crash_detector::broadcast_crashes() {
     for (auto& [upstream, report] : this->unreported) {
         if (this->reports_left == 0) {
@@ -107,6 +127,8 @@
         std::stable_partition(report.victims.begin(), report.victims.end(),
                               [](const auto& each) { return !each.response_started_at; });
         report.victims.resize(std::min(report.victims.size(), max_reported_victims));
+        report.survived_parts.resize(
+            std::min(report.survived_parts.size(), max_reported_survivals));
         this->broadcast(peering::to_message(report, this->context.now()));
     }
     this->unreported.clear();
@@ -135,8 +157,8 @@
 }
 
 bool crash_detector::clear(const base::request_digest& part, const char* source) {
-    const auto done =
-        quarantine::clear_prompt_part(this->context.state.quarantine, part, this->context.now());
+    const auto done = quarantine::clear_prompt_part(this->context.state.quarantine, part,
+                                                    this->context.now(), {});
     if (done == quarantine::clearance::quarantine_lifted) {
         this->context.log.line(importance::keep, "quarantine_lifted")
             .text("digest", part.value)
@@ -209,9 +231,19 @@
     return all;
 }
 
+// The entries try quarantined parts one after the other, in the order of their ids.
+base::micros crash_detector::trial_turn() const {
+    const auto& own = this->context.settings.id;
+    const auto others = this->connected_entries();
+    const auto before = std::count_if(others.begin(), others.end(),
+                                      [&own](const auto& each) { return each < own; });
+    return before * quarantine::quarantine_rules{}.max_trial;
+}
+
 void crash_detector::tick() {
     const base::instant now = this->context.now();
     this->reports_left = std::min(this->reports_left + 1, max_report_burst);
+    this->context.state.quarantine.trial_turn = this->trial_turn();
     std::erase_if(this->broken_upstreams, [now](const auto& each) {
         return now - each.second.first_at > broken_upstream_ttl;
     });
--- a/src/proxy/crash_detector.h
+++ b/src/proxy/crash_detector.h
@@ -34,8 +34,8 @@
     void receive(const base::entry_id& from, const peering::quarantine_notice& message,
                  base::instant written);
     void receive(const base::entry_id& from, const peering::cleared_prompt_parts& message);
-    // An upstream has survived the begin of a response to a prompt with these parts: clears them,
-    // and reports those that were suspects to the other entries.
+    // An upstream has survived the begin of a response to a prompt with these parts: remembers
+    // that, clears them, and reports those that were suspects to the other entries.
     void record_survived(const std::vector<base::request_digest>& parts);
     // Applies a quarantine recorded in the platform's store.
     void restore_quarantine(const quarantine::quarantined_request& recorded);
@@ -43,6 +43,10 @@
     [[nodiscard]] std::vector<peering::message> initial_messages() const;
     void tick();
 
+    // The other entries that this one has a link to.
+    std::function<std::vector<base::entry_id>()> connected_entries = [] {
+        return std::vector<base::entry_id>{};
+    };
     // Sends a message to all other entries.
     std::function<void(const peering::message&)> broadcast;
     // Sends a message about cleared prompt parts to all entries that understand it.
@@ -67,6 +71,9 @@
                       const char* detected_by);
     void add_victims(const base::upstream_instance& upstream, base::instant at,
                      const std::vector<quarantine::crash_victim>& victims);
+    [[nodiscard]] std::vector<base::request_digest>
+    survived_parts(const std::vector<quarantine::crash_victim>& victims, base::instant at) const;
+    [[nodiscard]] base::micros trial_turn() const;
     void broadcast_crashes();
     bool clear(const base::request_digest& part, const char* source);
     void apply_quarantine(const quarantine::quarantined_request& quarantined, const char* source);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -297,6 +297,7 @@
     this->crashes.broadcast = [this](const peering::message& message) {
         this->peer_entries.broadcast(message);
     };
+    this->crashes.connected_entries = [this] { return this->peer_entries.connected_entries(); };
     this->crashes.quarantine_started = [this](const quarantine::quarantined_request& quarantined,
                                               bool decided_here) {
         this->on_quarantine_started(quarantined, decided_here);
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -356,7 +356,12 @@
                               this->current->response_started);
     }
     if (this->current->trial) {
-        quarantine::end_trial(this->context.state.quarantine, this->suspects());
+        auto tried = this->suspects();
+        if (this->current->broke) {
+            // Whether the upstream crashed under the parts is known a moment later.
+            tried.parts.clear();
+        }
+        quarantine::end_trial(this->context.state.quarantine, tried);
     }
     this->was_suspect = quarantine::is_suspect(this->context.state.quarantine, this->suspects());
     const auto ended_attempt = std::move(*this->current);
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -123,6 +123,7 @@
     if (member == nullptr || !fleet::is_available(*member)) {
         return;
     }
+    this->current->broke = true;
     const auto& attempt = *this->current;
     quarantine::crash_victim victim{this->identity(), attempt.sent_at, {}, this->shared_parts()};
     if (attempt.response_started) {
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -67,6 +67,8 @@
         // The attempt is the one trial that is allowed for a request suspected of crashing
         // upstreams.
         bool trial = false;
+        // The connection broke, and the upstream may have crashed.
+        bool broke = false;
         // The attempt counts against a rate limit that its upstream states.
         bool counts_against_limit = false;
         // When the first byte of the response was received.
--- a/src/proxy/request_quarantine.cpp
+++ b/src/proxy/request_quarantine.cpp
@@ -98,9 +98,6 @@
 
 // Called when a successful response is complete, or has gone on for a while after its first byte.
 void request_flow::record_survived_parts() {
-    if (!quarantine::has_suspected_parts(this->context.state.quarantine)) {
-        return;
-    }
     std::vector<base::request_digest> parts;
     for (const auto& part : this->shared_parts()) {
         parts.push_back(part.digest);
--- a/src/quarantine/prompt_part_tests.cpp
+++ b/src/quarantine/prompt_part_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,7 +52,7 @@
     }
 
     void survive(const std::string& name, int ms) {
-        quarantine::clear_prompt_part(this->state, part(name).digest, at(ms));
+        quarantine::clear_prompt_part(this->state, part(name).digest, at(ms), rules);
     }
 
     [[nodiscard]] verdict judge(const std::vector<std::string>& parts, int ms) const {
@@ -240,3 +241,167 @@
     }
     CHECK(node.judge({"rare"}, 15000) != verdict::quarantined);
 }
+
+// Guards against refusing every request with a part that all prompts share, since two engines that
+// happened to run it were lost in a row.
+TEST_CASE("a part that upstreams have survived is not quarantined for two crashes",
+          "[quarantine]") {
+    const int apart_ms = GENERATE(100, 400, 3000);
+    CAPTURE(apart_ms);
+    entry node;
+    node.survive("common", 1000);
+    auto lose = [&, number = 0]() mutable {
+        ++number;
+        const int now = 5000 + apart_ms * number;
+        node.crash("i-" + std::to_string(number), now,
+                   {{"r" + std::to_string(number), {"common", "b" + std::to_string(number)}}});
+        return now;
+    };
+    lose();
+    const int second = lose();
+    CHECK(node.decide(second + 200) == 0);
+    CHECK(node.judge({"common"}, second + 210) == verdict::allowed);
+
+    SECTION("but for four without a response between them") {
+        lose();
+        const int fourth = lose();
+        CHECK(node.decide(fourth + 200) == 1);
+        CHECK(node.judge({"common"}, fourth + 210) == verdict::quarantined);
+    }
+    SECTION("a fatal part that is lost with it is quarantined as ever") {
+        node.survive("common", 49'000);
+        node.crash("j-1", 50'000, {{"q1", {"common", "fatal"}}});
+        node.crash("j-2", 50'500, {{"q2", {"common", "fatal"}}});
+        CHECK(node.decide(50'700) == 1);
+        CHECK(node.judge({"fatal"}, 50'710) == verdict::quarantined);
+        CHECK(node.judge({"common"}, 50'710) == verdict::allowed);
+    }
+    SECTION("nor is what survived too long ago for that") {
+        const int late = 1000 + 601'000;
+        node.crash("k-1", late, {{"s1", {"common"}}});
+        node.crash("k-2", late + 500, {{"s2", {"common"}}});
+        CHECK(node.decide(late + 700) == 1);
+    }
+}
+
+// Guards against a quarantine that removes the only evidence that could end it: no request with the
+// part is sent, so no response to it can survive.
+TEST_CASE("a part that was quarantined for two crashes is tried once", "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"new"}}});
+    node.crash("i-2", 300, {{"r2", {"new"}}});
+    REQUIRE(node.decide(460) == 1);
+    CHECK(node.judge({"new"}, 470) == verdict::quarantined);
+    const int pause_over = 460 + 2000;
+    REQUIRE(node.judge({"new"}, pause_over) == verdict::trial);
+    const quarantine::request_suspects tried{{}, {part("new").digest}};
+    quarantine::begin_trial(node.state, tried, {"i-3"}, at(pause_over), rules);
+    CHECK(node.judge({"new"}, pause_over + 10) == verdict::quarantined);
+
+    SECTION("a response to it ends the quarantine") {
+        node.survive("new", pause_over + 300);
+        CHECK(node.judge({"new"}, pause_over + 310) == verdict::allowed);
+    }
+    SECTION("a third crash keeps it for the rest of its time") {
+        node.crash("i-3", pause_over + 100, {{"r3", {"new"}}});
+        quarantine::end_trial(node.state, tried);
+        for (int now = pause_over + 110; now < 600'000; now += 10'000) {
+            CHECK(node.judge({"new"}, now) == verdict::quarantined);
+        }
+    }
+    SECTION("a trial without an outcome is repeated") {
+        quarantine::end_trial(node.state, tried);
+        CHECK(node.judge({"new"}, pause_over + 500) == verdict::trial);
+    }
+}
+
+// Guards against a fatal part that crashes a third and a fourth upstream for the sake of trials.
+TEST_CASE("a part that was in flight at three crashes is not tried", "[quarantine]") {
+    entry node;
+    node.crash("i-1", 100, {{"r1", {"fatal"}}});
+    node.crash("i-2", 120, {{"r2", {"fatal"}}});
+    node.crash("i-3", 400, {{"r3", {"fatal"}}});
+    REQUIRE(node.decide(600) == 1);
+    CHECK(node.judge({"fatal"}, 5000) == verdict::quarantined);
+}
+
+namespace {
+
+// Three entries that send requests with one part in turn and learn of each other's crashes late.
+struct three_entries {
+    static constexpr int report_delay_ms = 30;
+    static constexpr int crash_after_ms = 60;
+
+    std::array<entry, 3> all;
+    int crashes = 0;
+    int sent = 0;
+
+    three_entries() {
+        for (std::size_t each = 0; each < this->all.size(); ++each) {
+            this->all.at(each).state.trial_turn = each * rules.max_trial;
+        }
+    }
+
+    // Sends a request with the part at the given time, if it is allowed, to an upstream that
+    // crashes under it or survives it. Returns whether it was sent.
+    bool send(std::size_t from, int now, bool fatal) {
+        auto& sender = this->all.at(from);
+        const auto verdict = sender.judge({"p"}, now);
+        if (verdict == verdict::quarantined || verdict == verdict::deferred) {
+            return false;
+        }
+        ++this->sent;
+        if (verdict == verdict::trial) {
+            quarantine::begin_trial(sender.state, {{}, {part("p").digest}}, {"t"}, at(now), rules);
+        }
+        const int ends = now + crash_after_ms;
+        if (!fatal) {
+            for (auto& each : this->all) {
+                each.survive("p", ends + report_delay_ms);
+            }
+            return true;
+        }
+        ++this->crashes;
+        const std::string number = std::to_string(this->crashes);
+        for (std::size_t to = 0; to < this->all.size(); ++to) {
+            this->all.at(to).crash("i-" + number, ends, {{"r" + number, {"p"}}});
+        }
+        return true;
+    }
+
+    void tick(int now) {
+        for (auto& each : this->all) {
+            each.decide(now);
+            quarantine::expire(each.state, at(now), rules);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a trial at each entry, each of which crashes one more upstream.
+TEST_CASE("a fatal part crashes three upstreams over all entries", "[quarantine]") {
+    const int pause_ms = GENERATE(200, 700, 2500);
+    CAPTURE(pause_ms);
+    three_entries fleet;
+    for (int now = 100; now < 590'000; now += pause_ms) {
+        fleet.tick(now);
+        fleet.send(static_cast<std::size_t>(now / pause_ms) % 3, now, true);
+    }
+    CHECK(fleet.crashes == 3);
+}
+
+// Guards against a part that all requests share and that stays quarantined at entries that do not
+// try it.
+TEST_CASE("a sound part is served at all entries after the first trial", "[quarantine]") {
+    three_entries fleet;
+    CHECK(fleet.send(0, 100, true));
+    CHECK(fleet.send(1, 500, true));
+    fleet.tick(800);
+    CHECK_FALSE(fleet.send(0, 900, false));
+    CHECK_FALSE(fleet.send(2, 2900, false));
+    CHECK(fleet.send(0, 2900, false));
+    for (std::size_t each = 0; each < 3; ++each) {
+        CHECK(fleet.send(each, 3200, false));
+    }
+}
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorrail::quarantine {
 
@@ -10,6 +11,34 @@
     return record.quarantined_until && now < *record.quarantined_until;
 }
 
+// When upstreams last survived a prompt part; empty if that is not known.
+std::optional<base::instant> last_survival(const part_survivals& survivals,
+                                           const base::request_digest& part) {
+    for (const auto* each : {&survivals.recent, &survivals.older}) {
+        if (const auto found = each->find(part); found != each->end()) {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+void record_survival(part_survivals& survivals, const base::request_digest& part, base::instant at,
+                     const quarantine_rules& rules) {
+    if (survivals.recent.size() >= rules.max_survived_parts && survivals.recent.count(part) == 0) {
+        survivals.older = std::exchange(survivals.recent, {});
+    }
+    auto& known = survivals.recent[part];
+    known = std::max(known, at);
+}
+
+// The factor by which the crashes of a suspect count.
+double crash_factor(const quarantine& state, const suspect& record, const quarantine_rules& rules) {
+    const bool survived =
+        is_prompt_part(record.request.digest) && !record.crashes.empty() &&
+        has_survived(state, record.request.digest, record.crashes.back().at, rules);
+    return survived ? rules.survived_factor : 1.0;
+}
+
 bool has_crash_on(const suspect& record, const base::upstream_instance& upstream) {
     return std::any_of(record.crashes.begin(), record.crashes.end(),
                        [&upstream](const auto& each) { return each.upstream == upstream; });
@@ -113,10 +142,12 @@
 
 // Whether another prompt part crashes upstreams in turn, so that its crashes say nothing about what
 // else happens at the same time.
-bool is_of_series(const quarantine& state, const upstream_crash& crash, const suspect& record) {
+bool is_of_series(const quarantine& state, const upstream_crash& crash, const suspect& record,
+                  const quarantine_rules& rules) {
     return is_prompt_part(record.request.digest) &&
-           is_due_to_part(state, crash, record,
-                          [](const suspect& other) { return other.crashes.size() > 1; });
+           is_due_to_part(state, crash, record, [&](const suspect& other) {
+               return other.crashes.size() > 1 && crash_factor(state, other, rules) == 1.0;
+           });
 }
 
 // Whether several upstreams crashed at about the same time without the request, or more crashed
@@ -129,7 +160,7 @@
         const auto apart = std::chrono::abs(each.at - crash.at);
         const bool in_flight = each.in_flight.count(record.request.digest) > 0;
         const bool is_unrelated = apart <= rules.unrelated_crash_window && !in_flight &&
-                                  !is_of_series(state, each, record);
+                                  !is_of_series(state, each, record, rules);
         without_request += is_unrelated ? 1 : 0;
         simultaneous += apart <= rules.simultaneous_window && upstream != crash.upstream ? 1 : 0;
     }
@@ -155,24 +186,24 @@
 
 // The evidence if no crash were discounted: a cheap upper bound. After many upstreams have crashed
 // together, it rules out hundreds of suspects with one crash each.
-double max_evidence(const suspect& record) {
-    double evidence = record.prior_evidence;
+double max_evidence(const quarantine& state, const suspect& record, const quarantine_rules& rules) {
+    double evidence = 0.0;
     for (const auto& crash : record.crashes) {
         evidence += crash.weight;
     }
-    return evidence;
+    return record.prior_evidence + evidence * crash_factor(state, record, rules);
 }
 
 double total_evidence(const quarantine& state, const suspect& record, base::instant now,
                       const quarantine_rules& rules) {
-    double evidence = record.prior_evidence;
+    double evidence = 0.0;
     for (const auto& crash : record.crashes) {
         const bool is_discounted = was_lost_before_sending(state, crash) ||
                                    is_unrelated_crash(state, record, crash, rules) ||
                                    is_accounted_for(state, record, crash, now);
         evidence += is_discounted ? 0.0 : crash.weight;
     }
-    return evidence;
+    return record.prior_evidence + evidence * crash_factor(state, record, rules);
 }
 
 // Whether a suspect was in flight at each crash of another one, so that it accounts for them all.
@@ -211,7 +242,7 @@
 
 bool should_quarantine(const quarantine& state, const suspect& record, base::instant now,
                        const quarantine_rules& rules) {
-    if (record.crashes.empty() || max_evidence(record) < rules.evidence_threshold) {
+    if (record.crashes.empty() || max_evidence(state, record, rules) < rules.evidence_threshold) {
         return false;
     }
     const double evidence = total_evidence(state, record, now, rules);
@@ -253,6 +284,22 @@
     });
 }
 
+// Whether a quarantined part is tried before the end of its quarantine. That takes a quarantine
+// that followed few crashes, of which this entry knows; a trial that crashes an upstream is one
+// more.
+bool may_try(const quarantine& state, const suspect& record, const quarantine_rules& rules) {
+    if (!record.quarantined_until || record.end_unknown || record.prior_evidence > 0.0) {
+        return false;
+    }
+    const auto crashes = static_cast<double>(
+        std::count_if(state.crashes.begin(), state.crashes.end(), [&record](const auto& each) {
+            return each.second.in_flight.count(record.request.digest) > 0;
+        }));
+    const double most =
+        static_cast<double>(rules.max_crashes_before_trial) / crash_factor(state, record, rules);
+    return crashes > 0.0 && crashes <= most;
+}
+
 evaluation evaluate_part(const quarantine& state, const base::request_digest& part,
                          const request_suspects& request, base::instant now,
                          const quarantine_rules& rules) {
@@ -263,15 +310,26 @@
     const auto& record = found->second;
     // One crash says little: each crash makes many parts suspects.
     const bool is_weak =
-        !record.quarantined_until && max_evidence(record) < rules.evidence_threshold;
+        !record.quarantined_until && max_evidence(state, record, rules) < rules.evidence_threshold;
     if (is_weak) {
         return {};
     }
-    if (is_quarantined(record, now) && now >= record.trial_until &&
-        lacks_companion(state, record, request, now)) {
+    auto evaluation = evaluate(state, part, now, rules);
+    if (evaluation.what != verdict::quarantined) {
+        return evaluation;
+    }
+    base::micros wait = evaluation.retry_after;
+    if (lacks_companion(state, record, request, now)) {
+        wait = record.trial_until - now;
+    } else if (may_try(state, record, rules)) {
+        const auto due_at = record.quarantined_at + rules.trial_pause + state.trial_turn;
+        wait = std::max(record.trial_until, due_at) - now;
+    }
+    if (wait <= base::micros(0)) {
         return {verdict::trial, base::micros(0), part};
     }
-    return evaluate(state, part, now, rules);
+    evaluation.retry_after = std::min(evaluation.retry_after, wait);
+    return evaluation;
 }
 
 // Ends a quarantine. The remaining evidence is such that one more crash quarantines the request
@@ -296,6 +354,9 @@
     const auto [found, is_new] = state.crashes.try_emplace(report.upstream);
     auto& crash = found->second;
     crash.at = is_new ? report.at : std::min(crash.at, report.at);
+    for (const auto& part : report.survived_parts) {
+        record_survival(state.survivals, part, report.at, rules);
+    }
     const auto note = [&](const request_identity& identity, const crash_victim& victim) {
         if (crash.in_flight.size() < rules.max_in_flight) {
             crash.in_flight.insert(identity.digest);
@@ -327,6 +388,7 @@
         record->duration = std::clamp<base::micros>(2 * record->duration, rules.initial_duration,
                                                     rules.max_duration);
         record->quarantined_until = now + record->duration;
+        record->quarantined_at = now;
         started.push_back({record->request, record->duration, record->crashes.size()});
     }
     return started;
@@ -339,6 +401,9 @@
     if (record.quarantined_until && !record.end_unknown && until <= *record.quarantined_until) {
         return;
     }
+    if (!record.quarantined_until) {
+        record.quarantined_at = now;
+    }
     record.quarantined_until = until;
     record.duration = std::max(record.duration, rules.initial_duration);
     record.end_unknown = false;
@@ -450,8 +515,9 @@
     }
 }
 
-clearance clear_prompt_part(quarantine& state, const base::request_digest& part,
-                            base::instant now) {
+clearance clear_prompt_part(quarantine& state, const base::request_digest& part, base::instant now,
+                            const quarantine_rules& rules) {
+    record_survival(state.survivals, part, now, rules);
     const auto found = state.suspects.find(part);
     if (found == state.suspects.end()) {
         return clearance::none;
@@ -461,6 +527,12 @@
     return was_quarantined ? clearance::quarantine_lifted : clearance::suspicion_removed;
 }
 
+bool has_survived(const quarantine& state, const base::request_digest& part, base::instant now,
+                  const quarantine_rules& rules) {
+    const auto survived_at = last_survival(state.survivals, part);
+    return survived_at && now - *survived_at <= rules.survival_memory;
+}
+
 std::vector<base::upstream_id> upstreams_with_trials(const quarantine& state, base::instant now) {
     std::vector<base::upstream_id> found;
     for (const auto& [digest, record] : state.suspects) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -23,6 +23,10 @@
 // the parts of its prompt. What several different requests have in common that crash upstreams in
 // turn is quarantined; a request that was in flight alone is not enough to blame its parts.
 //
+// A part that most prompts share is in flight at most crashes, whatever their cause. Crashes count
+// less against a part that upstreams have survived before, and a quarantined part is tried once
+// more after a pause, since nothing else could show that it is harmless.
+//
 // The caller passes the current time; nothing here does I/O.
 namespace camphorrail::quarantine {
 
@@ -56,6 +60,17 @@
     // A response that an upstream has begun and survived for this long shows that the parts of its
     // prompt crash no upstream.
     base::micros survival_time = base::milliseconds(200);
+    // A crash counts by this factor against a part that upstreams have survived for the last time
+    // no longer than `survival_memory` before.
+    double survived_factor = 0.5;
+    base::micros survival_memory = base::minutes(10);
+    // A quarantined part is tried after this pause if no more upstreams than
+    // `max_crashes_before_trial` have crashed under it. The number is divided by `survived_factor`
+    // for a part that upstreams have survived before.
+    base::micros trial_pause = base::seconds(2);
+    std::size_t max_crashes_before_trial = 2;
+    // Parts whose survival is remembered, at least; up to twice as many are.
+    std::size_t max_survived_parts = 1024;
     std::size_t max_suspects = 512;
     std::size_t max_crashes_per_suspect = 8;
     std::size_t max_crashes = 64;
@@ -78,6 +93,8 @@
     base::upstream_instance upstream;
     base::instant at{};
     std::vector<crash_victim> victims;
+    // The parts of the victims' prompts that upstreams had survived before.
+    std::vector<base::request_digest> survived_parts = {};
 };
 
 // A crash with the requests, and the parts of their prompts, of all entries that have reported it.
@@ -114,14 +131,27 @@
     // End of the quarantine, empty if there is none, and the duration of the current or last one.
     std::optional<base::instant> quarantined_until;
     base::micros duration{0};
+    // When this entry learned of the last quarantine.
+    base::instant quarantined_at{};
     // The quarantine is known only from a stored record, which has its duration but not its start,
     // so `quarantined_until` is an upper bound.
     bool end_unknown = false;
 };
 
+// When upstreams last survived the begin of responses to prompt parts. Once there are many, the
+// older half is forgotten.
+struct part_survivals {
+    std::map<base::request_digest, base::instant> recent;
+    std::map<base::request_digest, base::instant> older;
+};
+
 struct quarantine {
     std::map<base::request_digest, suspect> suspects;
     std::map<base::upstream_instance, upstream_crash> crashes;
+    part_survivals survivals;
+    // How much later than the first entry this one tries quarantined parts, so that a part that is
+    // to blame crashes one upstream more and not one at each entry.
+    base::micros trial_turn{0};
 };
 
 // A quarantined request with the remaining time of its quarantine.
@@ -206,8 +236,13 @@
 enum class clearance { none, suspicion_removed, quarantine_lifted };
 
 // Removes the suspicion against a prompt part after an upstream has survived the begin of a
-// response to it. That also ends its quarantine, which was a mistake.
-clearance clear_prompt_part(quarantine& state, const base::request_digest& part, base::instant now);
+// response to it, and remembers that. It also ends the part's quarantine, which was a mistake.
+clearance clear_prompt_part(quarantine& state, const base::request_digest& part, base::instant now,
+                            const quarantine_rules& rules);
+
+// Whether upstreams have survived the begin of a response to a prompt part lately.
+bool has_survived(const quarantine& state, const base::request_digest& part, base::instant now,
+                  const quarantine_rules& rules);
 
 // The upstreams that currently run a trial.
 std::vector<base::upstream_id> upstreams_with_trials(const quarantine& state, base::instant now);
