Send the last answers of a planned stop before the process ends

Callers saw: the connection of a request that was still open at the end of the grace period ended without an answer.

Cause: the event loop was stopped in the turn in which the answers to these requests were written, so none of them left.

Evidence: three calls that run for 7 s, a stop with a grace of 5 s: the log had refused upstream_failed ran=unknown for each, the clients nothing. The story with the program before: FAILED: call 1: no 'HTTP/1.1 502' in ''.

Change: the loop goes on until all responses have left, 0.4 s of the 0.7 s that are kept for the exit at most.

Result: the story passes; the clients get 502, whether it ran is unknown.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -29,6 +29,8 @@
 // Part of the grace period reserved for the process to exit.
 constexpr base::milliseconds exit_margin{700};
 // An entry is ready after this time even if the store takes no records of software versions: it can
+constexpr base::milliseconds last_send_time{400};
+constexpr base::milliseconds last_send_check_period{10};
 // serve all other requests.
 constexpr base::milliseconds max_software_record_wait{3000};
 
@@ -588,7 +590,7 @@
         for (const auto& [number, flow] : left) {
             flow->abort_for_shutdown();
         }
-        this->loop.stop();
+        this->exit_once_sent(this->context.now() + last_send_time);
     });
 }
 
@@ -596,6 +598,15 @@
     const auto found = this->frontend->stop();
     this->log.line(importance::keep, "accepting_stopped")
         .span("after_ms", this->context.now() - *this->shutdown.started_at)
+// Ends the process once all responses have left, or at the given time.
+void proxy::exit_once_sent(base::instant latest) {
+    if (this->frontend->unsent() == 0 || this->context.now() >= latest) {
+        this->loop.stop();
+        return;
+    }
+    this->loop.after(last_send_check_period, [this, latest] { this->exit_once_sent(latest); });
+}
+
         .number("idle", static_cast<std::int64_t>(found.idle))
         .number("idle_with_input", static_cast<std::int64_t>(found.idle_with_input))
         .number("busy", static_cast<std::int64_t>(found.busy));
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -94,6 +94,7 @@
     void apply_agreements();
     void reload(const char* why);
     void stop();
+    void exit_once_sent(base::instant latest);
     void continue_shutdown();
     void stop_accepting();
     void log_late_input(const adapters::late_input& late);
--- a/tests/standins/platform_engine.cpp
+++ b/tests/standins/platform_engine.cpp
@@ -92,10 +92,17 @@
             exchange->abort();
         } else {
             std::cout << "ran " << exchange->header("Request-Id") << std::endl;
-            this->answer(*exchange);
+            this->loop->after(run_time(exchange->body()),
+                              [this, exchange] { this->answer(*exchange); });
         }
     }
 
+    // How long a plain call runs, which its body may say.
+    static base::milliseconds run_time(const std::string& body) {
+        const json wanted = json::parse(body, nullptr, false);
+        return base::milliseconds(wanted.is_object() ? wanted.value("run_ms", 0) : 0);
+    }
+
     // Prints whose requests made the parts of the prompt that are found in the cache, and caches
     // the others. A part is found only behind the same parts and under the same text.
     void cache_prompt(const adapters::http_exchange& exchange) {
