Refuse requests that a stopping entry could not answer before it ends

Callers saw: in a planned stop without any other trouble, requests whose last byte came late in the grace period, among them ones that may not run twice, ran at an engine and were cut.

Cause: nothing compared what was left of the grace period with what a request needs.

Evidence: with a grace of 5 s, calls that run for 1 s and whose body is complete 3.7 s after the signal were sent and cut at 4.3 s. The story with the program before: FAILED: late call 1: wanted '503', got ''; the engine had run all four.

Change: while the entry stops, each attempt is sent only if the longest recent run of its route fits into what is left; otherwise the request is refused at once as not run. Without a known run, the time that its client has counts. As long as the balancer sends clients, what may be repeated and what has never run here is sent as before.

--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -16,6 +16,7 @@
 #include "ports/platform_codec.h"
 #include "proxy/admission.h"
 #include "proxy/connection_pool.h"
+#include "proxy/run_times.h"
 #include "proxy/weights_history.h"
 #include "quarantine/quarantine.h"
 #include "queueing/pool_state.h"
@@ -40,9 +41,9 @@
     mirror::store_mirror store;
     // Set by `set_config`.
     std::shared_ptr<const routes::operators_config> config;
-    // The ranks of the requests that it allows.
     // A configuration that listed teams has been in force, here or at another entry.
     bool has_had_teams = false;
+    // The ranks of the requests that it allows.
     queueing::rank_table ranks;
     fleet::fleet fleet;
     std::map<base::model_id, weights_history> weights;
@@ -80,7 +81,12 @@
     resumption::origin_table origins;
     // The numbers of entries known recently, which share the retry budget.
     entries::entry_count_history entry_counts;
+    run_times runs;
     bool stopping = false;
+    // The times of a planned stop: from when on the load balancer sends no new clients, and when
+    // the requests that are still open are ended. Set while the entry is stopping.
+    base::instant balanced_until{};
+    base::instant ends_requests_at{};
 };
 
 // An attempt whose connection broke, or whose response was incomplete, after the request may have
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -26,11 +26,12 @@
 constexpr base::milliseconds tick_period{100};
 // While requests wait for a verification after a pause, its arrival is looked for this often.
 constexpr base::milliseconds verification_check_period{10};
-// Part of the grace period reserved for the process to exit.
+// Part of the grace period reserved for the process to exit, and the part of that in which the last
+// responses are sent.
 constexpr base::milliseconds exit_margin{700};
-// An entry is ready after this time even if the store takes no records of software versions: it can
 constexpr base::milliseconds last_send_time{400};
 constexpr base::milliseconds last_send_check_period{10};
+// An entry is ready after this time even if the store takes no records of software versions: it can
 // serve all other requests.
 constexpr base::milliseconds max_software_record_wait{3000};
 
@@ -115,11 +116,11 @@
       software(this->context, this->store_calls),
       cache_spaces(this->context, this->store_calls,
                    [this] { return this->leader.fencing_token() != 0; }),
+      team_list(this->context, this->store_calls,
+                [this] { return this->leader.fencing_token() != 0; }),
       kv_stores(this->context, [this] { return this->peer_entries.connected_entries(); }),
       buffered(this->context) {
     this->context.buffers = &this->buffered;
-      team_list(this->context, this->store_calls,
-                [this] { return this->leader.fencing_token() != 0; }),
     this->context.unread_message_bytes = [this] { return this->peer_entries.unread_bytes(); };
     this->apply_agreements();
 }
@@ -296,10 +297,10 @@
 }
 
 void proxy::connect_quarantine() {
+    this->crashes.connected_entries = [this] { return this->peer_entries.connected_entries(); };
     this->crashes.broadcast = [this](const peering::message& message) {
         this->peer_entries.broadcast(message);
     };
-    this->crashes.connected_entries = [this] { return this->peer_entries.connected_entries(); };
     this->crashes.quarantine_started = [this](const quarantine::quarantined_request& quarantined,
                                               bool decided_here) {
         this->on_quarantine_started(quarantined, decided_here);
@@ -510,11 +511,11 @@
     this->suspicions.tick();
     this->software.tick();
     this->cache_spaces.tick();
+    this->team_list.tick();
     this->check_awaited_records();
     this->peer_entries.tick();
     this->retries_at_start.tick();
     this->update_retry_budgets();
-    this->team_list.tick();
     this->update_quota_entries();
     this->update_share_entries();
     this->store.tick();
@@ -574,14 +575,17 @@
     if (this->state.stopping) {
         return;
     }
+    const shutdown_rules rules;
+    const base::instant now = this->context.now();
     this->state.stopping = true;
-    this->shutdown.started_at = this->context.now();
+    this->state.balanced_until = now + rules.balancer_detection_time;
+    this->state.ends_requests_at = now + this->settings.bounds.grace - exit_margin;
+    this->shutdown.started_at = now;
     this->log.line(importance::keep, "stop")
         .number("flows", static_cast<std::int64_t>(this->flows.size()));
     this->log_readiness();
     this->frontend->close_after_responses();
     this->peer_entries.deregister();
-    const shutdown_rules rules;
     this->loop.after(rules.balancer_detection_time, [this] { this->continue_shutdown(); });
     this->loop.after(this->settings.bounds.grace - exit_margin - rules.resign_time,
                      [this] { this->leader.resign(); });
@@ -594,10 +598,6 @@
     });
 }
 
-void proxy::stop_accepting() {
-    const auto found = this->frontend->stop();
-    this->log.line(importance::keep, "accepting_stopped")
-        .span("after_ms", this->context.now() - *this->shutdown.started_at)
 // Ends the process once all responses have left, or at the given time.
 void proxy::exit_once_sent(base::instant latest) {
     if (this->frontend->unsent() == 0 || this->context.now() >= latest) {
@@ -607,6 +607,10 @@
     this->loop.after(last_send_check_period, [this, latest] { this->exit_once_sent(latest); });
 }
 
+void proxy::stop_accepting() {
+    const auto found = this->frontend->stop();
+    this->log.line(importance::keep, "accepting_stopped")
+        .span("after_ms", this->context.now() - *this->shutdown.started_at)
         .number("idle", static_cast<std::int64_t>(found.idle))
         .number("idle_with_input", static_cast<std::int64_t>(found.idle_with_input))
         .number("busy", static_cast<std::int64_t>(found.busy));
--- a/src/proxy/proxy_store_updates.cpp
+++ b/src/proxy/proxy_store_updates.cpp
@@ -128,6 +128,7 @@
     }
     std::erase_if(this->state.prompt_sizes,
                   [&names](const auto& each) { return names.count(each.first) == 0; });
+    keep_routes(this->state.runs, names);
     for (auto& [pool, queue] : this->state.queueing) {
         std::erase_if(queue.times.routes,
                       [&names](const auto& each) { return names.count(each.first) == 0; });
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -34,7 +34,7 @@
         this->on_timeout();
         return;
     }
-    if (this->refuse_if_quarantined()) {
+    if (this->refuse_if_exit_is_near() || this->refuse_if_quarantined()) {
         return;
     }
     this->criteria.may_probe = this->is_first_attempt() && this->may_retry() &&
@@ -52,6 +52,30 @@
     this->send_to(std::move(*choice));
 }
 
+// During a planned stop, ends a request that could not be answered before the process ends; returns
+// true if so. A response that has begun goes on for as long as it can.
+bool request_flow::refuse_if_exit_is_near() {
+    const auto& state = this->context.state;
+    if (!state.stopping || this->state != response_state::none) {
+        return false;
+    }
+    const base::instant now = this->context.now();
+    const last_request view{state.ends_requests_at - now, this->time_left(),
+                            longest_run_time(state.runs, this->request.route->name),
+                            may_repeat(*this->request.route), now < state.balanced_until};
+    if (may_be_sent_before_exit(view)) {
+        return false;
+    }
+    this->context.log.line(importance::keep, "exit_too_near")
+        .text("request", this->metadata.request_id)
+        .text("kind", this->kind_name())
+        .span("left_ms", view.entry_time_left)
+        .span("longest_run_ms", view.longest_run.value_or(view.client_time_left));
+    this->fail_request("shutting_down", base::code::shutting_down, base::code::upstream_failed,
+                       other_entry_delay);
+    return true;
+}
+
 // If only rate limits keep the upstreams from taking the request, the client is told so, and when
 // they may take it.
 void request_flow::refuse_without_upstream() {
--- a/src/proxy/request_endings.cpp
+++ b/src/proxy/request_endings.cpp
@@ -96,12 +96,22 @@
     }
 }
 
+// The continuation of a stream says nothing of how long a whole one takes.
+void request_flow::record_run_time() {
+    if (!this->criteria.resumed) {
+        const base::instant now = this->context.now();
+        ::camphorrail::proxy::record_run_time(this->context.state.runs, this->request.route->name,
+                                              now - this->current->sent_at, now);
+    }
+}
+
 void request_flow::on_response_complete() {
     ++this->possible_executions;
     this->clear_suspicion();
     if (this->current->head.status < first_refusal_status) {
         this->record_survived_parts();
         this->record_slot_time();
+        this->record_run_time();
     }
     if (this->state != response_state::streaming) {
         this->on_full_response();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -102,6 +102,8 @@
     void ask_incarnation(std::string request_bytes);
     void on_incarnation_stated(const std::string& answer, const std::string& request_bytes);
     void send_attempt();
+    bool refuse_if_exit_is_near();
+    void record_run_time();
     [[nodiscard]] buffers::holder_id holder() const;
     bool refuse_if_memory_exhausted();
     void update_buffers();
