Take a response with a status that is none for malformed, at both readers

Callers saw: an engine's bytes with a status of 600 or 999 were passed on as its response.

Cause: the readers left it to their libraries what a status is: Beast takes any three digits, evhttp any number but 0.

Change: http::is_status, 100 to 599, asked by both readers. Such a response counts as malformed, so that the request may have run.

Beside it: a test of responses without a length that break off amid the upload, plain and streamed, reset and closed.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -3,6 +3,7 @@
 #include "adapters/event_loop.h"
 #include "adapters/sockets.h"
 #include "adapters/timer.h"
+#include "http/readers.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -168,14 +169,18 @@
 
     static int on_header(evhttp_request* request, void* raw) {
         const auto held = static_cast<running_call*>(raw)->shared_from_this();
+        const int status = evhttp_request_get_response_code(request);
+        if (!http::is_status(status)) {
+            // evhttp takes any number. The call fails.
+            return -1;
+        }
         const evkeyvalq* all = evhttp_request_get_input_headers(request);
         if (held->handler.fields) {
             held->handler.fields(copy_fields(all));
         }
         const char* type = evhttp_find_header(all, "Content-Type");
         if (held->handler.started) {
-            held->handler.started(evhttp_request_get_response_code(request),
-                                  type == nullptr ? "" : type);
+            held->handler.started(status, type == nullptr ? "" : type);
         }
         return 0;
     }
--- a/src/adapters/http_client_tests.cpp
+++ b/src/adapters/http_client_tests.cpp
@@ -137,6 +137,27 @@
     CHECK(server.repeated_bytes <= 2 * enough + socket_buffers);
 }
 
+// Guards against taking an upstream's bytes that are no answer for one, of whatever status.
+TEST_CASE("a call whose answer has a status that is none fails", "[adapters]") {
+    using step = tests::engine_step;
+    adapters::event_loop loop;
+    const std::string status = GENERATE("000", "099", "20", "600", "999", "2000", "-20", "2x0");
+    CAPTURE(status);
+    tests::scripted_engine server(loop.base(), [&](const tests::engine_request&) {
+        return tests::engine_script{
+            {step::kind::send, "HTTP/1.1 " + status + " S\r\nContent-Length: 2\r\n\r\n{}"}};
+    });
+    std::optional<base::result<adapters::http_answer>> got;
+    adapters::http_fetch(loop.base(), server.address(), {"GET", "/", {}, ""},
+                         {base::milliseconds(2000), false}, enough, [&](auto answered) {
+                             got = std::move(answered);
+                             loop.stop();
+                         });
+    loop.run();
+    REQUIRE(got.has_value());
+    CHECK_FALSE(got->has_value());
+}
+
 TEST_CASE("a large answer may take as long as a slow link needs", "[adapters]") {
     constexpr base::milliseconds timeout{800};
     CHECK(adapters::allowed_time(timeout, 0) == timeout);
--- a/src/http/readers.cpp
+++ b/src/http/readers.cpp
@@ -14,7 +14,9 @@
 
 // A chunk's line is a few bytes; one that never ends would fill our memory.
 constexpr std::size_t max_chunk_line = 4096;
+constexpr int min_status = 100;
 constexpr int first_final_status = 200;
+constexpr int max_status = 599;
 
 // A large body grows by a quarter at a time: doubled, it would take up twice its size.
 constexpr std::size_t min_large_body = 64U << 10U;
@@ -54,7 +56,10 @@
         this->target.assign(target_text.data(), target_text.size());
         this->version = number;
     }
-    void on_response_impl(int code_number, text /*reason*/, int number, code& /*error*/) override {
+    void on_response_impl(int code_number, text /*reason*/, int number, code& error) override {
+        if (!is_status(code_number)) {
+            error = beast::http::error::bad_status;
+        }
         this->status = code_number;
         this->version = number;
     }
@@ -149,6 +154,10 @@
 
 } // namespace
 
+bool is_status(int number) {
+    return number >= min_status && number <= max_status;
+}
+
 struct request_reader::state {
     explicit state(read_limits bounds) : reader(bounds), limits(bounds) {}
     parser<true> reader;
--- a/src/http/readers.h
+++ b/src/http/readers.h
@@ -17,6 +17,10 @@
 
 enum class read_fault { none, malformed, head_too_large, body_too_large };
 
+// Whether a number is the status of a response: three digits, of which the first names one of the
+// five classes.
+bool is_status(int number);
+
 // Reads one request out of a byte stream. Bytes after its end are left alone.
 class request_reader {
 public:
--- a/src/http/readers_tests.cpp
+++ b/src/http/readers_tests.cpp
@@ -110,6 +110,15 @@
         reader.feed("garbage\r\n\r\n");
         CHECK(reader.fault() == http::read_fault::malformed);
     }
+    SECTION("so is a status that is none") {
+        const std::string status =
+            GENERATE("000", "099", "600", "999", "20", "2000", "+20", "-20", "2x0", "");
+        CAPTURE(status);
+        reader.feed("HTTP/1.1 " + status + " S\r\nContent-Length: 1\r\n\r\nx");
+        reader.feed_end();
+        CHECK(reader.fault() == http::read_fault::malformed);
+        CHECK_FALSE(reader.has_head());
+    }
     SECTION("so are empty lines") {
         CHECK(reader.feed("\r\n") == 0);
         CHECK(reader.fault() == http::read_fault::none);
--- a/src/proxy/request_flow_tests.cpp
+++ b/src/proxy/request_flow_tests.cpp
@@ -166,6 +166,21 @@
 
 // An engine sends a second response after a complete one. The connection must not be used for the
 // next request.
+// Guards against passing on an engine's bytes that are no response as if they were one.
+TEST_CASE("a response with a status that is none is not passed on", "[proxy][flow]") {
+    const std::string route = GENERATE("once", "stream");
+    const int status = GENERATE(99, 600, 999);
+    CAPTURE(route, status);
+    tests::proxy_world world;
+    world.add_engine("i-1", [status](const engine_request& got) {
+        return engine_script{
+            {step::kind::send, tests::answer(got.field("Request-Id"), tests::event(1), status)}};
+    });
+    const auto seen = world.call(tests::request(route, "r1"));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK(seen.heads[0].status == 502);
+}
+
 TEST_CASE("a connection with bytes after its response is not reused", "[proxy][flow]") {
     tests::proxy_world world;
     auto& engine = world.add_engine("i-1", [](const engine_request& got) {
--- a/src/proxy/response_end_tests.cpp
+++ b/src/proxy/response_end_tests.cpp
@@ -205,3 +205,22 @@
     CHECK(member.health.consecutive_failures == 0);
     CHECK(member.local_work.in_flight == 0);
 }
+
+// Guards against delivering a part of a response as the whole one: its engine begins to respond
+// without a length while the request is still being sent, and resets the connection.
+TEST_CASE("a response that breaks off amid the upload is not completed", "[proxy][flow]") {
+    constexpr std::size_t upload_bytes = 3U << 20U;
+    const std::string route = GENERATE("once", "safe", "stream", "resume");
+    const step last = GENERATE(step{step::kind::reset, {}}, close_it);
+    CAPTURE(route, last.what == step::kind::reset);
+    tests::proxy_world world;
+    for (const char* id : {"i-1", "i-2"}) {
+        auto& engine = world.add_engine(id, [&last](const engine_request& got) {
+            return engine_script{send(head(got.field("Request-Id"), "") + events(1, 3)), last};
+        });
+        engine.answer_early();
+    }
+    const auto seen = world.call(tests::request(route, "r1", std::string(upload_bytes, 'u')));
+    REQUIRE(seen.heads.size() == 1);
+    CHECK((seen.heads[0].status == 502 || (seen.ended && !seen.whole)));
+}
--- a/tests/proxy_world.cpp
+++ b/tests/proxy_world.cpp
@@ -67,9 +67,13 @@
         evbuffer* input = bufferevent_get_input(this->socket);
         while (this->socket != nullptr && evbuffer_get_length(input) > 0) {
             evbuffer_drain(input, this->reader.feed(contents(input)));
-            if (!this->reader.complete()) {
+            const bool is_early = this->owner->is_early && this->reader.has_head();
+            if (!this->reader.complete() && !is_early) {
                 return;
             }
+            if (!this->reader.complete()) {
+                bufferevent_disable(this->socket, EV_READ);
+            }
             engine_request got{this->reader.head(), this->reader.take_body()};
             this->reader = http::request_reader({});
             this->owner->requests.push_back(got);
--- a/tests/proxy_world.h
+++ b/tests/proxy_world.h
@@ -60,6 +60,8 @@
     }
     // Does the rest of the scripts that are held.
     void go_on();
+    // Answers requests whose body has not arrived completely, and takes no more of it.
+    void answer_early() { this->is_early = true; }
     // What it does with the next request, in place of what it is asked.
     void answer_next_with(engine_script script) { this->next_script = std::move(script); }
     [[nodiscard]] bool crashed() const { return this->listener == nullptr; }
@@ -76,6 +78,7 @@
     event_base* base;
     std::function<engine_script(const engine_request&)> answer;
     engine_script next_script;
+    bool is_early = false;
     evconnlistener* listener = nullptr;
     std::vector<std::shared_ptr<connection>> open;
     std::string bound;
