Order the load of the model that an upstream was drained for

Callers saw: engines that serve two models kept the old weights of one of them, so that its requests were refused once these were outdated.

Cause: a pending load did not say of which model it was. Each model's turn took over every drained engine and compared its own version with the one awaited, so the first model by name ordered its own version, which the engine already had, again and again.

The test failed before: weights_loader_tests.cpp:173: failed: commands[0].find("model":"m0") != npos, sibling := "a0" and passed where the other model comes later by name.

Change: a pending load names its model; other models see the engine as loading and leave it alone.

--- a/src/proxy/weights_loader.cpp
+++ b/src/proxy/weights_loader.cpp
@@ -73,6 +73,7 @@
         return;
     }
     this->discard_previous_incarnations();
+    this->discard_expired_loads();
     for (const auto& [model, history] : this->context.state.weights) {
         this->load_model(model, history);
     }
@@ -90,6 +91,15 @@
     }
 }
 
+// Ends loads whose model is not looked at any more, because its target or the upstream's report of
+// it is gone. They would keep the upstream from loading other models.
+void weights_loader::discard_expired_loads() {
+    const base::instant now = this->context.now();
+    const base::micros longest = weights::drain_rules{}.max_duration + max_load_time;
+    std::erase_if(this->pending_loads,
+                  [&](const auto& each) { return now - each.second.started_at > longest; });
+}
+
 weights::load_candidate weights_loader::make_candidate(const fleet::member& member,
                                                        const base::model_id& model,
                                                        const weights_history& history) {
@@ -112,7 +122,8 @@
         return candidate;
     }
     auto& load = sent->second;
-    if (load.drained_since) {
+    const bool is_of_other_model = !load.model.value.empty() && load.model != model;
+    if (load.drained_since || is_of_other_model) {
         candidate.loading = true;
         return candidate;
     }
@@ -163,7 +174,7 @@
     const auto known = this->accepted_commands.find(id);
     if (known == this->accepted_commands.end()) {
         // Without the command counter, a command that is executed late could undo a newer one.
-        this->pending_loads[id] = {querying, this->context.now(), false, {}, {}};
+        this->pending_loads[id] = {model, querying, this->context.now(), false, {}, {}};
         this->query_state(id);
         return;
     }
@@ -171,7 +182,7 @@
     const auto in_flight =
         fleet::estimated_load(member, this->context.now(), fleet_rules_of(this->context.settings));
     if (in_flight > 0 && !weights::is_crowded(this->pool_load_without(member), {})) {
-        this->drain(member, version);
+        this->drain(member, model, version);
         return;
     }
     this->pause_requests(member, load_time);
@@ -203,9 +214,10 @@
     return may_cut ? ports::in_flight_policy::abort : ports::in_flight_policy::finish;
 }
 
-void weights_loader::drain(fleet::member& member, std::int64_t version) {
+void weights_loader::drain(fleet::member& member, const base::model_id& model,
+                           std::int64_t version) {
     const base::instant now = this->context.now();
-    this->pending_loads[member.listed.id] = {version, now, false, {}, now};
+    this->pending_loads[member.listed.id] = {model, version, now, false, {}, now};
     this->pause_requests(
         member, std::chrono::ceil<base::milliseconds>(weights::drain_rules{}.max_duration));
 }
@@ -217,7 +229,7 @@
         const auto known = this->accepted_commands.find(id);
         const bool exists = found != this->context.state.fleet.members.end() &&
                             known != this->accepted_commands.end();
-        if (!load.drained_since || !exists) {
+        if (!load.drained_since || load.model != model || !exists) {
             continue;
         }
         auto& member = found->second;
@@ -238,9 +250,10 @@
                                 this->authority.fencing_token(), expected_commands};
     command.in_flight = this->choose_in_flight_policy(member);
     const auto rest_of_pool = this->pool_load_without(member);
-    this->pending_loads[id] = {version, now, false, {}, {}};
+    this->pending_loads[id] = {model, version, now, false, {}, {}};
     this->context.log.line(importance::keep, "load_ordered")
         .text("upstream", id.value)
+        .text("model", model.value)
         .number("version", version)
         .number("from_version", fleet::weights_version_of(member, model))
         .number("fence", command.fencing_token)
@@ -254,14 +267,16 @@
     adapters::http_fetch(
         this->context.loop.base(), member.listed.address,
         to_call(this->context.codec.make_load_request(command, id)), {call_timeout, false},
-        max_answer_bytes, [this, upstream, version](base::result<adapters::http_answer> answer) {
+        max_answer_bytes,
+        [this, upstream, model, version](base::result<adapters::http_answer> answer) {
             if (!answer.has_value()) {
                 this->context.log.line(importance::keep, "load_order_unanswered")
                     .text("upstream", upstream.id.value)
+                    .text("model", model.value)
                     .number("version", version);
                 return;
             }
-            this->handle_answer(upstream, version,
+            this->handle_answer(upstream, model, version,
                                 this->context.codec.parse_load_response(answer.value().status));
         });
 }
@@ -274,17 +289,20 @@
     this->context.broadcast_weights_change(fleet::instance_of(member), span);
 }
 
-void weights_loader::handle_answer(const base::upstream_instance& upstream, std::int64_t version,
+void weights_loader::handle_answer(const base::upstream_instance& upstream,
+                                   const base::model_id& model, std::int64_t version,
                                    ports::load_command_result outcome) {
     const auto& id = upstream.id;
     auto* member = fleet::find_instance(this->context.state.fleet, upstream);
     this->context.log.line(importance::keep, "load_order_answered")
         .text("upstream", id.value)
+        .text("model", model.value)
         .number("version", version)
         .text("outcome", name_of(outcome))
         .flag("of_this_life", member != nullptr);
     const auto sent = this->pending_loads.find(id);
-    if (member == nullptr || sent == this->pending_loads.end() || sent->second.version != version) {
+    if (member == nullptr || sent == this->pending_loads.end() || sent->second.model != model ||
+        sent->second.version != version) {
         return;
     }
     if (outcome == ports::load_command_result::accepted) {
@@ -369,7 +387,7 @@
     }
     if (state.loading && load == this->pending_loads.end()) {
         // A command of another leader, or a late one of this entry.
-        this->pending_loads[id] = {querying, this->context.now(), true, {}, {}};
+        this->pending_loads[id] = {{}, querying, this->context.now(), true, {}, {}};
     } else if (!state.loading && load != this->pending_loads.end() && !accepted_here) {
         this->pending_loads.erase(load);
     }
--- a/src/proxy/weights_loader.h
+++ b/src/proxy/weights_loader.h
@@ -29,6 +29,8 @@
 private:
     // A load command that is in progress.
     struct pending_load {
+        // The model to load; empty if another leader has ordered the load.
+        base::model_id model;
         std::int64_t version = 0;
         base::instant started_at;
         bool accepted = false;
@@ -55,14 +57,15 @@
     [[nodiscard]] weights::pool_load pool_load_without(const fleet::member& changing) const;
     [[nodiscard]] ports::in_flight_policy
     choose_in_flight_policy(const fleet::member& member) const;
-    void drain(fleet::member& member, std::int64_t version);
+    void discard_expired_loads();
+    void drain(fleet::member& member, const base::model_id& model, std::int64_t version);
     void send_load_command(const fleet::member& member, const base::model_id& model,
                            std::int64_t version, std::int64_t expected_commands);
     void load_drained(const base::model_id& model, std::int64_t version);
     void pause_requests(fleet::member& member, base::milliseconds span);
     void query_state(const base::upstream_id& id);
-    void handle_answer(const base::upstream_instance& upstream, std::int64_t version,
-                       ports::load_command_result outcome);
+    void handle_answer(const base::upstream_instance& upstream, const base::model_id& model,
+                       std::int64_t version, ports::load_command_result outcome);
 
     entry_context& context;
     command_authority authority;
--- a/src/proxy/weights_loader_tests.cpp
+++ b/src/proxy/weights_loader_tests.cpp
@@ -35,7 +35,7 @@
             }
             const std::string state =
                 R"({"born":)" + std::to_string(this->incarnation) +
-                R"(,"models":[{"name":"m0","version":1}],"busy":false,"seq":)" +
+                R"(,"models":[{"name":"a0","version":1},{"name":"m0","version":1}],"busy":false,"seq":)" +
                 std::to_string(this->accepted) + "}";
             return engine_script{{tests::engine_step::kind::send, json_answer(state)}};
         });
@@ -155,3 +155,21 @@
         CHECK(passed() >= base::milliseconds(1200));
     }
 }
+
+// Guards against load commands that name another model of the upstream, which changes nothing there
+// and leaves the weights that were named unloaded.
+TEST_CASE("a drained engine loads the model that it was drained for", "[proxy][weights]") {
+    loader_world world;
+    world.world.stop_clock();
+    world.incarnation = 100;
+    const base::model_id sibling = GENERATE(base::model_id{"a0"}, base::model_id{"z0"});
+    CAPTURE(sibling.value);
+    world.member().listed.models.emplace_back(sibling, 1);
+    proxy::record_target(world.world.state.weights[sibling], 1, {});
+    auto& other = world.world.state.fleet.members[{"i-2"}];
+    other.listed = {.id = {"i-2"}, .pool = {"pool"}, .slots = 48};
+    fleet::add_request(world.member().local_work, {800, 800, false, true});
+    REQUIRE(world.wait_for_commands(1));
+    CHECK(world.commands[0].find(R"("model":"m0")") != std::string::npos);
+    CHECK(world.commands[0].find(R"("version":2)") != std::string::npos);
+}
