Verify more keys of the store than one transaction may name

Callers saw: once 32 models had a named version, every entry refused everything with 503, for good, and no later version was loaded.

Cause: an entry verifies its view by one transaction that expects the configuration and each key of named weights. The store takes 32 entries a transaction and refuses more, which counted as a store that does not answer, so the configuration's age passed its bound.

The test failed before: store_follower_tests.cpp:310: failed: store.verified_at >= now - 3 s store_follower_tests.cpp:317: failed: mod_revision == revision for: 10 == 11 (keys 0, 31, 32 and 79) The stand-in of the store had no such bound; it has it now.

Change: a verification is as many transactions as it needs. It counts from when the first was sent, if all hold, and proves the lowest revision at which one was executed: what held later under the same revisions held then. Absent keys beyond the 32nd are verified as well, up to 1,024 keys.

--- a/src/proxy/store_follower.cpp
+++ b/src/proxy/store_follower.cpp
@@ -2,6 +2,10 @@
 
 #include "entries/duty_ranking.h"
 
+#include <algorithm>
+#include <memory>
+#include <utility>
+
 namespace camphorrail::proxy {
 
 namespace {
@@ -16,6 +20,9 @@
 constexpr std::size_t max_inline_bytes = 4096;
 // The store's limit per transaction.
 constexpr std::size_t max_preconditions = 32;
+// Keys that do not exist are verified up to this number in all. Upstreams list as many models as
+// they like.
+constexpr std::size_t max_verified_keys = 32 * max_preconditions;
 // The store's limit on the length of a key.
 constexpr std::size_t max_key_bytes = 200;
 // The empty prefix matches every key.
@@ -191,30 +198,34 @@
                               this->rules);
 }
 
-ports::transaction store_follower::make_verification() const {
-    ports::transaction check;
+std::vector<ports::transaction> store_follower::make_verifications() const {
+    std::vector<ports::precondition> expected;
     const auto& store = this->context.state.store;
     const auto& items = store.items;
     const auto expect = [&](const ports::stored_value& item) {
-        check.preconditions.push_back({item.key, mirror::store_revision_of(store, item.key)});
+        expected.push_back({item.key, mirror::store_revision_of(store, item.key)});
     };
     const auto config = items.find(this->context.codec.operators_config_key);
     if (config != items.end()) {
         expect(config->second);
     } else {
         // Until a first configuration exists, its absence is what is verified.
-        check.preconditions.push_back({this->context.codec.operators_config_key, 0});
+        expected.push_back({this->context.codec.operators_config_key, 0});
     }
-    for (const auto& item : mirror::items_with_prefix(this->context.state.store,
-                                                      this->context.codec.target_weights_prefix)) {
+    for (const auto& item :
+         mirror::items_with_prefix(store, this->context.codec.target_weights_prefix)) {
         expect(item);
     }
     for (const auto& key : this->missing_target_keys()) {
-        if (check.preconditions.size() < max_preconditions) {
-            check.preconditions.push_back({key, 0});
+        if (expected.size() < max_verified_keys) {
+            expected.push_back({key, 0});
         }
     }
-    return check;
+    std::vector<ports::transaction> checks((expected.size() - 1) / max_preconditions + 1);
+    for (std::size_t each = 0; each < expected.size(); ++each) {
+        checks[each / max_preconditions].preconditions.push_back(std::move(expected[each]));
+    }
+    return checks;
 }
 
 // Returns the keys, absent so far, that would hold the target weights of models served by listed
@@ -237,26 +248,51 @@
 }
 
 void store_follower::verify() {
-    const base::instant began = this->context.now();
-    const std::int64_t era = this->context.state.store.revision.era;
-    this->platform.commit(
-        this->make_verification(), [this, began, era](base::result<ports::commit_result> answer) {
-            auto& store = this->context.state.store;
-            entries::verification_result outcome;
-            outcome.answered = answer.has_value();
-            outcome.restored = outcome.answered && answer.value().revision.era > store.revision.era;
-            // Conditions of one era may hold in another one by chance.
-            const bool same_era =
-                outcome.answered && answer.value().revision.era == era && store.revision.era == era;
-            outcome.unchanged = same_era && answer.value().applied;
-            outcome.behind = outcome.unchanged && answer.value().revision > store.revision;
-            if (outcome.unchanged) {
-                mirror::mark_verified(store, began);
-                mirror::record_revision(store, answer.value().revision, began);
-            }
-            entries::record_verification(this->sync_state, outcome, this->view(), this->rules);
-            this->update_reachability(outcome.answered);
-        });
+    const auto checks = this->make_verifications();
+    const auto state = std::make_shared<verification>();
+    state->began = this->context.now();
+    state->era = this->context.state.store.revision.era;
+    state->unanswered = checks.size();
+    state->outcome = {.answered = true, .unchanged = true};
+    for (const auto& check : checks) {
+        this->platform.commit(check,
+                              [this, state](const base::result<ports::commit_result>& answer) {
+                                  this->handle_verification(*state, answer);
+                              });
+    }
+}
+
+void store_follower::handle_verification(verification& state,
+                                         const base::result<ports::commit_result>& answer) {
+    const auto& store = this->context.state.store;
+    auto& outcome = state.outcome;
+    outcome.answered = outcome.answered && answer.has_value();
+    if (answer.has_value()) {
+        const auto& reached = answer.value().revision;
+        outcome.restored = outcome.restored || reached.era > store.revision.era;
+        // Conditions of one era may hold in another one by chance.
+        const bool same_era = reached.era == state.era && store.revision.era == state.era;
+        outcome.unchanged = outcome.unchanged && same_era && answer.value().applied;
+        // What held at a later revision under the same numbers held at the earlier ones as well.
+        state.reached = state.reached ? std::min(*state.reached, reached) : reached;
+        state.newest = std::max(state.newest, reached);
+    }
+    if (--state.unanswered == 0) {
+        this->end_verification(state);
+    }
+}
+
+void store_follower::end_verification(const verification& state) {
+    auto& store = this->context.state.store;
+    auto outcome = state.outcome;
+    outcome.unchanged = outcome.unchanged && outcome.answered;
+    outcome.behind = outcome.unchanged && state.newest > store.revision;
+    if (outcome.unchanged) {
+        mirror::mark_verified(store, state.began);
+        mirror::record_revision(store, *state.reached, state.began);
+    }
+    entries::record_verification(this->sync_state, outcome, this->view(), this->rules);
+    this->update_reachability(outcome.answered);
 }
 
 void store_follower::update_reachability(bool answered) {
--- a/src/proxy/store_follower.h
+++ b/src/proxy/store_follower.h
@@ -50,6 +50,17 @@
     std::function<void(const std::set<std::string>&)> changed;
 
 private:
+    // A verification in progress, which may take several transactions.
+    struct verification {
+        base::instant began;
+        std::int64_t era = 0;
+        std::size_t unanswered = 0;
+        entries::verification_result outcome;
+        // The lowest and the highest revision at which a transaction was executed.
+        std::optional<base::revision> reached;
+        base::revision newest;
+    };
+
     void read_all();
     void watch();
     void verify();
@@ -61,7 +72,9 @@
     void handle_watch_result(const base::result<ports::changes>& update, base::revision after,
                              bool is_latest);
     [[nodiscard]] entries::store_sync_view view() const;
-    [[nodiscard]] ports::transaction make_verification() const;
+    void handle_verification(verification& state, const base::result<ports::commit_result>& answer);
+    void end_verification(const verification& state);
+    [[nodiscard]] std::vector<ports::transaction> make_verifications() const;
     [[nodiscard]] std::set<std::string> missing_target_keys() const;
 
     entry_context& context;
--- a/src/proxy/store_follower_tests.cpp
+++ b/src/proxy/store_follower_tests.cpp
@@ -252,3 +252,69 @@
     tick_until([&] { return sent_after.size() > 1; });
     CHECK(sent_after.back() == base::revision{2, 30});
 }
+
+// Guards against entries that take the store for unreachable, and refuse all requests, once more
+// keys have to be verified than one transaction may name.
+TEST_CASE("more keys than a transaction may name are verified", "[proxy]") {
+    constexpr int models = 80;
+    constexpr std::size_t max_preconditions = 32;
+    tests::proxy_world world;
+    world.stop_clock();
+    const auto key_of = [&](int number) {
+        return world.entry().codec.target_weights_prefix + "model-" + std::to_string(number);
+    };
+    std::map<std::string, std::int64_t> revisions{{world.entry().codec.operators_config_key, 9}};
+    for (int number = 0; number < models; ++number) {
+        revisions[key_of(number)] = 10;
+    }
+    std::int64_t revision = 10;
+    ports::platform platform;
+    platform.read = [&](const std::string&, auto done) {
+        ports::snapshot all{revision, {}};
+        for (const auto& [key, written] : revisions) {
+            all.values.push_back({key, "1", written});
+        }
+        done(all);
+    };
+    platform.commit = [&](const ports::transaction& check, auto done) {
+        const auto& expected = check.preconditions;
+        if (expected.size() > max_preconditions) {
+            done(base::code::platform_unreachable);
+            return;
+        }
+        done(ports::commit_result{std::all_of(expected.begin(), expected.end(),
+                                              [&](const auto& each) {
+                                                  return revisions[each.key] ==
+                                                         each.mod_revision.number;
+                                              }),
+                                  revision});
+    };
+    // The watch is silent.
+    platform.watch = [](const std::string&, base::revision, base::milliseconds, auto) {};
+    proxy::store_follower follower(world.entry(), platform);
+    follower.connected_entries = [] { return std::vector<base::entry_id>{}; };
+    follower.broadcast = [](const peering::store_changes&) {};
+    follower.changed = [](const std::set<std::string>&) {};
+    follower.start();
+    const auto run_for = [&](base::milliseconds time) {
+        constexpr base::milliseconds tick{100};
+        for (base::milliseconds passed{0}; passed < time; passed += tick) {
+            world.move_clock(tick);
+            follower.tick();
+        }
+    };
+    const auto& store = world.state.store;
+    run_for(base::seconds(3));
+    REQUIRE(store.items.size() == revisions.size());
+    run_for(base::seconds(10));
+    CHECK(store.verified_at >= world.entry().now() - base::seconds(3));
+
+    SECTION("each of them") {
+        const int number = GENERATE(0, 31, 32, models - 1);
+        CAPTURE(number);
+        revisions[key_of(number)] = ++revision;
+        run_for(base::seconds(5));
+        CHECK(store.items.at(key_of(number)).mod_revision.number == revision);
+        CHECK(store.verified_at >= world.entry().now() - base::seconds(3));
+    }
+}
--- a/tests/standins/metadata_store.cpp
+++ b/tests/standins/metadata_store.cpp
@@ -14,9 +14,12 @@
 using nlohmann::json;
 
 constexpr int ok = 200;
+constexpr int bad_request = 400;
 constexpr int not_found = 404;
 constexpr int gone = 410;
 constexpr int conflict = 412;
+// The platform's limit per transaction.
+constexpr std::size_t max_entries = 32;
 const std::string keep_path = "/kv-keep/";
 
 std::map<std::string, std::string> query_of(const std::string& target) {
@@ -155,6 +158,11 @@
 }
 
 metadata_store::reply metadata_store::transact(const json& body) {
+    const std::size_t entries =
+        body.at("expected").size() + body.at("puts").size() + body.at("deletes").size();
+    if (entries > max_entries) {
+        return {bad_request, "{}"};
+    }
     for (const auto& expected : body.at("expected")) {
         const auto held = this->items.find(expected.at("key").get<std::string>());
         const std::int64_t is = held == this->items.end() ? 0 : held->second.revision;
