--- a/src/adapters/frontend_server.cpp
+++ b/src/adapters/frontend_server.cpp
@@ -293,8 +293,8 @@
     // How much longer the connection may stay idle by the limits in force now.
     [[nodiscard]] base::milliseconds idle_time_left() const {
         const base::micros idle_for = this->server->callbacks.now() - this->idle_start;
-        return std::chrono::ceil<base::milliseconds>(
-            this->server->callbacks.limits().idle_timeout - idle_for);
+        return std::chrono::ceil<base::milliseconds>(this->server->callbacks.limits().idle_timeout -
+                                                     idle_for);
     }
 
     [[nodiscard]] std::size_t input_in_kernel() const {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -135,8 +135,8 @@
     startup_slot retries_at_start;
     software_records software;
     cache_space_record cache_spaces;
-    kv_store_follower kv_stores;
     team_list_record team_list;
+    kv_store_follower kv_stores;
     request_buffers buffered;
     std::unique_ptr<adapters::frontend_server> frontend;
     std::unique_ptr<adapters::http_server> balancer;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -77,11 +77,10 @@
         return;
     }
     this->metadata = std::move(read.value());
-    const auto admission = admit({this->context.state.config,
-                                  mirror::age(this->context.state.store, this->context.now()),
-                                  max_config_age(this->context.settings),
-                                  this->context.state.has_had_teams},
-                                 this->exchange->head, this->metadata);
+    const auto admission = admit(
+        {this->context.state.config, mirror::age(this->context.state.store, this->context.now()),
+         max_config_age(this->context.settings), this->context.state.has_had_teams},
+        this->exchange->head, this->metadata);
     if (!admission.has_value()) {
         const auto number = base::to_code(admission.error());
         const bool may_succeed_elsewhere = number == base::code::not_ready;
--- a/src/proxy/team_list_record_tests.cpp
+++ b/src/proxy/team_list_record_tests.cpp
@@ -13,12 +13,13 @@
 struct deployment {
     tests::proxy_world world;
     tests::mirrored_store store{this->world.state.store};
-    proxy::team_list_record record{this->world.entry(), this->store.calls_to(), [] { return true; }};
+    proxy::team_list_record record{this->world.entry(), this->store.calls_to(),
+                                   [] { return true; }};
 
     deployment() {
         this->world.add_engine("i-1", [](const tests::engine_request& got) {
-            return tests::engine_script{{tests::engine_step::kind::send,
-                                         tests::answer(got.field("Request-Id"), "done")}};
+            return tests::engine_script{
+                {tests::engine_step::kind::send, tests::answer(got.field("Request-Id"), "done")}};
         });
         this->world.state.has_had_teams = false;
     }
