--- a/tests/process/streams.sh
+++ b/tests/process/streams.sh
@@ -115,6 +115,27 @@
     done
 }
 
+# continue_streams NAME: the clients of twenty streams come again with what they had got.
+continue_streams() {
+    CLIENTS=""
+    for each in $(seq 1 20); do
+        (
+            name=$1-$each
+            got=$OUT/streams/$name
+            begun_by=$name-1
+            last=$(grep -c '^data:' "$got" || true)
+            tries=10
+            for entry in 0 1 2; do
+                tries=$((tries + 1))
+                [ "$last" -gt 0 ] && [ "$last" -lt "$EVENTS" ] && send_try "$entry" "$name-$tries" 20
+            done
+            true
+        ) &
+        CLIENTS="$CLIENTS $!"
+    done
+    wait_clients
+}
+
 # shellcheck disable=SC2086
 wait_clients() { wait $CLIENTS; }
 
--- a/tests/process/streams_keep_software_when_all_entries_restart.sh
+++ b/tests/process/streams_keep_software_when_all_entries_restart.sh
@@ -20,27 +20,6 @@
 ENGINES="pool-1 pool-4"
 start_entries 0 1 2
 
-# continue_streams NAME: the clients come again with what they had got.
-continue_streams() {
-    CLIENTS=""
-    for each in $(seq 1 20); do
-        (
-            name=$1-$each
-            got=$OUT/streams/$name
-            begun_by=$name-1
-            last=$(grep -c '^data:' "$got" || true)
-            tries=10
-            for entry in 0 1 2; do
-                tries=$((tries + 1))
-                [ "$last" -gt 0 ] && [ "$last" -lt "$EVENTS" ] && send_try "$entry" "$name-$tries" 20
-            done
-            true
-        ) &
-        CLIENTS="$CLIENTS $!"
-    done
-    wait_clients
-}
-
 restart_under alike
 start_entries 0 1 2
 continue_streams alike
