Let one process test at a time look for a block of ports

Cause: claim_ports read the owner of a lock, found it dead, and moved the lock away. Between the two, another run could do the same and make the lock anew, which was then moved away as well.

Change: a claim holds flock(1) of util-linux, which every Debian has, and removes what is left behind under it.

--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -6,18 +6,22 @@
 OUT=$(mktemp -d)
 
 # A block of 300 ports that no other story holds, in this run or another on the same machine. They lie
-# below the ports that the kernel gives to outgoing connections.
+# below the ports that the kernel gives to outgoing connections. One story at a time looks for a block:
+# otherwise one could take a lock for left behind and remove it after another has made it anew.
 claim_ports() {
+    exec 9>>"${TMPDIR:-/tmp}/camphorrail-ports.lock"
+    flock 9
     for block in $(seq 0 39); do
         PORT_LOCK=${TMPDIR:-/tmp}/camphorrail-ports-$block
         owner=$(cat "$PORT_LOCK/pid" 2>/dev/null || true)
         if [ -n "$owner" ] && ! kill -0 "$owner" 2>/dev/null; then
-            # Left by a run that was cut off. Moved first, so that only one run removes it.
-            mv "$PORT_LOCK" "$OUT/stale-$block" 2>/dev/null || true
+            # Left by a run that was cut off.
+            rm -rf "$PORT_LOCK"
         fi
         if mkdir "$PORT_LOCK" 2>/dev/null; then
             echo $$ >"$PORT_LOCK/pid"
             PORT_BASE=$((20000 + 300 * block))
+            exec 9>&-
             return 0
         fi
     done
