Count crashes half against a request that has been completed before

Cause: that of the prompt part that all requests share: a crash counted against a request whatever the request had done before, and a popular one is in flight at most crashes.

Change: entries remember fingerprints of completed requests for ten minutes; a crash report names those of its victims that had been completed, and a crash counts half against them. A fatal request is never completed, so that nothing changes for it.

--- a/src/peering/messages.cpp
+++ b/src/peering/messages.cpp
@@ -288,7 +288,7 @@
 
 json to_json(const crash_report& message) {
     return {"crash", to_json(message.upstream), message.age.count(), to_json_array(message.victims),
-            to_json_list(message.survived_parts)};
+            to_json_list(message.survived)};
 }
 
 json to_json(const quarantine_notice& message) {
@@ -380,9 +380,9 @@
         }
     }
     // Missing in reports of older builds.
-    constexpr std::size_t survived_parts_index = 4;
-    if (value.size() > survived_parts_index) {
-        crash.survived_parts = read_digests(value.at(survived_parts_index));
+    constexpr std::size_t survived_index = 4;
+    if (value.size() > survived_index) {
+        crash.survived = read_digests(value.at(survived_index));
     }
     return crash;
 }
@@ -612,7 +612,7 @@
 }
 
 crash_report to_message(const quarantine::crash_report& report, base::instant sent_at) {
-    crash_report message{report.upstream, sent_at - report.at, {}, report.survived_parts};
+    crash_report message{report.upstream, sent_at - report.at, {}, report.survived};
     for (const auto& each : report.victims) {
         const base::micros response_started_ago =
             each.response_started_at ? sent_at - *each.response_started_at : base::micros(-1);
@@ -623,8 +623,7 @@
 }
 
 quarantine::crash_report from_message(const crash_report& message, base::instant sent_at) {
-    quarantine::crash_report report{
-        message.upstream, sent_at - message.age, {}, message.survived_parts};
+    quarantine::crash_report report{message.upstream, sent_at - message.age, {}, message.survived};
     for (const auto& each : message.victims) {
         quarantine::crash_victim victim{each.request, sent_at - each.sent_ago, {}, each.parts};
         if (each.response_started_ago >= base::micros(0)) {
--- a/src/peering/messages.h
+++ b/src/peering/messages.h
@@ -191,9 +191,9 @@
     base::upstream_instance upstream;
     base::micros age{0};
     std::vector<crash_victim> victims;
-    // The parts of their prompts that upstreams had survived before; none from an entry of an older
-    // build.
-    std::vector<base::request_digest> survived_parts;
+    // Those of them, and parts of their prompts, that upstreams had survived before; none from an
+    // entry of an older build.
+    std::vector<base::request_digest> survived;
 };
 
 // A request is quarantined for the remaining time.
--- a/src/proxy/crash_detector.cpp
+++ b/src/proxy/crash_detector.cpp
@@ -89,24 +89,26 @@
 
 void crash_detector::add_victims(const base::upstream_instance& upstream, base::instant at,
                                  const std::vector<quarantine::crash_victim>& victims) {
-    const quarantine::crash_report report{upstream, at, victims, this->survived_parts(victims, at)};
+    const quarantine::crash_report report{upstream, at, victims, this->survived(victims, at)};
     quarantine::record_crash(this->context.state.quarantine, report, this->context.now(), {});
     auto& pending = this->unreported[upstream];
     pending.upstream = upstream;
     pending.at = at;
     pending.victims.insert(pending.victims.end(), victims.begin(), victims.end());
-    pending.survived_parts.insert(pending.survived_parts.end(), report.survived_parts.begin(),
-                                  report.survived_parts.end());
+    pending.survived.insert(pending.survived.end(), report.survived.begin(), report.survived.end());
     this->report_timer.set(victim_collection_time);
 }
 
-// The parts of the victims' prompts that upstreams had survived before, as this entry knows.
+// The victims, and parts of their prompts, that upstreams had survived before, as this entry knows.
 std::vector<base::request_digest>
-crash_detector::survived_parts(const std::vector<quarantine::crash_victim>& victims,
-                               base::instant at) const {
+crash_detector::survived(const std::vector<quarantine::crash_victim>& victims,
+                         base::instant at) const {
     const auto& state = this->context.state.quarantine;
     std::set<base::request_digest> found;
     for (const auto& victim : victims) {
+        if (victim.has_completed) {
+            found.insert(victim.request.digest);
+        }
         for (const auto& part : victim.parts) {
             if (quarantine::has_survived(state, part.digest, at, {})) {
                 found.insert(part.digest);
@@ -127,8 +129,7 @@
         std::stable_partition(report.victims.begin(), report.victims.end(),
                               [](const auto& each) { return !each.response_started_at; });
         report.victims.resize(std::min(report.victims.size(), max_reported_victims));
-        report.survived_parts.resize(
-            std::min(report.survived_parts.size(), max_reported_survivals));
+        report.survived.resize(std::min(report.survived.size(), max_reported_survivals));
         this->broadcast(peering::to_message(report, this->context.now()));
     }
     this->unreported.clear();
--- a/src/proxy/crash_detector_tests.cpp
+++ b/src/proxy/crash_detector_tests.cpp
@@ -74,6 +74,33 @@
 
 } // namespace
 
+// Guards against refusing a request that many clients send, since the engines that happened to run
+// it were lost one after the other.
+TEST_CASE("a popular request is served after two engines were lost under it in a row",
+          "[proxy][quarantine]") {
+    const std::string route = GENERATE(std::string("stream"), std::string("once"));
+    CAPTURE(route);
+    tests::proxy_world world;
+    crashing_pool pool(world);
+    int number = 0;
+    const auto popular = [&] {
+        return tests::request(route, "popular-" + std::to_string(++number), "popular");
+    };
+    REQUIRE(world.call(popular()).heads.at(0).status == 200);
+    for (int round = 0; round < 2; ++round) {
+        for (auto& [id, engine] : pool.running) {
+            engine->answer_next_with({{step::kind::crash, {}}});
+        }
+        world.call(popular());
+        for (auto& [id, engine] : pool.running) {
+            engine->answer_next_with({});
+        }
+        pool.settle();
+    }
+    REQUIRE(pool.crashes == 2);
+    CHECK(world.call(popular()).heads.at(0).status == 200);
+}
+
 // Guards against a request that is repeated and crashes one upstream after another, together with
 // everything else that runs there.
 TEST_CASE("a request that crashes upstreams is quarantined after at most three crashes",
--- a/src/proxy/request_endings.cpp
+++ b/src/proxy/request_endings.cpp
@@ -110,6 +110,7 @@
     this->clear_suspicion();
     if (this->current->head.status < first_refusal_status) {
         this->record_survived_parts();
+        this->record_completion();
         this->record_slot_time();
         this->record_run_time();
     }
--- a/src/proxy/request_failures.cpp
+++ b/src/proxy/request_failures.cpp
@@ -126,6 +126,9 @@
     this->current->broke = true;
     const auto& attempt = *this->current;
     quarantine::crash_victim victim{this->identity(), attempt.sent_at, {}, this->shared_parts()};
+    victim.has_completed = quarantine::has_completed(
+        this->context.state.quarantine, quarantine::make_fingerprint(this->identity_parts()),
+        this->context.now(), {});
     if (attempt.response_started) {
         victim.response_started_at = attempt.first_byte_at;
     }
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -198,6 +198,8 @@
     [[nodiscard]] fleet::member* current_member() const;
     [[nodiscard]] fleet::request_work current_work() const;
     const quarantine::request_identity& identity();
+    [[nodiscard]] quarantine::identity_parts identity_parts() const;
+    void record_completion();
     const std::vector<quarantine::request_identity>& shared_parts();
     quarantine::request_suspects suspects();
     void check_survival();
--- a/src/proxy/request_quarantine.cpp
+++ b/src/proxy/request_quarantine.cpp
@@ -19,15 +19,23 @@
 
 const quarantine::request_identity& request_flow::identity() {
     if (!this->cached_identity) {
-        const std::string_view client_id = this->request.team == nullptr
-                                               ? this->metadata.bearer_key
-                                               : this->request.team->id.value;
-        this->cached_identity =
-            quarantine::identify({this->exchange->head.target, client_id, this->exchange->body});
+        this->cached_identity = quarantine::identify(this->identity_parts());
     }
     return *this->cached_identity;
 }
 
+quarantine::identity_parts request_flow::identity_parts() const {
+    const std::string_view client_id =
+        this->request.team == nullptr ? this->metadata.bearer_key : this->request.team->id.value;
+    return {this->exchange->head.target, client_id, this->exchange->body};
+}
+
+void request_flow::record_completion() {
+    quarantine::record_completion(this->context.state.quarantine,
+                                  quarantine::make_fingerprint(this->identity_parts()),
+                                  this->context.now(), {});
+}
+
 // The parts of its prompt that other requests may share: all but the last.
 const std::vector<quarantine::request_identity>& request_flow::shared_parts() {
     // A prompt has a few parts; a client that lists more is not searched for a part to blame.
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -11,31 +11,38 @@
     return record.quarantined_until && now < *record.quarantined_until;
 }
 
-// When upstreams last survived a prompt part; empty if that is not known.
-std::optional<base::instant> last_survival(const part_survivals& survivals,
-                                           const base::request_digest& part) {
-    for (const auto* each : {&survivals.recent, &survivals.older}) {
-        if (const auto found = each->find(part); found != each->end()) {
+// When upstreams last survived it; empty if that is not known.
+template <class Key>
+std::optional<base::instant> last_survival(const survival_times<Key>& times, const Key& key) {
+    for (const auto* each : {&times.recent, &times.older}) {
+        if (const auto found = each->find(key); found != each->end()) {
             return found->second;
         }
     }
     return std::nullopt;
 }
 
-void record_survival(part_survivals& survivals, const base::request_digest& part, base::instant at,
+template <class Key>
+bool has_survived_lately(const survival_times<Key>& times, const Key& key, base::instant now,
+                         const quarantine_rules& rules) {
+    const auto survived_at = last_survival(times, key);
+    return survived_at && now - *survived_at <= rules.survival_memory;
+}
+
+template <class Key>
+void record_survival(survival_times<Key>& times, const Key& key, base::instant at,
                      const quarantine_rules& rules) {
-    if (survivals.recent.size() >= rules.max_survived_parts && survivals.recent.count(part) == 0) {
-        survivals.older = std::exchange(survivals.recent, {});
+    if (times.recent.size() >= rules.max_survivals && times.recent.count(key) == 0) {
+        times.older = std::exchange(times.recent, {});
     }
-    auto& known = survivals.recent[part];
+    auto& known = times.recent[key];
     known = std::max(known, at);
 }
 
 // The factor by which the crashes of a suspect count.
 double crash_factor(const quarantine& state, const suspect& record, const quarantine_rules& rules) {
-    const bool survived =
-        is_prompt_part(record.request.digest) && !record.crashes.empty() &&
-        has_survived(state, record.request.digest, record.crashes.back().at, rules);
+    const bool survived = !record.crashes.empty() && has_survived(state, record.request.digest,
+                                                                  record.crashes.back().at, rules);
     return survived ? rules.survived_factor : 1.0;
 }
 
@@ -354,8 +361,8 @@
     const auto [found, is_new] = state.crashes.try_emplace(report.upstream);
     auto& crash = found->second;
     crash.at = is_new ? report.at : std::min(crash.at, report.at);
-    for (const auto& part : report.survived_parts) {
-        record_survival(state.survivals, part, report.at, rules);
+    for (const auto& digest : report.survived) {
+        record_survival(state.survivals, digest, report.at, rules);
     }
     const auto note = [&](const request_identity& identity, const crash_victim& victim) {
         if (crash.in_flight.size() < rules.max_in_flight) {
@@ -527,10 +534,19 @@
     return was_quarantined ? clearance::quarantine_lifted : clearance::suspicion_removed;
 }
 
-bool has_survived(const quarantine& state, const base::request_digest& part, base::instant now,
+void record_completion(quarantine& state, const request_fingerprint& request, base::instant now,
+                       const quarantine_rules& rules) {
+    record_survival(state.completions, request, now, rules);
+}
+
+bool has_completed(const quarantine& state, const request_fingerprint& request, base::instant now,
+                   const quarantine_rules& rules) {
+    return has_survived_lately(state.completions, request, now, rules);
+}
+
+bool has_survived(const quarantine& state, const base::request_digest& digest, base::instant now,
                   const quarantine_rules& rules) {
-    const auto survived_at = last_survival(state.survivals, part);
-    return survived_at && now - *survived_at <= rules.survival_memory;
+    return has_survived_lately(state.survivals, digest, now, rules);
 }
 
 std::vector<base::upstream_id> upstreams_with_trials(const quarantine& state, base::instant now) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -23,9 +23,9 @@
 // the parts of its prompt. What several different requests have in common that crash upstreams in
 // turn is quarantined; a request that was in flight alone is not enough to blame its parts.
 //
-// A part that most prompts share is in flight at most crashes, whatever their cause. Crashes count
-// less against a part that upstreams have survived before, and a quarantined part is tried once
-// more after a pause, since nothing else could show that it is harmless.
+// A part that most prompts share, or a popular request, is in flight at most crashes, whatever
+// their cause. Crashes count less against what upstreams have survived before, and a quarantined
+// part is tried once more after a pause, since nothing else could show that it is harmless.
 //
 // The caller passes the current time; nothing here does I/O.
 namespace camphorrail::quarantine {
@@ -60,8 +60,8 @@
     // A response that an upstream has begun and survived for this long shows that the parts of its
     // prompt crash no upstream.
     base::micros survival_time = base::milliseconds(200);
-    // A crash counts by this factor against a part that upstreams have survived for the last time
-    // no longer than `survival_memory` before.
+    // A crash counts by this factor against a request that upstreams have completed, or a part that
+    // they have survived, for the last time no longer than `survival_memory` before.
     double survived_factor = 0.5;
     base::micros survival_memory = base::minutes(10);
     // A quarantined part is tried after this pause if no more upstreams than
@@ -69,8 +69,9 @@
     // for a part that upstreams have survived before.
     base::micros trial_pause = base::seconds(2);
     std::size_t max_crashes_before_trial = 2;
-    // Parts whose survival is remembered, at least; up to twice as many are.
-    std::size_t max_survived_parts = 1024;
+    // Parts whose survival is remembered, and requests whose completion is, at least; up to twice
+    // as many are.
+    std::size_t max_survivals = 1024;
     std::size_t max_suspects = 512;
     std::size_t max_crashes_per_suspect = 8;
     std::size_t max_crashes = 64;
@@ -86,6 +87,8 @@
     std::optional<base::instant> response_started_at;
     // The parts of its prompt that other requests may share.
     std::vector<request_identity> parts;
+    // Upstreams had completed the same request before.
+    bool has_completed = false;
 };
 
 // A crash as one entry observed it, with that entry's requests only.
@@ -93,8 +96,8 @@
     base::upstream_instance upstream;
     base::instant at{};
     std::vector<crash_victim> victims;
-    // The parts of the victims' prompts that upstreams had survived before.
-    std::vector<base::request_digest> survived_parts = {};
+    // The victims, and parts of their prompts, that upstreams had survived before.
+    std::vector<base::request_digest> survived = {};
 };
 
 // A crash with the requests, and the parts of their prompts, of all entries that have reported it.
@@ -138,17 +141,20 @@
     bool end_unknown = false;
 };
 
-// When upstreams last survived the begin of responses to prompt parts. Once there are many, the
-// older half is forgotten.
-struct part_survivals {
-    std::map<base::request_digest, base::instant> recent;
-    std::map<base::request_digest, base::instant> older;
+// When upstreams last survived something. Once there are many, the older half is forgotten.
+template <class Key>
+struct survival_times {
+    std::map<Key, base::instant> recent;
+    std::map<Key, base::instant> older;
 };
 
 struct quarantine {
     std::map<base::request_digest, suspect> suspects;
     std::map<base::upstream_instance, upstream_crash> crashes;
-    part_survivals survivals;
+    // Prompt parts, and requests that crash reports have named as completed before.
+    survival_times<base::request_digest> survivals;
+    // Requests that this entry has seen completed.
+    survival_times<request_fingerprint> completions;
     // How much later than the first entry this one tries quarantined parts, so that a part that is
     // to blame crashes one upstream more and not one at each entry.
     base::micros trial_turn{0};
@@ -240,8 +246,15 @@
 clearance clear_prompt_part(quarantine& state, const base::request_digest& part, base::instant now,
                             const quarantine_rules& rules);
 
-// Whether upstreams have survived the begin of a response to a prompt part lately.
-bool has_survived(const quarantine& state, const base::request_digest& part, base::instant now,
+// Remembers that an upstream has completed a request, and tells whether one has lately.
+void record_completion(quarantine& state, const request_fingerprint& request, base::instant now,
+                       const quarantine_rules& rules);
+bool has_completed(const quarantine& state, const request_fingerprint& request, base::instant now,
+                   const quarantine_rules& rules);
+
+// Whether upstreams have survived the begin of a response to a prompt part lately, or completed a
+// request, as far as crash reports have said so.
+bool has_survived(const quarantine& state, const base::request_digest& digest, base::instant now,
                   const quarantine_rules& rules);
 
 // The upstreams that currently run a trial.
--- a/src/quarantine/quarantine_tests.cpp
+++ b/src/quarantine/quarantine_tests.cpp
@@ -93,6 +93,40 @@
     CHECK(node.decide(600) == 0);
 }
 
+// Guards against refusing a popular request for ten minutes, since two upstreams that happened to
+// run it were lost in a row.
+TEST_CASE("a request that upstreams have completed is not quarantined for two crashes",
+          "[quarantine]") {
+    entry node;
+    const auto lose = [&node](const std::string& upstream, int ms) {
+        quarantine::crash_report report{{{upstream}, {}}, entry::at(ms), {}};
+        report.victims = {entry::victim("popular", ms - 40), entry::victim("once", ms - 40)};
+        report.survived = {request_named("popular").digest};
+        quarantine::record_crash(node.state, report, entry::at(ms), rules);
+    };
+    lose("i-1", 100);
+    lose("i-2", 700);
+    CHECK(node.decide(900) == 1);
+    CHECK(node.judge("popular", 910) == verdict::trial);
+    CHECK(node.judge("once", 910) == verdict::quarantined);
+}
+
+TEST_CASE("completed requests are remembered for a while", "[quarantine]") {
+    quarantine::quarantine state;
+    const auto fingerprint = quarantine::make_fingerprint({"/desk", "north", "popular"});
+    CHECK_FALSE(quarantine::has_completed(state, fingerprint, entry::at(10), rules));
+    quarantine::record_completion(state, fingerprint, entry::at(10), rules);
+    CHECK(quarantine::has_completed(state, fingerprint, entry::at(600'000), rules));
+    CHECK_FALSE(quarantine::has_completed(state, fingerprint, entry::at(600'020), rules));
+    CHECK_FALSE(quarantine::has_completed(
+        state, quarantine::make_fingerprint({"/des", "knorth", "popular"}), entry::at(10), rules));
+    for (std::uint64_t other = 0; other < 5000; ++other) {
+        quarantine::record_completion(state, {other}, entry::at(20), rules);
+    }
+    CHECK(state.completions.recent.size() + state.completions.older.size() <=
+          2 * rules.max_survivals);
+}
+
 // Guards against quarantining a harmless request together with a fatal one because both were in
 // flight at the same two crashes.
 TEST_CASE("of two requests in flight at both crashes neither is quarantined before they ran apart",
--- a/src/quarantine/request_identity.cpp
+++ b/src/quarantine/request_identity.cpp
@@ -20,6 +20,12 @@
     return {{base::sha256_hex(all)}, parts.body.size()};
 }
 
+request_fingerprint make_fingerprint(const identity_parts& parts) {
+    // Each part is the seed of the next, so that the same bytes split otherwise differ.
+    return {base::stable_hash(parts.body,
+                              base::stable_hash(parts.client, base::stable_hash(parts.path)))};
+}
+
 request_identity identify_prompt_part(const base::model_id& model, std::string_view part) {
     const std::string both = base::sha256_hex(model.value) + base::sha256_hex(part);
     return {{std::string(part_prefix) + base::sha256_hex(both)}, 0};
--- a/src/quarantine/request_identity.h
+++ b/src/quarantine/request_identity.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -30,6 +31,16 @@
 
 request_identity identify(const identity_parts& parts);
 
+// Tells most requests apart at little cost. Only for what requests like it have done well: a client
+// that makes its request collide with another one's gains a lenient verdict, and harms nobody.
+struct request_fingerprint {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const request_fingerprint&) const = default;
+};
+
+request_fingerprint make_fingerprint(const identity_parts& parts);
+
 // Identifies a part of prompts at one model, whichever requests and clients share it. The upstreams
 // of a model crash under such a part for all clients alike.
 request_identity identify_prompt_part(const base::model_id& model, std::string_view part);
