Name what a stopping entry looks at, and keep the date of survivals

Read again as a newcomer: balanced is new_clients_arrive now, survived() in the crash detector find_survived(). A crash report no longer renews the date of a survival that an entry knows, which would have stretched the ten minutes with each crash. The tests of quarantine, stop and idle connections pass.

--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -85,7 +85,7 @@
     bool stopping = false;
     // The times of a planned stop: from when on the load balancer sends no new clients, and when
     // the requests that are still open are ended. Set while the entry is stopping.
-    base::instant balanced_until{};
+    base::instant new_clients_until{};
     base::instant ends_requests_at{};
 };
 
--- a/src/proxy/crash_detector.cpp
+++ b/src/proxy/crash_detector.cpp
@@ -89,7 +89,7 @@
 
 void crash_detector::add_victims(const base::upstream_instance& upstream, base::instant at,
                                  const std::vector<quarantine::crash_victim>& victims) {
-    const quarantine::crash_report report{upstream, at, victims, this->survived(victims, at)};
+    const quarantine::crash_report report{upstream, at, victims, this->find_survived(victims, at)};
     quarantine::record_crash(this->context.state.quarantine, report, this->context.now(), {});
     auto& pending = this->unreported[upstream];
     pending.upstream = upstream;
@@ -101,8 +101,8 @@
 
 // The victims, and parts of their prompts, that upstreams had survived before, as this entry knows.
 std::vector<base::request_digest>
-crash_detector::survived(const std::vector<quarantine::crash_victim>& victims,
-                         base::instant at) const {
+crash_detector::find_survived(const std::vector<quarantine::crash_victim>& victims,
+                              base::instant at) const {
     const auto& state = this->context.state.quarantine;
     std::set<base::request_digest> found;
     for (const auto& victim : victims) {
--- a/src/proxy/crash_detector.h
+++ b/src/proxy/crash_detector.h
@@ -72,7 +72,7 @@
     void add_victims(const base::upstream_instance& upstream, base::instant at,
                      const std::vector<quarantine::crash_victim>& victims);
     [[nodiscard]] std::vector<base::request_digest>
-    survived(const std::vector<quarantine::crash_victim>& victims, base::instant at) const;
+    find_survived(const std::vector<quarantine::crash_victim>& victims, base::instant at) const;
     [[nodiscard]] base::micros trial_turn() const;
     void broadcast_crashes();
     bool clear(const base::request_digest& part, const char* source);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -578,7 +578,7 @@
     const shutdown_rules rules;
     const base::instant now = this->context.now();
     this->state.stopping = true;
-    this->state.balanced_until = now + rules.balancer_detection_time;
+    this->state.new_clients_until = now + rules.balancer_detection_time;
     this->state.ends_requests_at = now + this->settings.bounds.grace - exit_margin;
     this->shutdown.started_at = now;
     this->log.line(importance::keep, "stop")
--- a/src/proxy/request_attempts.cpp
+++ b/src/proxy/request_attempts.cpp
@@ -62,7 +62,7 @@
     const base::instant now = this->context.now();
     const last_request view{state.ends_requests_at - now, this->time_left(),
                             longest_run_time(state.runs, this->request.route->name),
-                            may_repeat(*this->request.route), now < state.balanced_until};
+                            may_repeat(*this->request.route), now < state.new_clients_until};
     if (may_be_sent_before_exit(view)) {
         return false;
     }
--- a/src/proxy/run_times.cpp
+++ b/src/proxy/run_times.cpp
@@ -35,7 +35,7 @@
 }
 
 bool may_be_sent_before_exit(const last_request& request) {
-    if (request.balanced && (request.repeatable || !request.longest_run)) {
+    if (request.new_clients_arrive && (request.repeatable || !request.longest_run)) {
         return true;
     }
     const base::micros longest = request.longest_run.value_or(request.client_time_left);
--- a/src/proxy/run_times.h
+++ b/src/proxy/run_times.h
@@ -42,7 +42,7 @@
     // It can be sent again, or its stream resumed, if it is cut off.
     bool repeatable = false;
     // The load balancer still sends new clients to this entry.
-    bool balanced = false;
+    bool new_clients_arrive = false;
 };
 
 // Whether the request can probably be answered before the entry ends. Without a known run time, it
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -362,7 +362,10 @@
     auto& crash = found->second;
     crash.at = is_new ? report.at : std::min(crash.at, report.at);
     for (const auto& digest : report.survived) {
-        record_survival(state.survivals, digest, report.at, rules);
+        // The report does not say when, so it must not renew what is known.
+        if (!last_survival(state.survivals, digest)) {
+            record_survival(state.survivals, digest, report.at, rules);
+        }
     }
     const auto note = [&](const request_identity& identity, const crash_victim& victim) {
         if (crash.in_flight.size() < rules.max_in_flight) {
